--- /dev/null
+++ b/src/bin/pipithub-adapter/wire.rs
@@ -0,0 +1,281 @@
+//! Lines of the wire, to and from the plain types of the library.
+
+use std::fmt::Write;
+use std::str::FromStr;
+
+use pipithub::api::{
+    Action, CopyNote, Entry, Event, Function, ListKind, Load, Outcome, Request, State, Time, Worker,
+};
+
+/// The names behind the class and tenant numbers of one front end.
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+}
+
+/// What one line holds.
+pub enum Input {
+    /// A whole event.
+    Event(Event),
+    /// The head of a list, with the number of entry lines that follow.
+    List { kind: ListKind, count: usize },
+}
+
+/// Walks over the parts of a line.
+struct Parts<'a> {
+    rest: std::str::Split<'a, char>,
+}
+
+impl<'a> Parts<'a> {
+    fn of(line: &'a str) -> Self {
+        Parts { rest: line.split(' ') }
+    }
+
+    fn text(&mut self, what: &str) -> Result<&'a str, String> {
+        self.rest.next().filter(|p| !p.is_empty()).ok_or_else(|| format!("{what} is missing"))
+    }
+
+    /// A value that may be absent: `-`, or no part at all.
+    fn maybe<T: FromStr>(&mut self, what: &str) -> Result<Option<T>, String> {
+        match self.rest.next() {
+            None | Some("-") => Ok(None),
+            Some(part) => part.parse().map(Some).map_err(|_| format!("{what}: cannot read '{part}'")),
+        }
+    }
+
+    fn value<T: FromStr>(&mut self, what: &str) -> Result<T, String> {
+        self.maybe(what)?.ok_or_else(|| format!("{what} is missing"))
+    }
+
+    fn bool(&mut self, what: &str) -> Result<bool, String> {
+        match self.text(what)? {
+            "1" => Ok(true),
+            "0" | "-" => Ok(false),
+            other => Err(format!("{what}: cannot read '{other}'")),
+        }
+    }
+
+    fn function(&mut self) -> Result<Function, String> {
+        let text = self.text("Model")?;
+        u64::from_str_radix(text, 16).map(Function).map_err(|_| format!("Model: cannot read '{text}'"))
+    }
+
+    fn worker(&mut self) -> Result<Worker, String> {
+        Ok(Worker::new(self.text("Worker")?))
+    }
+
+    fn outcome(&mut self) -> Result<Outcome, String> {
+        Ok(match self.text("Status")? {
+            "S" => Outcome::Served,
+            "E" => Outcome::Error,
+            "F" => Outcome::Full,
+            "T" => Outcome::TimedOut,
+            "C" => Outcome::Unreachable,
+            "R" => Outcome::Broken,
+            "X" => Outcome::Cancelled,
+            "N" => Outcome::NotSent,
+            "M" => Outcome::Absent,
+            other => return Err(format!("Status: unknown '{other}'")),
+        })
+    }
+
+    fn load(&mut self) -> Result<Load, String> {
+        let mut load = Load::default();
+        let pairs = match self.rest.next() {
+            None | Some("-") | Some("") => return Ok(load),
+            Some(pairs) => pairs,
+        };
+        for pair in pairs.split(',') {
+            let (name, value) = pair.split_once(':').ok_or_else(|| format!("Load: cannot read '{pair}'"))?;
+            let slot = match name {
+                "rif" => &mut load.held,
+                "busy" => &mut load.busy,
+                "x0" => &mut load.memory_tied,
+                "x1" => &mut load.loads,
+                _ => continue,
+            };
+            let number: f64 = value.parse().map_err(|_| format!("Load: cannot read '{pair}'"))?;
+            *slot = Some(number).filter(|n| n.is_finite());
+        }
+        Ok(load)
+    }
+}
+
+/// Reads the line that begins a batch.
+pub fn clock(line: &str) -> Result<Time, String> {
+    let mut parts = Parts::of(line);
+    match parts.text("message")? {
+        "sync" => parts.value("clock"),
+        other => Err(format!("expected 'sync', found '{other}'")),
+    }
+}
+
+/// The front end that a line is for, and the name of its message.
+pub fn addressee(line: &str) -> Result<(u64, &str), String> {
+    let mut parts = Parts::of(line);
+    let name = parts.text("message")?;
+    Ok((parts.value("EndId").map_err(|e| format!("{name}: {e}"))?, name))
+}
+
+/// Seed and settings text of an `attach`.
+pub fn attach(line: &str) -> Result<(u64, &str), String> {
+    let mut parts = line.splitn(4, ' ').skip(2);
+    let seed = parts.next().ok_or("attach: RngSeed is missing")?;
+    let seed = seed.parse().map_err(|_| format!("attach: RngSeed: cannot read '{seed}'"))?;
+    Ok((seed, parts.next().ok_or("attach: BootInfo is missing")?))
+}
+
+/// Reads any other event line.
+pub fn event(line: &str, names: &Names) -> Result<Input, String> {
+    let name = line.split(' ').next().unwrap_or_default();
+    parse(line, names).map_err(|e| format!("{name}: {e}"))
+}
+
+fn parse(line: &str, names: &Names) -> Result<Input, String> {
+    let mut p = Parts::of(line);
+    let name = p.text("message")?;
+    p.text("EndId")?;
+    Ok(Input::Event(match name {
+        "backends_changed" => {
+            p.maybe::<u64>("Revision")?;
+            let kind = match p.text("How")? {
+                "incr" => ListKind::Changes,
+                "total" => ListKind::Complete,
+                "warm_copy" => ListKind::Remembered,
+                "lost" => ListKind::Lost,
+                other => return Err(format!("How: unknown '{other}'")),
+            };
+            return Ok(Input::List { kind, count: p.maybe("Records")?.unwrap_or(0) });
+        }
+        "query" => {
+            let id = p.value("Req")?;
+            let expected = p.maybe("Expected")?;
+            let owner = p.text("Owner")?;
+            let memory_mb = p.maybe::<f64>("SizeMb")?.filter(|m| m.is_finite()).unwrap_or(0.0);
+            let lanes = p.maybe::<f64>("PerCopy")?.unwrap_or(1.0) as u32;
+            let grade = p.text("Grade")?;
+            let class = names.classes.iter().position(|n| n == grade);
+            let bringup: Option<f64> = p.maybe("BringupMs")?;
+            let function = p.function()?;
+            p.maybe::<u64>("Attrs")?;
+            Event::Arrived(Request {
+                id,
+                expected,
+                tenant: names.tenants.iter().position(|n| n == owner),
+                memory_mb,
+                lanes,
+                class: class.ok_or_else(|| format!("Grade: unknown '{grade}'"))?,
+                load_time: bringup.map(|ms| (ms * 1e6) as Time),
+                function,
+                budget: p.maybe("TimeBudget")?.unwrap_or(0),
+            })
+        }
+        "health_result" => {
+            p.maybe::<Time>("Rtt")?;
+            let answered = p.outcome()? == Outcome::Served;
+            Event::Probed { worker: p.worker()?, answered, load: p.load()? }
+        }
+        "wake" => Event::Timer { token: p.value("Cookie")? },
+        "heard" => Event::Peer { from: p.value("Author")?, bytes: bytes(p.text("Bytes")?)? },
+        "brought_up" => Event::Ordered {
+            worker: p.worker()?,
+            function: p.function()?,
+            outcome: p.outcome()?,
+            took: p.maybe("Rtt")?.unwrap_or(0),
+            copies: p.maybe("Copies")?.unwrap_or(0),
+        },
+        "lapsed" => Event::Left { request: p.value("Req")? },
+        "completed" => {
+            let request = p.value("Req")?;
+            let attempt = p.value("N")?;
+            let worker = p.worker()?;
+            let outcome = p.outcome()?;
+            let took = p.maybe("Rtt")?.unwrap_or(0);
+            let settled = p.bool("Settled")?;
+            let detail: Option<u32> = p.maybe("Detail")?;
+            Event::Finished {
+                request,
+                attempt,
+                worker,
+                outcome,
+                took,
+                settled,
+                note: match detail.unwrap_or(0) % 8 {
+                    1 => Some(CopyNote::Warm),
+                    2 => Some(CopyNote::Began),
+                    3 => Some(CopyNote::Waited),
+                    4 => Some(CopyNote::Failed),
+                    _ => None,
+                },
+                alike: detail.map(|d| d / 8),
+                load: p.load()?,
+            }
+        }
+        "head_received" => Event::Streaming { request: p.value("Req")? },
+        _ => return Err("unknown message".to_string()),
+    }))
+}
+
+/// Reads one line of a list.
+pub fn entry(line: &str) -> Result<Entry, String> {
+    let mut p = Parts::of(line);
+    if p.text("message")? != "entry" {
+        return Err(format!("expected 'entry', found '{line}'"));
+    }
+    let fields = |p: &mut Parts| -> Result<Entry, String> {
+        Ok(Entry {
+            share: p.maybe::<f64>("Share")?.filter(|s| s.is_finite()).unwrap_or(0.0),
+            worker: p.worker()?,
+            state: match p.text("StageState")? {
+                "live" => State::Live,
+                "quiescing" => State::Draining,
+                "dead" => State::Gone,
+                other => return Err(format!("StageState: unknown '{other}'")),
+            },
+            zone: p.text("Dc")?.to_string(),
+            cell: p.maybe("Block")?.unwrap_or(0),
+            started: {
+                p.text("FamilyType")?;
+                p.maybe::<Time>("StartTime")?.filter(|&t| t > 0)
+            },
+        })
+    };
+    fields(&mut p).map_err(|e| format!("entry: {e}"))
+}
+
+fn bytes(text: &str) -> Result<Vec<u8>, String> {
+    if text == "-" {
+        return Ok(Vec::new());
+    }
+    let bad = || format!("Bytes: cannot read '{text}'");
+    if text.len() % 2 != 0 || !text.is_ascii() {
+        return Err(bad());
+    }
+    (0..text.len()).step_by(2).map(|i| u8::from_str_radix(&text[i..i + 2], 16).map_err(|_| bad())).collect()
+}
+
+/// Appends the line of one action.
+pub fn write(reply: &mut String, end: u64, action: &Action) {
+    let done = match action {
+        Action::Send { request, worker, timeout: Some(t) } => {
+            writeln!(reply, "hand_off {end} {request} {} {t}", worker.0)
+        }
+        Action::Send { request, worker, timeout: None } => {
+            writeln!(reply, "hand_off {end} {request} {} -", worker.0)
+        }
+        Action::Cancel { request, attempt } => writeln!(reply, "recall {end} {request} {attempt}"),
+        Action::Refuse { request, retry_after: Some(t) } => writeln!(reply, "reject {end} {request} {t}"),
+        Action::Refuse { request, retry_after: None } => writeln!(reply, "reject {end} {request} -"),
+        Action::Fail { request } => writeln!(reply, "abort {end} {request}"),
+        Action::Probe { worker } => writeln!(reply, "touch {end} {}", worker.0),
+        Action::Hold { worker, function, copies } => {
+            writeln!(reply, "bring_up {end} {:016x} {} {copies}", function.0, worker.0)
+        }
+        Action::Drop { worker, function } => {
+            writeln!(reply, "shelve {end} {:016x} {}", function.0, worker.0)
+        }
+        Action::Timer { after, token } => writeln!(reply, "remind {end} {after} {token}"),
+        Action::FollowList => writeln!(reply, "tail {end} 1"),
+    };
+    debug_assert!(done.is_ok(), "writing to a string cannot fail");
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,926 @@
+//! The decisions of one front end. The types that go in and out stand in `src/api.rs`.
+//!
+//! A request goes to the first worker in a shared hash order whose replayed queue of this front end's
+//! own sends, any load counted, still meets every deadline; else it is refused unsent. No clock, no
+//! thread, no I/O: equal events give equal actions.
+
+use crate::api::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+// ---- constants ----
+
+/// Nanoseconds in a millisecond.
+const MS: Time = 1_000_000;
+/// Housekeeping period: short beside any aim, long beside a tick.
+const CHORES: Time = 50 * MS;
+/// Token of the housekeeping timer; request ids stay far below.
+const CHORES_TOKEN: u64 = 1 << 62;
+/// Run time, as a share of the aim, believed of a class before its first answer.
+const FIRST_RUN: f64 = 0.15;
+/// Load time, as a multiple of the aim, believed before any load was seen or told.
+const FIRST_LOAD: f64 = 1.0;
+/// Weight of a new sample in a function's run time: about its last twenty answers.
+const RUN_GAIN: f64 = 0.05;
+/// Weight of a new sample in a worker's pace: about its last seven, so a slow-down shows in time.
+const PACE_GAIN: f64 = 0.15;
+/// No sample counts for more than this many times what was expected: one heavy call is no bad worker.
+const SAMPLE_CAP: f64 = 4.0;
+/// The newcomer's own run is padded so much: served times have tails, the replay knows averages.
+const PAD: f64 = 1.6;
+/// A pace that no answer refreshes goes half the way back to the usual in this time.
+const PACE_AGE: Time = 3_000 * MS;
+/// A worker is silent when its oldest unanswered sends are late by this multiple of what was foreseen ...
+const SILENCE_STRETCH: f64 = 3.0;
+/// ... and this many of them are, with no answer since.
+const SILENT_SENDS: usize = 3;
+/// First time that a worker is left alone after a failed connection or silence; doubles each time.
+const SHUT_FIRST: Time = 500 * MS;
+/// Longest such time: the bounded way back.
+const SHUT_MOST: Time = 4_000 * MS;
+/// The share of its estimated part of a cold worker's budget that this front end spends.
+const COLD_SAFETY: f64 = 0.6;
+/// Time over which sends are counted to learn what a warm worker takes.
+const RATE_SPAN: Time = 4_000 * MS;
+/// The most of the placed copies replaced in a round (the paper's cap).
+const REPLACED_SHARE: f64 = 1.0 / 15.0;
+/// The paper's replacement interval; the told keep-alive shortens it.
+const INTERVAL_MOST: Time = 30_000 * MS;
+/// Misses of a function at a worker, within an interval, before a further worker is made to hold it.
+const MISSES_TO_SPREAD: u32 = 2;
+/// A function that was not called for so many intervals is forgotten.
+const FORGET_INTERVALS: u64 = 6;
+
+// ---- worker list and health ----
+
+/// A send that has no outcome yet.
+#[derive(Debug)]
+struct Sent {
+    request: RequestId,
+    attempt: u32,
+    function: Function,
+    at: Time,
+    /// When the replay foresaw its answer.
+    due: Time,
+    /// The deadline that the replay held it to.
+    goal: Time,
+    /// The run alone, at the usual pace.
+    run: f64,
+    /// It was believed to wait for a load.
+    cold: bool,
+    /// Own sends at the worker when it left, itself included.
+    crowd: f64,
+}
+
+/// What is believed of a function's copies at one worker.
+#[derive(Debug, Default)]
+struct Copies {
+    count: u32,
+    /// When they stand loaded.
+    ready: Time,
+    /// The last sign that they were in use.
+    used: Time,
+    /// An answer or order reply has shown them.
+    proven: bool,
+    /// Placed by an order of this front end.
+    placed: bool,
+    /// An order for them is under way since then.
+    ordered: Option<Time>,
+    /// Run time admitted here in this interval.
+    used_work: f64,
+    /// Run time that moved on in this interval because no copy stood here, and how often.
+    missed_work: f64,
+    misses: u32,
+    /// Least time to spare beyond the run among those.
+    adequate: f64,
+}
+
+#[derive(Debug)]
+struct Node {
+    entry: Entry,
+    hash: u64,
+    copies: BTreeMap<Function, Copies>,
+    out: Vec<Sent>,
+    /// Served time over the usual, and own sends there meanwhile.
+    pace: f64,
+    crowd: f64,
+    heard: Time,
+    /// Troubles in a row, and until when it is left alone.
+    bad: u32,
+    shut_until: Time,
+    /// Sends within the last rate span, with their weight.
+    sends: VecDeque<(Time, f64)>,
+}
+
+impl Node {
+    fn new(entry: Entry) -> Self {
+        let hash =
+            entry.worker.0.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| {
+                (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3)
+            });
+        Node {
+            entry,
+            hash: mix(hash),
+            copies: BTreeMap::new(),
+            out: Vec::new(),
+            pace: 1.0,
+            crowd: 1.0,
+            heard: 0,
+            bad: 0,
+            shut_until: 0,
+            sends: VecDeque::new(),
+        }
+    }
+
+    /// Its pace now: old knowledge fades to the usual, so no bad spell is believed for ever.
+    fn pace_at(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.heard) as f64 / PACE_AGE as f64;
+        1.0 + (self.pace - 1.0) * 0.5f64.powf(age)
+    }
+
+    /// Leaves the worker alone for a while, longer each time.
+    fn shut(&mut self, now: Time) {
+        self.shut_until = now + (SHUT_FIRST << self.bad.min(8)).min(SHUT_MOST);
+        self.bad = self.bad.saturating_add(1);
+    }
+}
+
+/// A function as this front end knows it.
+#[derive(Debug, Default)]
+struct Program {
+    lanes: u32,
+    told_load: Option<Time>,
+    /// The longest load seen, fading.
+    seen_load: Option<f64>,
+    run: Option<f64>,
+    called: Time,
+}
+
+/// A request that has no final answer yet.
+#[derive(Debug)]
+struct Open {
+    call: Request,
+    aim: Time,
+    deadline: Time,
+    attempts: u32,
+    outstanding: bool,
+    /// The first attempt that may have run: when, and in which zone and cell.
+    may_have_run: Option<(Time, String, u64)>,
+    tried: Vec<Worker>,
+    streaming: bool,
+    /// It waits, unsent, for an order's reply.
+    parked: bool,
+}
+
+/// What the replay of one worker foresees for a newcomer.
+#[derive(Clone, Copy, Debug)]
+struct Foreseen {
+    cold: bool,
+    /// Every queued deadline still holds.
+    others_hold: bool,
+    /// When it would be served if a copy stood, and with any load counted.
+    warm_finish: Time,
+    finish: Time,
+}
+
+/// One front end.
+#[derive(Debug)]
+pub struct FrontEnd {
+    s: Settings,
+    now: Time,
+    seed: u64,
+    started: Option<Time>,
+    nodes: BTreeMap<Worker, Node>,
+    programs: BTreeMap<Function, Program>,
+    open: BTreeMap<RequestId, Open>,
+    /// Mean run time of each class.
+    class_run: Vec<Option<f64>>,
+    /// Seen load time over the told one, and the mean load where none is told.
+    load_stretch: f64,
+    load_mean: Option<f64>,
+    load_heard: Time,
+    /// Arrivals and orders within the ration's window.
+    arrivals: VecDeque<Time>,
+    orders: VecDeque<Time>,
+    next_round: Time,
+    allowance: f64,
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+impl FrontEnd {
+    /// A front end that knows nothing but its settings.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let mut s = settings;
+        if s.classes.is_empty() {
+            s.classes.push(Class::default());
+        }
+        s.front_ends = s.front_ends.max(1);
+        FrontEnd {
+            class_run: vec![None; s.classes.len()],
+            s,
+            now: 0,
+            seed,
+            started: None,
+            nodes: BTreeMap::new(),
+            programs: BTreeMap::new(),
+            open: BTreeMap::new(),
+            load_stretch: 1.0,
+            load_mean: None,
+            load_heard: 0,
+            arrivals: VecDeque::new(),
+            orders: VecDeque::new(),
+            next_round: 0,
+            allowance: 0.0,
+        }
+    }
+
+    /// Takes one event and appends what to do about it.
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if self.started.is_none() {
+            self.started = Some(self.now);
+            // The rounds of the front ends are spread, so that they do not all order at once.
+            self.next_round = self.now + self.interval() / 2 + mix(self.seed) % (self.interval() / 2);
+            actions.push(Action::Timer { after: CHORES, token: CHORES_TOKEN });
+            if self.s.list_on_request {
+                actions.push(Action::FollowList);
+            }
+        }
+        match event {
+            Event::List { kind, entries } => self.list(kind, entries, actions),
+            Event::Arrived(call) => self.arrived(call, actions),
+            Event::Finished { request, attempt, worker, outcome, took, settled, note, .. } => {
+                let place = self.nodes.get(&worker).map(|n| (n.entry.zone.clone(), n.entry.cell));
+                let at = self.attempt_over(&worker, request, attempt, outcome, took, note);
+                self.outcome(request, place.map(|(zone, cell)| (at, zone, cell)), outcome, settled, actions);
+            }
+            Event::Streaming { request } => {
+                if let Some(open) = self.open.get_mut(&request) {
+                    open.streaming = true;
+                }
+            }
+            Event::Left { request } => {
+                self.open.remove(&request);
+            }
+            Event::Ordered { worker, function, outcome, took, copies } => {
+                self.ordered(&worker, function, outcome, took, copies, actions)
+            }
+            Event::Timer { token: CHORES_TOKEN } => self.chores(actions),
+            Event::Timer { token } => self.time_up(token, actions),
+            Event::Probed { .. } | Event::Peer { .. } => {}
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<Entry>, actions: &mut Vec<Action>) {
+        if kind == ListKind::Lost {
+            if self.s.list_on_request {
+                actions.push(Action::FollowList);
+            }
+            return;
+        }
+        if kind != ListKind::Changes {
+            let named: BTreeSet<&Worker> = entries.iter().map(|e| &e.worker).collect();
+            for node in self.nodes.values_mut().filter(|n| !named.contains(&n.entry.worker)) {
+                node.entry.state = State::Gone;
+            }
+        }
+        for entry in entries {
+            let node = self.nodes.entry(entry.worker.clone()).or_insert_with(|| Node::new(entry.clone()));
+            if node.entry.started != entry.started {
+                // A process that started anew holds nothing and has no past.
+                node.copies.clear();
+                (node.pace, node.crowd, node.bad, node.shut_until) = (1.0, 1.0, 0, 0);
+            }
+            node.entry = entry;
+        }
+        self.nodes.retain(|_, n| n.entry.state != State::Gone || !n.out.is_empty());
+    }
+
+    /// The workers that may be sent work, in the function's order: the same at every front end.
+    fn order(&self, function: Function) -> Vec<Worker> {
+        let mut ranked: Vec<(u64, &Worker)> = self
+            .nodes
+            .iter()
+            .filter(|(_, n)| n.entry.state == State::Live)
+            .map(|(w, n)| (mix(n.hash ^ mix(function.0)), w))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.into_iter().map(|(_, w)| w.clone()).collect()
+    }
+
+    // ---- beliefs: warm copies, run and load times ----
+
+    /// What a run of the call takes at the usual pace, averaged from served answers.
+    fn run_of(&self, function: Function, class: usize) -> f64 {
+        let known = self.programs.get(&function).and_then(|p| p.run).or(self.class_run[class]);
+        known.unwrap_or(self.s.classes[class].aim as f64 * FIRST_RUN)
+    }
+
+    /// What a load takes: the told time at the store's present pace, else the longest seen.
+    fn load_of(&self, function: Function, class: usize) -> f64 {
+        let program = self.programs.get(&function);
+        let age = self.now.saturating_sub(self.load_heard) as f64 / PACE_AGE as f64;
+        let stretch = 1.0 + (self.load_stretch - 1.0) * 0.5f64.powf(age);
+        if let Some(told) = program.and_then(|p| p.told_load) {
+            return told as f64 * stretch;
+        }
+        let seen = program.and_then(|p| p.seen_load).or(self.load_mean);
+        seen.unwrap_or(self.s.classes[class].aim as f64 * FIRST_LOAD) * stretch
+    }
+
+    fn learn_load(&mut self, function: Function, took: f64) {
+        let Some(program) = self.programs.get_mut(&function) else { return };
+        let usual = program.told_load.map(|t| t as f64).or(program.seen_load).or(self.load_mean);
+        if let Some(usual) = usual.filter(|u| *u > 0.0) {
+            let sample = (took / usual).clamp(0.5, 2.0 * SAMPLE_CAP);
+            self.load_stretch += 0.3 * (sample - self.load_stretch);
+            self.load_heard = self.now;
+        }
+        let mean = self.load_mean.get_or_insert(took);
+        *mean += RUN_GAIN * (took - *mean);
+        let seen = program.seen_load.get_or_insert(took);
+        *seen = if took > *seen { took.min(*seen * 2.0) } else { *seen + 0.3 * (took - *seen) };
+    }
+
+    /// Takes an ended attempt out of the worker's queue and learns from it; tells when it was sent.
+    fn attempt_over(
+        &mut self,
+        worker: &Worker,
+        request: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        took: Time,
+        note: Option<CopyNote>,
+    ) -> Time {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(worker) else { return 0 };
+        let Some(at) = node.out.iter().position(|s| s.request == request && s.attempt == attempt) else {
+            return 0;
+        };
+        let sent = node.out.remove(at);
+        // An attempt of an earlier process tells nothing of the present one.
+        let same_process = node.entry.started.is_none_or(|t| t <= sent.at);
+        if node.entry.state == State::Gone && node.out.is_empty() {
+            self.nodes.remove(worker);
+            return sent.at;
+        }
+        match outcome {
+            Outcome::Served if same_process => {
+                (node.bad, node.shut_until) = (0, 0);
+                node.heard = now;
+                let copies = node.copies.entry(sent.function).or_default();
+                if !copies.proven {
+                    copies.ready = now;
+                }
+                (copies.count, copies.proven, copies.used) = (copies.count.max(1), true, now);
+                let took = took as f64;
+                let expected = sent.run * node.pace.max(0.1);
+                let loaded = match note {
+                    Some(CopyNote::Warm) => false,
+                    Some(_) => true,
+                    None => sent.cold && took > expected * SAMPLE_CAP,
+                };
+                if loaded {
+                    if note != Some(CopyNote::Waited) {
+                        self.learn_load(sent.function, (took - expected).max(0.0));
+                    }
+                    return sent.at;
+                }
+                let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP * node.pace.max(1.0));
+                let run = took / node.pace.max(0.1);
+                node.pace += PACE_GAIN * (ratio - node.pace);
+                node.crowd += PACE_GAIN * (sent.crowd - node.crowd);
+                let class = self.open.get(&request).map_or(0, |o| o.call.class);
+                if let Some(program) = self.programs.get_mut(&sent.function) {
+                    let mean = program.run.get_or_insert(sent.run);
+                    *mean += RUN_GAIN * (run.min(*mean * SAMPLE_CAP) - *mean);
+                }
+                let mean = self.class_run[class].get_or_insert(took);
+                *mean += RUN_GAIN * (took.min(*mean * SAMPLE_CAP) - *mean);
+            }
+            Outcome::Unreachable | Outcome::Broken if same_process => {
+                node.copies.clear();
+                node.shut(now);
+            }
+            Outcome::Absent if same_process => {
+                node.copies.remove(&sent.function);
+            }
+            Outcome::Full if same_process => {
+                // Its queue is full: as slow as it can be seen to be.
+                node.pace = (node.pace + PACE_GAIN * SAMPLE_CAP).min(2.0 * SAMPLE_CAP);
+                node.heard = now;
+            }
+            _ => {}
+        }
+        sent.at
+    }
+
+    fn ordered(
+        &mut self,
+        worker: &Worker,
+        function: Function,
+        outcome: Outcome,
+        took: Time,
+        count: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        let run = self.run_of(function, 0);
+        if let Some(copies) = self.nodes.get_mut(worker).and_then(|n| n.copies.get_mut(&function)) {
+            if copies.ordered.take().is_some() {
+                let stands = outcome == Outcome::Served && count > 0;
+                if stands {
+                    (copies.count, copies.proven, copies.placed) = (count, true, true);
+                    (copies.ready, copies.used) = (copies.ready.min(self.now), self.now);
+                    if took as f64 > run {
+                        self.learn_load(function, took as f64);
+                    }
+                } else if count == 0 && !copies.proven {
+                    self.nodes.get_mut(worker).map(|n| n.copies.remove(&function));
+                }
+            }
+        }
+        let waiting: Vec<RequestId> = self
+            .open
+            .iter()
+            .filter(|(_, o)| o.parked && o.call.function == function)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            self.place(id, actions);
+        }
+    }
+
+    // ---- replay and admission ----
+
+    /// When the copies of a function stand at a worker: `None` where none is believed there.
+    fn ready_at(&self, node: &Node, function: Function) -> Option<Time> {
+        let copies = node.copies.get(&function)?;
+        let busy = node.out.iter().any(|s| s.function == function);
+        if !busy && copies.ordered.is_none() && self.now > copies.used + self.s.loading.keep_alive {
+            return None;
+        }
+        if copies.proven && copies.ready <= self.now {
+            return Some(self.now);
+        }
+        // Not seen yet. When the answer is overdue there is a load before it, and a slow one.
+        let first = node.out.iter().filter(|s| s.function == function).map(|s| (s.at, s.due)).min();
+        Some(match first {
+            Some((at, due)) if due < self.now => {
+                let load = at + self.load_of(function, 0) as Time;
+                if load > self.now {
+                    load
+                } else {
+                    self.now + (self.now - at) / 2
+                }
+            }
+            _ => copies.ready.max(self.now),
+        })
+    }
+
+    /// Replays this front end's own sends at the worker, in arrival order, and the newcomer after them.
+    fn replay(&self, node: &Node, call: &Request, presumed: bool) -> Foreseen {
+        let now = self.now;
+        let copies = node.copies.get(&call.function);
+        let ready = self.ready_at(node, call.function).or(presumed.then_some(now));
+        let lanes = u64::from(call.lanes.max(1)) * u64::from(copies.map_or(1, |c| c.count.max(1)));
+        // The other front ends follow the same order, so they fill their part of the lanes.
+        let lanes = lanes.div_ceil(u64::from(self.s.front_ends)).clamp(1, 64) as usize;
+        let crowd = node.out.len() as f64 + 1.0;
+        // The worker answers at its pace while the queue is no longer than it was; beyond, in proportion.
+        let pace = node.pace_at(now) * (crowd / node.crowd.max(2.0)).max(1.0);
+        let run = self.run_of(call.function, call.class) * pace;
+        let begin = |ready: Time, run_newcomer: f64| -> (Time, bool) {
+            let mut free = vec![ready; lanes];
+            let mut hold = true;
+            for sent in node.out.iter() {
+                let end = if sent.function == call.function {
+                    let lane = (0..lanes).min_by_key(|&i| free[i]).unwrap_or(0);
+                    let base = if free[lane] > now || sent.due <= now { free[lane] } else { sent.at };
+                    free[lane] = (base + (sent.run * pace) as Time).max(now);
+                    free[lane]
+                } else if sent.cold {
+                    sent.due
+                } else {
+                    sent.at + (sent.run * pace) as Time
+                };
+                // A deadline that has passed binds no more, else one late call would shut the worker.
+                hold &= end <= sent.goal || sent.goal <= now;
+            }
+            (free.into_iter().min().unwrap_or(ready) + run_newcomer as Time, hold)
+        };
+        let (warm_finish, others_hold) = begin(now, run * PAD);
+        let finish = match ready {
+            Some(at) if at <= now => warm_finish,
+            Some(at) => begin(at, run * PAD).0,
+            None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
+        };
+        Foreseen { cold: ready.is_none(), others_hold, warm_finish, finish }
+    }
+
+    /// Whether the request may have an attempt at this worker at all.
+    fn allowed(&self, open: &Open, node: &Node) -> bool {
+        let class = &self.s.classes[open.call.class];
+        let repeat_ok = match (&open.may_have_run, class.effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (_, Effect::Unsafe) => false,
+            (Some((at, zone, cell)), Effect::Keyed) => {
+                let in_group = match class.group {
+                    Group::All => true,
+                    Group::Zone => *zone == node.entry.zone,
+                    Group::Cell => *cell == node.entry.cell,
+                };
+                in_group && self.now + 4 * self.s.tick.max(MS) < at + class.dedup_window
+            }
+        };
+        repeat_ok && self.healthy(node) && self.cold_budget_left(node, open.call.class)
+    }
+
+    /// A worker in trouble is left alone; once that time is over one send at a time tries it.
+    fn healthy(&self, node: &Node) -> bool {
+        node.bad == 0 || (self.now >= node.shut_until && node.out.iter().all(|s| s.at < node.shut_until))
+    }
+
+    /// Sends the request where the design says, or ends it.
+    fn place(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.parked = false;
+        if open.outstanding || open.streaming {
+            return;
+        }
+        let open = &self.open[&id];
+        let class = &self.s.classes[open.call.class];
+        let (now, function) = (self.now, open.call.function);
+        if open.attempts >= self.s.limits.max_attempts || now + 2 * self.s.tick >= open.deadline {
+            return self.end(id, actions);
+        }
+        // After the aim only late worth is left; where there is none, more work would be waste.
+        let goal = if now < open.aim { open.aim } else { open.deadline };
+        if goal == open.deadline && open.aim < now && class.late_worth <= 0.0 {
+            return self.end(id, actions);
+        }
+        let order = self.order(function);
+        let located = order.iter().any(|w| self.ready_at(&self.nodes[w], function).is_some());
+        let mut presume = !located;
+        let (mut choice, mut late, mut want) = (None, None, None);
+        for worker in order.iter().filter(|w| !open.tried.contains(w)) {
+            let node = &self.nodes[worker];
+            if !self.allowed(open, node) {
+                continue;
+            }
+            // A function found nowhere is presumed at its home: a front end that knows nothing must
+            // neither refuse all nor spread loads.
+            let seen = self.replay(node, &open.call, presume);
+            presume = false;
+            if seen.others_hold && seen.finish <= goal {
+                choice = Some((worker.clone(), seen, goal));
+                break;
+            }
+            if seen.others_hold && seen.warm_finish <= goal {
+                // Only a load stands in the way.
+                if seen.cold && want.is_none() {
+                    want = Some((worker.clone(), seen));
+                }
+                if late.is_none() && seen.finish <= open.deadline && class.late_worth > 0.0 {
+                    late = Some((worker.clone(), seen, open.deadline));
+                }
+            }
+        }
+        let spare = open.aim.saturating_sub(now) as f64;
+        if let Some((worker, _)) = &want {
+            self.missed(worker, id, spare);
+            if choice.is_some() || !self.s.loading.call_loads {
+                self.hold_after_miss(worker, function, actions);
+            }
+        }
+        let choice = choice.or(late);
+        match choice {
+            Some((worker, seen, goal)) if self.s.loading.call_loads || !seen.cold => {
+                self.send(id, &worker, seen, goal, actions)
+            }
+            Some((worker, ..))
+                if self.nodes[&worker].copies.get(&function).is_some_and(|c| c.ordered.is_some()) =>
+            {
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.parked = true;
+                }
+            }
+            _ => self.end(id, actions),
+        }
+    }
+
+    // ---- attempts and answers ----
+
+    fn arrived(&mut self, mut call: Request, actions: &mut Vec<Action>) {
+        let now = self.now;
+        call.class = call.class.min(self.s.classes.len() - 1);
+        let class = &self.s.classes[call.class];
+        let stretch = (call.expected.unwrap_or(0) as f64 * class.aim_stretch.max(0.0)) as Time;
+        let budget = if call.budget == 0 { class.give_up } else { call.budget };
+        let deadline = now.saturating_add(budget);
+        let aim = now.saturating_add(class.aim).saturating_add(stretch).min(deadline);
+        self.arrivals.push_back(now);
+        let program = self.programs.entry(call.function).or_default();
+        (program.lanes, program.called) = (call.lanes, now);
+        program.told_load = call.load_time.filter(|t| *t > 0).or(program.told_load);
+        // Two ticks early: the answer must be out before the client's time is up.
+        let after = budget.saturating_sub(2 * self.s.tick);
+        actions.push(Action::Timer { after, token: call.id });
+        let id = call.id;
+        let open = Open {
+            call,
+            aim,
+            deadline,
+            attempts: 0,
+            outstanding: false,
+            may_have_run: None,
+            tried: Vec::new(),
+            streaming: false,
+            parked: false,
+        };
+        self.open.insert(id, open);
+        self.place(id, actions);
+    }
+
+    fn send(
+        &mut self,
+        id: RequestId,
+        worker: &Worker,
+        seen: Foreseen,
+        goal: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let Some(open) = self.open.get(&id) else { return };
+        let (function, class) = (open.call.function, open.call.class);
+        let run = self.run_of(function, class);
+        let weight = self.class_weight(class);
+        let (Some(node), Some(open)) = (self.nodes.get_mut(worker), self.open.get_mut(&id)) else { return };
+        let crowd = node.out.len() as f64 + 1.0;
+        node.out.push(Sent {
+            request: id,
+            attempt: open.attempts,
+            function,
+            at: now,
+            due: seen.finish,
+            goal,
+            run,
+            cold: seen.cold || seen.finish > seen.warm_finish || !node.copies.contains_key(&function),
+            crowd,
+        });
+        node.sends.push_back((now, weight));
+        let copies = node.copies.entry(function).or_default();
+        if copies.ready == 0 || seen.cold {
+            *copies = Copies { count: 1, ready: now, placed: copies.placed, ..Copies::default() };
+            if seen.cold {
+                copies.ready = seen.finish.saturating_sub((run * PAD) as Time);
+            }
+        }
+        copies.used = now;
+        copies.used_work += run;
+        open.attempts += 1;
+        open.outstanding = true;
+        open.tried.push(worker.clone());
+        actions.push(Action::Send { request: id, worker: worker.clone(), timeout: None });
+    }
+
+    fn outcome(
+        &mut self,
+        id: RequestId,
+        place: Option<(Time, String, u64)>,
+        outcome: Outcome,
+        settled: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if settled {
+            self.open.remove(&id);
+            return;
+        }
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.outstanding = false;
+        if !outcome.never_ran() && open.may_have_run.is_none() {
+            // Where the send is not known any more, the window counts as over.
+            open.may_have_run = Some(place.unwrap_or_default());
+        }
+        self.place(id, actions);
+    }
+
+    /// Gives the final answer: a refusal where a further try is harmless, else a failure.
+    fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let class = &self.s.classes[open.call.class];
+        let harmless = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => class.group == Group::All || open.may_have_run.is_none() && !open.outstanding,
+            Effect::Unsafe => open.may_have_run.is_none() && !open.outstanding,
+        };
+        if harmless {
+            let limits = &self.s.limits;
+            let retry_after = Some(limits.max_retry_after).filter(|t| limits.retry_after && *t > 0);
+            actions.push(Action::Refuse { request: id, retry_after });
+        } else {
+            actions.push(Action::Fail { request: id });
+        }
+    }
+
+    /// The client's time is all but over.
+    fn time_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        if open.streaming || self.now + 3 * self.s.tick < open.deadline {
+            return;
+        }
+        self.end(id, actions);
+    }
+
+    fn chores(&mut self, actions: &mut Vec<Action>) {
+        let now = self.now;
+        actions.push(Action::Timer { after: CHORES, token: CHORES_TOKEN });
+        // No outcome is a symptom too: several sends long overdue and nothing heard since the first.
+        let mut recalled = Vec::new();
+        for node in self.nodes.values_mut() {
+            while node.sends.front().is_some_and(|(t, _)| t + RATE_SPAN.max(self.s.rules.fall_span * 2) < now)
+            {
+                node.sends.pop_front();
+            }
+            let late = |s: &&Sent| {
+                let foreseen = s.due.saturating_sub(s.at) as f64;
+                s.at > node.heard && now > s.at + (foreseen * SILENCE_STRETCH) as Time
+            };
+            let trial = node.bad > 0 && now >= node.shut_until;
+            if node.out.iter().filter(late).count() >= if trial { 1 } else { SILENT_SENDS } {
+                node.shut(now);
+            }
+            if now < node.shut_until {
+                recalled.extend(node.out.iter().map(|s| (s.request, s.attempt)));
+            }
+        }
+        for (id, attempt) in recalled {
+            let Some(open) = self.open.get(&id) else { continue };
+            let class = &self.s.classes[open.call.class];
+            if self.s.limits.cancel
+                && class.effect != Effect::Unsafe
+                && open.attempts < self.s.limits.max_attempts
+            {
+                actions.push(Action::Cancel { request: id, attempt });
+            }
+        }
+        if let Some(ration) = &self.s.loading.ration {
+            let old = |t: &Time| t + ration.window + CHORES < now;
+            while self.orders.front().is_some_and(old) {
+                self.orders.pop_front();
+            }
+        }
+        let window = self.s.loading.ration.as_ref().map_or(0, |r| r.window);
+        while self.arrivals.front().is_some_and(|t| t + window + CHORES < now) {
+            self.arrivals.pop_front();
+        }
+        if now >= self.next_round {
+            self.next_round = now + self.interval();
+            self.replace(actions);
+        }
+    }
+
+    // ---- provisioning ----
+
+    fn interval(&self) -> Time {
+        self.s.loading.keep_alive.clamp(1_000 * MS, INTERVAL_MOST)
+    }
+
+    /// Notes run time that moved on because no copy stood at the worker.
+    fn missed(&mut self, worker: &Worker, id: RequestId, spare: f64) {
+        let Some(call) = self.open.get(&id).map(|o| o.call.clone()) else { return };
+        let run = self.run_of(call.function, call.class);
+        let Some(node) = self.nodes.get_mut(worker) else { return };
+        let copies = node.copies.entry(call.function).or_default();
+        let adequate = (spare - run).max(0.0);
+        copies.adequate = if copies.misses == 0 { adequate } else { copies.adequate.min(adequate) };
+        copies.misses += 1;
+        copies.missed_work += run;
+    }
+
+    /// After a miss, one hold loads the function there: one at a time, so that a slow store is not
+    /// asked again and again for what it has not brought yet.
+    fn hold_after_miss(&mut self, worker: &Worker, function: Function, actions: &mut Vec<Action>) {
+        let loading = |n: &Node| n.copies.get(&function).is_some_and(|c| c.ordered.is_some());
+        let enough = self.nodes.get(worker).and_then(|n| n.copies.get(&function)).map_or(0, |c| c.misses);
+        let needed = if self.s.loading.call_loads { MISSES_TO_SPREAD } else { 1 };
+        if enough >= needed && !self.nodes.values().any(loading) {
+            self.hold(worker, function, 1, actions);
+        }
+    }
+
+    /// One round of the hybrid policy.
+    fn replace(&mut self, actions: &mut Vec<Action>) {
+        let mut placed: Vec<(f64, Worker, Function)> = Vec::new();
+        let mut wanted: Vec<(f64, f64, Worker, Function)> = Vec::new();
+        for (worker, node) in self.nodes.iter_mut() {
+            for (function, copies) in node.copies.iter_mut() {
+                let stands = copies.proven && self.now <= copies.used + self.s.loading.keep_alive;
+                if copies.placed && stands {
+                    placed.push((copies.used_work, worker.clone(), *function));
+                } else if copies.missed_work > 0.0 {
+                    wanted.push((copies.adequate, copies.missed_work, worker.clone(), *function));
+                }
+                (copies.used_work, copies.missed_work, copies.misses) = (0.0, 0.0, 0);
+            }
+        }
+        let least = |a: &(f64, Worker, Function), b: &(f64, Worker, Function)| a.0.total_cmp(&b.0);
+        placed.sort_by(|a, b| least(a, b).then_with(|| (&a.1, a.2).cmp(&(&b.1, b.2))));
+        wanted.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (&a.2, a.3).cmp(&(&b.2, b.3))));
+        self.allowance = (self.allowance + placed.len() as f64 * REPLACED_SHARE).min(2.0);
+        let mut placed = placed.into_iter();
+        for (_, missed, worker, function) in wanted {
+            if self.allowance < 1.0 {
+                break;
+            }
+            let Some((used, old_worker, old)) = placed.next() else { break };
+            if missed <= used || !self.hold(&worker, function, 1, actions) {
+                break;
+            }
+            self.allowance -= 1.0;
+            if let Some(node) = self.nodes.get_mut(&old_worker) {
+                node.copies.remove(&old);
+                if node.entry.state == State::Live {
+                    actions.push(Action::Drop { worker: old_worker, function: old });
+                }
+            }
+        }
+        let (now, keep) = (self.now, self.s.loading.keep_alive);
+        for node in self.nodes.values_mut() {
+            let busy: BTreeSet<Function> = node.out.iter().map(|s| s.function).collect();
+            node.copies.retain(|f, c| {
+                busy.contains(f) || c.ordered.is_some() || c.used + 2 * keep > now && c.ready > 0
+            });
+        }
+        let forget = FORGET_INTERVALS * self.interval();
+        self.programs.retain(|_, p| p.called + forget > now);
+    }
+
+    // ---- rule guards ----
+
+    /// The only place that orders loads: drained and gone workers get none, and the ration holds.
+    fn hold(&mut self, worker: &Worker, function: Function, count: u32, actions: &mut Vec<Action>) -> bool {
+        let now = self.now;
+        if !self.s.loading.orders || !self.programs.contains_key(&function) {
+            return false;
+        }
+        if let Some(ration) = &self.s.loading.ration {
+            let slack = 2 * self.s.tick;
+            let orders = self.orders.iter().filter(|t| **t + ration.window + slack >= now).count();
+            let taken = self.arrivals.iter().filter(|t| **t + ration.window > now + slack).count();
+            if orders as f64 + 1.0 > ration.base + ration.share * taken as f64 {
+                return false;
+            }
+        }
+        let Some(node) = self.nodes.get_mut(worker).filter(|n| n.entry.state == State::Live) else {
+            return false;
+        };
+        let copies = node.copies.entry(function).or_default();
+        if copies.ordered.is_some() {
+            return false;
+        }
+        copies.ordered = Some(now);
+        if !copies.proven {
+            copies.ready = Time::MAX >> 1;
+        }
+        copies.used = now;
+        self.orders.push_back(now);
+        actions.push(Action::Hold { worker: worker.clone(), function, copies: count });
+        true
+    }
+
+    /// The mean work of a class beside that of all calls.
+    fn class_weight(&self, class: usize) -> f64 {
+        let known: Vec<f64> = self.class_run.iter().flatten().copied().collect();
+        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        match self.class_run[class] {
+            Some(run) if mean > 0.0 => run / mean,
+            _ => 1.0,
+        }
+    }
+
+    /// Whether a worker that has just started can take one more send. Its capacity is told nowhere: it
+    /// is judged by what this front end's warm workers are sent, which is also this one's part of it.
+    fn cold_budget_left(&self, node: &Node, class: usize) -> bool {
+        let (rules, now) = (&self.s.rules, self.now);
+        let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
+        if rules.fall_span == 0 || rules.fall_multiple <= 0.0 {
+            return true;
+        }
+        let sent = |n: &Node, span: Time| -> f64 {
+            n.sends.iter().filter(|(t, _)| t + span > now).map(|(_, w)| w).sum()
+        };
+        let warm =
+            |n: &&Node| n.entry.state == State::Live && n.entry.started.is_none_or(|t| now >= t + rules.ramp);
+        let (count, total) =
+            self.nodes.values().filter(warm).fold((0u32, 0.0), |(c, t), n| (c + 1, t + sent(n, RATE_SPAN)));
+        let rate = total / f64::from(count.max(1)) / RATE_SPAN as f64;
+        let age = now.saturating_sub(started) as f64 / rules.ramp.max(1) as f64;
+        let part = rules.cold_from + (1.0 - rules.cold_from) * age;
+        let budget = COLD_SAFETY * rules.fall_multiple * part * rate * rules.fall_span as f64;
+        sent(node, rules.fall_span) + self.class_weight(class) <= budget.max(1.0)
+    }
+}
