--- a/src/api.rs
+++ b/src/api.rs
@@ -278,8 +278,8 @@
     pub load_time: Option<Time>,
     /// The program that it needs.
     pub function: Function,
-    /// How long the client waits for this try.
-    pub budget: Time,
+    /// How long the client waits for this try; `None`: as long as its class does.
+    pub budget: Option<Time>,
 }
 
 /// How an attempt or an order ended.
--- a/src/bin/pipithub-adapter/wire.rs
+++ b/src/bin/pipithub-adapter/wire.rs
@@ -167,7 +167,7 @@
                 class: class.ok_or_else(|| format!("Grade: unknown '{grade}'"))?,
                 load_time: bringup.map(|ms| (ms * 1e6) as Time),
                 function,
-                budget: p.maybe("TimeBudget")?.unwrap_or(0),
+                budget: p.maybe("TimeBudget")?,
             })
         }
         "health_result" => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,10 @@
 const SILENCE_STRETCH: f64 = 3.0;
 /// ... and this many of them are, with no answer since.
 const SILENT_SENDS: usize = 3;
+/// A worker that turns a call away is held to this share of the own sends it had ...
+const ROOM_CUT: f64 = 0.7;
+/// ... and each answer it serves gives back so much.
+const ROOM_RISE: f64 = 0.1;
 /// First time that a worker is left alone after a failed connection or silence; doubles each time.
 const SHUT_FIRST: Time = 500 * MS;
 /// Longest such time: the bounded way back.
@@ -58,6 +62,7 @@
     request: RequestId,
     attempt: u32,
     function: Function,
+    class: usize,
     at: Time,
     /// When the replay foresaw its answer.
     due: Time,
@@ -104,11 +109,15 @@
     pace: f64,
     crowd: f64,
     heard: Time,
+    /// The most own sends to have there; a refusal cuts it, answers raise it.
+    room: f64,
     /// Troubles in a row, and until when it is left alone.
     bad: u32,
     shut_until: Time,
     /// Sends within the last rate span, with their weight.
     sends: VecDeque<(Time, f64)>,
+    /// Answers served within it, likewise.
+    served: VecDeque<(Time, f64)>,
 }
 
 impl Node {
@@ -124,10 +133,12 @@
             out: Vec::new(),
             pace: 1.0,
             crowd: 1.0,
+            room: f64::INFINITY,
             heard: 0,
             bad: 0,
             shut_until: 0,
             sends: VecDeque::new(),
+            served: VecDeque::new(),
         }
     }
 
@@ -294,6 +305,7 @@
                 // A process that started anew holds nothing and has no past.
                 node.copies.clear();
                 (node.pace, node.crowd, node.bad, node.shut_until) = (1.0, 1.0, 0, 0);
+                node.room = f64::INFINITY;
             }
             node.entry = entry;
         }
@@ -357,6 +369,7 @@
         note: Option<CopyNote>,
     ) -> Time {
         let now = self.now;
+        let weights: Vec<f64> = (0..self.class_run.len()).map(|c| self.class_weight(c)).collect();
         let Some(node) = self.nodes.get_mut(worker) else { return 0 };
         let Some(at) = node.out.iter().position(|s| s.request == request && s.attempt == attempt) else {
             return 0;
@@ -372,8 +385,11 @@
             Outcome::Served if same_process => {
                 (node.bad, node.shut_until) = (0, 0);
                 node.heard = now;
+                node.room += ROOM_RISE;
+                node.served.push_back((now, weights[sent.class]));
                 let copies = node.copies.entry(sent.function).or_default();
-                if !copies.proven {
+                let proven = copies.proven;
+                if !proven {
                     copies.ready = now;
                 }
                 (copies.count, copies.proven, copies.used) = (copies.count.max(1), true, now);
@@ -382,7 +398,7 @@
                 let loaded = match note {
                     Some(CopyNote::Warm) => false,
                     Some(_) => true,
-                    None => sent.cold && took > expected * SAMPLE_CAP,
+                    None => (sent.cold || !proven) && took > expected * SAMPLE_CAP,
                 };
                 if loaded {
                     if note != Some(CopyNote::Waited) {
@@ -390,11 +406,11 @@
                     }
                     return sent.at;
                 }
-                let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP * node.pace.max(1.0));
+                let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
                 let run = took / node.pace.max(0.1);
                 node.pace += PACE_GAIN * (ratio - node.pace);
                 node.crowd += PACE_GAIN * (sent.crowd - node.crowd);
-                let class = self.open.get(&request).map_or(0, |o| o.call.class);
+                let class = sent.class;
                 if let Some(program) = self.programs.get_mut(&sent.function) {
                     let mean = program.run.get_or_insert(sent.run);
                     *mean += RUN_GAIN * (run.min(*mean * SAMPLE_CAP) - *mean);
@@ -410,8 +426,8 @@
                 node.copies.remove(&sent.function);
             }
             Outcome::Full if same_process => {
-                // Its queue is full: as slow as it can be seen to be.
-                node.pace = (node.pace + PACE_GAIN * SAMPLE_CAP).min(2.0 * SAMPLE_CAP);
+                // Its queue is full, whoever filled it: hold fewer there until answers show room.
+                node.room = (sent.crowd * ROOM_CUT).max(1.0);
                 node.heard = now;
             }
             _ => {}
@@ -489,26 +505,26 @@
         let lanes = u64::from(call.lanes.max(1)) * u64::from(copies.map_or(1, |c| c.count.max(1)));
         // The other front ends follow the same order, so they fill their part of the lanes.
         let lanes = lanes.div_ceil(u64::from(self.s.front_ends)).clamp(1, 64) as usize;
-        let crowd = node.out.len() as f64 + 1.0;
         // The worker answers at its pace while the queue is no longer than it was; beyond, in proportion.
-        let pace = node.pace_at(now) * (crowd / node.crowd.max(2.0)).max(1.0);
+        let usual = node.pace_at(now);
+        let stretch = |crowd: usize| usual * (crowd as f64 / node.crowd.max(2.0)).max(1.0);
+        let (before, pace) = (stretch(node.out.len()), stretch(node.out.len() + 1));
         let run = self.run_of(call.function, call.class) * pace;
         let begin = |ready: Time, run_newcomer: f64| -> (Time, bool) {
             let mut free = vec![ready; lanes];
             let mut hold = true;
             for sent in node.out.iter() {
-                let end = if sent.function == call.function {
+                let (start, end) = if sent.function == call.function {
                     let lane = (0..lanes).min_by_key(|&i| free[i]).unwrap_or(0);
                     let base = if free[lane] > now || sent.due <= now { free[lane] } else { sent.at };
                     free[lane] = (base + (sent.run * pace) as Time).max(now);
-                    free[lane]
-                } else if sent.cold {
-                    sent.due
+                    (base, free[lane])
                 } else {
-                    sent.at + (sent.run * pace) as Time
+                    (sent.at, if sent.cold { sent.due } else { sent.at + (sent.run * pace) as Time })
                 };
-                // A deadline that has passed binds no more, else one late call would shut the worker.
-                hold &= end <= sent.goal || sent.goal <= now;
+                // A deadline lost already binds no more, else one late call would shut the worker.
+                let lost = sent.cold || start + (sent.run * before) as Time > sent.goal;
+                hold &= end <= sent.goal || lost;
             }
             (free.into_iter().min().unwrap_or(ready) + run_newcomer as Time, hold)
         };
@@ -536,7 +552,10 @@
                 in_group && self.now + 4 * self.s.tick.max(MS) < at + class.dedup_window
             }
         };
-        repeat_ok && self.healthy(node) && self.cold_budget_left(node, open.call.class)
+        repeat_ok
+            && self.healthy(node)
+            && (node.out.len() as f64) < node.room
+            && self.cold_budget_left(node, open.call.class)
     }
 
     /// A worker in trouble is left alone; once that time is over one send at a time tries it.
@@ -619,7 +638,7 @@
         call.class = call.class.min(self.s.classes.len() - 1);
         let class = &self.s.classes[call.class];
         let stretch = (call.expected.unwrap_or(0) as f64 * class.aim_stretch.max(0.0)) as Time;
-        let budget = if call.budget == 0 { class.give_up } else { call.budget };
+        let budget = call.budget.unwrap_or(class.give_up);
         let deadline = now.saturating_add(budget);
         let aim = now.saturating_add(class.aim).saturating_add(stretch).min(deadline);
         self.arrivals.push_back(now);
@@ -664,6 +683,7 @@
             request: id,
             attempt: open.attempts,
             function,
+            class,
             at: now,
             due: seen.finish,
             goal,
@@ -741,9 +761,11 @@
         // No outcome is a symptom too: several sends long overdue and nothing heard since the first.
         let mut recalled = Vec::new();
         for node in self.nodes.values_mut() {
-            while node.sends.front().is_some_and(|(t, _)| t + RATE_SPAN.max(self.s.rules.fall_span * 2) < now)
-            {
-                node.sends.pop_front();
+            let keep = RATE_SPAN.max(self.s.rules.fall_span) + CHORES;
+            for past in [&mut node.sends, &mut node.served] {
+                while past.front().is_some_and(|(t, _)| t + keep < now) {
+                    past.pop_front();
+                }
             }
             let late = |s: &&Sent| {
                 let foreseen = s.due.saturating_sub(s.at) as f64;
@@ -903,24 +925,28 @@
     }
 
     /// Whether a worker that has just started can take one more send. Its capacity is told nowhere: it
-    /// is judged by what this front end's warm workers are sent, which is also this one's part of it.
+    /// is judged by what warm workers serve this front end, which is also this one's part of it; sends would
+    /// not do, as those turned away would swell it.
     fn cold_budget_left(&self, node: &Node, class: usize) -> bool {
         let (rules, now) = (&self.s.rules, self.now);
         let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
         if rules.fall_span == 0 || rules.fall_multiple <= 0.0 {
             return true;
         }
-        let sent = |n: &Node, span: Time| -> f64 {
-            n.sends.iter().filter(|(t, _)| t + span > now).map(|(_, w)| w).sum()
+        let within = |past: &VecDeque<(Time, f64)>, span: Time| -> f64 {
+            past.iter().filter(|(t, _)| t + span > now).map(|(_, w)| w).sum()
         };
         let warm =
             |n: &&Node| n.entry.state == State::Live && n.entry.started.is_none_or(|t| now >= t + rules.ramp);
-        let (count, total) =
-            self.nodes.values().filter(warm).fold((0u32, 0.0), |(c, t), n| (c + 1, t + sent(n, RATE_SPAN)));
+        let (count, total) = self
+            .nodes
+            .values()
+            .filter(warm)
+            .fold((0u32, 0.0), |(c, t), n| (c + 1, t + within(&n.served, RATE_SPAN)));
         let rate = total / f64::from(count.max(1)) / RATE_SPAN as f64;
         let age = now.saturating_sub(started) as f64 / rules.ramp.max(1) as f64;
         let part = rules.cold_from + (1.0 - rules.cold_from) * age;
         let budget = COLD_SAFETY * rules.fall_multiple * part * rate * rules.fall_span as f64;
-        sent(node, rules.fall_span) + self.class_weight(class) <= budget.max(1.0)
+        within(&node.sends, rules.fall_span) + self.class_weight(class) <= budget.max(1.0)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 //! let mut actions = Vec::new();
 //! let worker = Entry { worker: Worker::new("10.0.0.1:80"), state: State::Live, ..Entry::default() };
 //! front.handle(0, Event::List { kind: ListKind::Complete, entries: vec![worker] }, &mut actions);
-//! let call = Request { id: 1, function: Function(42), budget: 2_000_000_000, ..Request::default() };
+//! let call = Request { id: 1, function: Function(42), budget: Some(2_000_000_000), ..Request::default() };
 //! front.handle(1_000_000, Event::Arrived(call), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, .. })));
 //! ```
