Bound the loads under way and the late calls that wait for them

Change: at most one load a function and one for each of this front end's part of the workers; at most 8 late calls wait at a worker. Should also hold against a halted store and one-off floods; might hurt where many workers start empty.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,6 +37,8 @@
 const ROOM_CUT: f64 = 0.7;
 /// ... and each answer it serves gives back so much.
 const ROOM_RISE: f64 = 0.1;
+/// The most late calls to have waiting at one worker for a load: they must not fill its queue.
+const LATE_MOST: usize = 8;
 /// First time that a worker is left alone after a failed connection or silence; doubles each time.
 const SHUT_FIRST: Time = 500 * MS;
 /// Longest such time: the bounded way back.
@@ -70,8 +72,11 @@
     goal: Time,
     /// The run alone, at the usual pace.
     run: f64,
-    /// It was believed to wait for a load.
+    /// An answer after this is late.
+    aim: Time,
+    /// It was believed to wait for a load; or no answer had shown the copy yet.
     cold: bool,
+    unproven: bool,
     /// Own sends at the worker when it left, itself included.
     crowd: f64,
 }
@@ -398,7 +403,7 @@
                 let loaded = match note {
                     Some(CopyNote::Warm) => false,
                     Some(_) => true,
-                    None => (sent.cold || !proven) && took > expected * SAMPLE_CAP,
+                    None => (sent.cold || sent.unproven) && took > expected * SAMPLE_CAP,
                 };
                 if loaded {
                     if note != Some(CopyNote::Waited) {
@@ -537,6 +542,26 @@
         Foreseen { cold: ready.is_none(), others_hold, warm_finish, finish }
     }
 
+    /// Loads that this front end believes under way, and whether one is of this function.
+    fn loads_under_way(&self, function: Function) -> (usize, bool) {
+        let (mut count, mut same) = (0, false);
+        for node in self.nodes.values() {
+            let slow = |s: &&Sent| s.cold || s.unproven && self.now > s.at + (s.run * SAMPLE_CAP) as Time;
+            let waiting = node.out.iter().filter(slow).map(|s| s.function);
+            let ordered = node.copies.iter().filter(|(_, c)| c.ordered.is_some()).map(|(f, _)| *f);
+            let loading: BTreeSet<Function> = waiting.chain(ordered).collect();
+            count += loading.len();
+            same |= loading.contains(&function);
+        }
+        (count, same)
+    }
+
+    /// The most loads that this front end has under way: one for each of its part of the workers.
+    fn loads_most(&self) -> usize {
+        let live = self.nodes.values().filter(|n| n.entry.state == State::Live).count();
+        live.div_ceil(self.s.front_ends as usize).max(2)
+    }
+
     /// Whether the request may have an attempt at this worker at all.
     fn allowed(&self, open: &Open, node: &Node) -> bool {
         let class = &self.s.classes[open.call.class];
@@ -583,6 +608,10 @@
         }
         let order = self.order(function);
         let located = order.iter().any(|w| self.ready_at(&self.nodes[w], function).is_some());
+        // A slow store must not be asked for more: loads under way are bounded, and one that is under
+        // way for this function is waited for, not begun again elsewhere.
+        let (loads, loading) = self.loads_under_way(function);
+        let may_load = loads < self.loads_most() && !loading;
         let mut presume = !located;
         let (mut choice, mut late, mut want) = (None, None, None);
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
@@ -594,7 +623,7 @@
             // neither refuse all nor spread loads.
             let seen = self.replay(node, &open.call, presume);
             presume = false;
-            if seen.others_hold && seen.finish <= goal {
+            if seen.others_hold && seen.finish <= goal && (!seen.cold || may_load) {
                 choice = Some((worker.clone(), seen, goal));
                 break;
             }
@@ -603,7 +632,9 @@
                 if seen.cold && want.is_none() {
                     want = Some((worker.clone(), seen));
                 }
-                if late.is_none() && seen.finish <= open.deadline && class.late_worth > 0.0 {
+                let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
+                let room = waiting < LATE_MOST && (!seen.cold || may_load);
+                if late.is_none() && room && seen.finish <= open.deadline && class.late_worth > 0.0 {
                     late = Some((worker.clone(), seen, open.deadline));
                 }
             }
@@ -688,7 +719,9 @@
             due: seen.finish,
             goal,
             run,
-            cold: seen.cold || seen.finish > seen.warm_finish || !node.copies.contains_key(&function),
+            cold: seen.cold || seen.finish > seen.warm_finish,
+            unproven: node.copies.get(&function).is_none_or(|c| !c.proven),
+            aim: open.aim,
             crowd,
         });
         node.sends.push_back((now, weight));
