Run times from uncrowded answers; a worker's pace falls with its queue

Change: runs are learned where the worker is uncrowded; pace goes back to the usual as the own queue empties.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -153,6 +153,17 @@
         1.0 + (self.pace - 1.0) * 0.5f64.powf(age)
     }
 
+    /// What a run is stretched by with so many own sends there: the usual when empty, the pace seen at
+    /// the queue it was seen with, and beyond that in proportion. An emptied worker is soon trusted.
+    fn stretch(&self, now: Time, sends: usize) -> f64 {
+        let (pace, part) = (self.pace_at(now), sends as f64 / self.crowd.max(2.0));
+        if part > 1.0 {
+            pace * part
+        } else {
+            pace.min(1.0) + (pace - pace.min(1.0)) * part
+        }
+    }
+
     /// Leaves the worker alone for a while, longer each time.
     fn shut(&mut self, now: Time) {
         self.shut_until = now + (SHUT_FIRST << self.bad.min(8)).min(SHUT_MOST);
@@ -412,16 +423,16 @@
                     return sent.at;
                 }
                 let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
-                let run = took / node.pace.max(0.1);
                 node.pace += PACE_GAIN * (ratio - node.pace);
                 node.crowd += PACE_GAIN * (sent.crowd - node.crowd);
-                let class = sent.class;
+                // Answers from an uncrowded worker tell the run itself; the rest is the worker's pace.
+                let gain = RUN_GAIN * (2.0 / sent.crowd).min(1.0).powi(2);
+                let mean = self.class_run[sent.class].get_or_insert(took);
+                *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
                 if let Some(program) = self.programs.get_mut(&sent.function) {
                     let mean = program.run.get_or_insert(sent.run);
-                    *mean += RUN_GAIN * (run.min(*mean * SAMPLE_CAP) - *mean);
+                    *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
                 }
-                let mean = self.class_run[class].get_or_insert(took);
-                *mean += RUN_GAIN * (took.min(*mean * SAMPLE_CAP) - *mean);
             }
             Outcome::Unreachable | Outcome::Broken if same_process => {
                 node.copies.clear();
@@ -510,10 +521,7 @@
         let lanes = u64::from(call.lanes.max(1)) * u64::from(copies.map_or(1, |c| c.count.max(1)));
         // The other front ends follow the same order, so they fill their part of the lanes.
         let lanes = lanes.div_ceil(u64::from(self.s.front_ends)).clamp(1, 64) as usize;
-        // The worker answers at its pace while the queue is no longer than it was; beyond, in proportion.
-        let usual = node.pace_at(now);
-        let stretch = |crowd: usize| usual * (crowd as f64 / node.crowd.max(2.0)).max(1.0);
-        let (before, pace) = (stretch(node.out.len()), stretch(node.out.len() + 1));
+        let (before, pace) = (node.stretch(now, node.out.len()), node.stretch(now, node.out.len() + 1));
         let run = self.run_of(call.function, call.class) * pace;
         let begin = |ready: Time, run_newcomer: f64| -> (Time, bool) {
             let mut free = vec![ready; lanes];
