Judge a worker's health class by class, overdue sends against answers

Told from a hang by the other class's answers, from a cut link by all front ends seeing it. Cause: silence was judged a worker, so the other class's answers hid it. Covers hangs too; may shut a worker early when loads are far slower than foreseen.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -29,9 +29,10 @@
 const PAD: f64 = 1.6;
 /// A pace that no answer refreshes goes half the way back to the usual in this time.
 const PACE_AGE: Time = 3_000 * MS;
-/// A worker is silent when its oldest unanswered sends are late by this multiple of what was foreseen ...
+/// A send is overdue when it has been out for this multiple of what was foreseen. A worker is silent when
+/// more of a class's sends are overdue than it has answered since the first of them ...
 const SILENCE_STRETCH: f64 = 3.0;
-/// ... and this many of them are, with no answer since.
+/// ... and at least so many are.
 const SILENT_SENDS: usize = 3;
 /// A worker that turns a call away is held to this share of the own sends it had ...
 const ROOM_CUT: f64 = 0.7;
@@ -39,10 +40,10 @@
 const ROOM_RISE: f64 = 0.1;
 /// The most late calls to have waiting at one worker for a load: they must not fill its queue.
 const LATE_MOST: usize = 8;
-/// First time that a worker is left alone after a failed connection or silence; doubles each time.
+/// First time that a worker is left alone after a failed connection or silence ...
 const SHUT_FIRST: Time = 500 * MS;
-/// Longest such time: the bounded way back.
-const SHUT_MOST: Time = 4_000 * MS;
+/// ... which doubles at most so often: the bounded way back.
+const SHUT_STEPS: u32 = 3;
 /// The share of its estimated part of a cold worker's budget that this front end spends.
 const COLD_SAFETY: f64 = 0.6;
 /// Time over which sends are counted to learn what a warm worker takes.
@@ -104,6 +105,21 @@
     adequate: f64,
 }
 
+/// Troubles not yet outweighed by answers, and until when the worker is left alone.
+#[derive(Clone, Debug, Default)]
+struct Health {
+    bad: u32,
+    shut_until: Time,
+}
+
+impl Health {
+    /// Leaves the worker alone for a while, longer each time.
+    fn shut(&mut self, now: Time) {
+        self.shut_until = now + (SHUT_FIRST << self.bad.min(SHUT_STEPS));
+        self.bad = (self.bad + 1).min(SHUT_STEPS + 1);
+    }
+}
+
 #[derive(Debug)]
 struct Node {
     entry: Entry,
@@ -116,17 +132,16 @@
     heard: Time,
     /// The most own sends to have there; a refusal cuts it, answers raise it.
     room: f64,
-    /// Troubles in a row, and until when it is left alone.
-    bad: u32,
-    shut_until: Time,
-    /// Sends within the last rate span, with their weight.
-    sends: VecDeque<(Time, f64)>,
+    /// Its health for each class: what stands behind a worker may fail one class alone.
+    health: Vec<Health>,
+    /// Sends within the last rate span, with their class.
+    sends: VecDeque<(Time, usize)>,
     /// Answers served within it, likewise.
-    served: VecDeque<(Time, f64)>,
+    served: VecDeque<(Time, usize)>,
 }
 
 impl Node {
-    fn new(entry: Entry) -> Self {
+    fn new(entry: Entry, classes: usize) -> Self {
         let hash =
             entry.worker.0.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| {
                 (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3)
@@ -140,8 +155,7 @@
             crowd: 1.0,
             room: f64::INFINITY,
             heard: 0,
-            bad: 0,
-            shut_until: 0,
+            health: vec![Health::default(); classes],
             sends: VecDeque::new(),
             served: VecDeque::new(),
         }
@@ -163,12 +177,6 @@
             pace.min(1.0) + (pace - pace.min(1.0)) * part
         }
     }
-
-    /// Leaves the worker alone for a while, longer each time.
-    fn shut(&mut self, now: Time) {
-        self.shut_until = now + (SHUT_FIRST << self.bad.min(8)).min(SHUT_MOST);
-        self.bad = self.bad.saturating_add(1);
-    }
 }
 
 /// A function as this front end knows it.
@@ -315,13 +323,15 @@
                 node.entry.state = State::Gone;
             }
         }
+        let classes = self.s.classes.len();
         for entry in entries {
-            let node = self.nodes.entry(entry.worker.clone()).or_insert_with(|| Node::new(entry.clone()));
+            let node =
+                self.nodes.entry(entry.worker.clone()).or_insert_with(|| Node::new(entry.clone(), classes));
             if node.entry.started != entry.started {
                 // A process that started anew holds nothing and has no past.
                 node.copies.clear();
-                (node.pace, node.crowd, node.bad, node.shut_until) = (1.0, 1.0, 0, 0);
-                node.room = f64::INFINITY;
+                (node.pace, node.crowd, node.room) = (1.0, 1.0, f64::INFINITY);
+                node.health = vec![Health::default(); classes];
             }
             node.entry = entry;
         }
@@ -385,7 +395,6 @@
         note: Option<CopyNote>,
     ) -> Time {
         let now = self.now;
-        let weights: Vec<f64> = (0..self.class_run.len()).map(|c| self.class_weight(c)).collect();
         let Some(node) = self.nodes.get_mut(worker) else { return 0 };
         let Some(at) = node.out.iter().position(|s| s.request == request && s.attempt == attempt) else {
             return 0;
@@ -399,10 +408,11 @@
         }
         match outcome {
             Outcome::Served if same_process => {
-                (node.bad, node.shut_until) = (0, 0);
+                let health = &mut node.health[sent.class];
+                health.bad = health.bad.saturating_sub(1);
                 node.heard = now;
                 node.room += ROOM_RISE;
-                node.served.push_back((now, weights[sent.class]));
+                node.served.push_back((now, sent.class));
                 let copies = node.copies.entry(sent.function).or_default();
                 let proven = copies.proven;
                 if !proven {
@@ -436,7 +446,7 @@
             }
             Outcome::Unreachable | Outcome::Broken if same_process => {
                 node.copies.clear();
-                node.shut(now);
+                node.health.iter_mut().for_each(|h| h.shut(now));
             }
             Outcome::Absent if same_process => {
                 node.copies.remove(&sent.function);
@@ -586,14 +596,16 @@
             }
         };
         repeat_ok
-            && self.healthy(node)
+            && self.healthy(node, open.call.class)
             && (node.out.len() as f64) < node.room
             && self.cold_budget_left(node, open.call.class)
     }
 
     /// A worker in trouble is left alone; once that time is over one send at a time tries it.
-    fn healthy(&self, node: &Node) -> bool {
-        node.bad == 0 || (self.now >= node.shut_until && node.out.iter().all(|s| s.at < node.shut_until))
+    fn healthy(&self, node: &Node, class: usize) -> bool {
+        let health = &node.health[class];
+        let idle = || node.out.iter().all(|s| s.class != class || s.at < health.shut_until);
+        health.bad == 0 || self.now >= health.shut_until && idle()
     }
 
     /// Sends the request where the design says, or ends it.
@@ -715,7 +727,6 @@
         let Some(open) = self.open.get(&id) else { return };
         let (function, class) = (open.call.function, open.call.class);
         let run = self.run_of(function, class);
-        let weight = self.class_weight(class);
         let (Some(node), Some(open)) = (self.nodes.get_mut(worker), self.open.get_mut(&id)) else { return };
         let crowd = node.out.len() as f64 + 1.0;
         node.out.push(Sent {
@@ -732,7 +743,7 @@
             aim: open.aim,
             crowd,
         });
-        node.sends.push_back((now, weight));
+        node.sends.push_back((now, class));
         let copies = node.copies.entry(function).or_default();
         if copies.ready == 0 || seen.cold {
             *copies = Copies { count: 1, ready: now, placed: copies.placed, ..Copies::default() };
@@ -799,7 +810,8 @@
     fn chores(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         actions.push(Action::Timer { after: CHORES, token: CHORES_TOKEN });
-        // No outcome is a symptom too: several sends long overdue and nothing heard since the first.
+        // No outcome is a symptom too. Counted a class, so that a fault behind the workers which swallows
+        // most calls of one class is seen though others are answered; slow loads may look alike.
         let mut recalled = Vec::new();
         for node in self.nodes.values_mut() {
             let keep = RATE_SPAN.max(self.s.rules.fall_span) + CHORES;
@@ -808,16 +820,26 @@
                     past.pop_front();
                 }
             }
-            let late = |s: &&Sent| {
-                let foreseen = s.due.saturating_sub(s.at) as f64;
-                s.at > node.heard && now > s.at + (foreseen * SILENCE_STRETCH) as Time
-            };
-            let trial = node.bad > 0 && now >= node.shut_until;
-            if node.out.iter().filter(late).count() >= if trial { 1 } else { SILENT_SENDS } {
-                node.shut(now);
-            }
-            if now < node.shut_until {
-                recalled.extend(node.out.iter().map(|s| (s.request, s.attempt)));
+            for class in 0..node.health.len() {
+                let overdue = |s: &&Sent| {
+                    let foreseen = s.due.saturating_sub(s.at) as f64;
+                    s.class == class && now > s.at + (foreseen * SILENCE_STRETCH) as Time
+                };
+                let count = node.out.iter().filter(overdue).count();
+                let since = node.out.iter().filter(overdue).map(|s| s.at).min().unwrap_or(now);
+                let answers = node.served.iter().filter(|(t, c)| *c == class && *t > since).count();
+                let health = &mut node.health[class];
+                let trial = health.bad > 0 && now >= health.shut_until;
+                if count > answers
+                    && count >= if trial { 1 } else { SILENT_SENDS }
+                    && now >= health.shut_until
+                {
+                    health.shut(now);
+                }
+                if now < health.shut_until {
+                    let out = node.out.iter().filter(|s| s.class == class);
+                    recalled.extend(out.map(|s| (s.request, s.attempt)));
+                }
             }
         }
         for (id, attempt) in recalled {
@@ -974,8 +996,8 @@
         if rules.fall_span == 0 || rules.fall_multiple <= 0.0 {
             return true;
         }
-        let within = |past: &VecDeque<(Time, f64)>, span: Time| -> f64 {
-            past.iter().filter(|(t, _)| t + span > now).map(|(_, w)| w).sum()
+        let within = |past: &VecDeque<(Time, usize)>, span: Time| -> f64 {
+            past.iter().filter(|(t, _)| t + span > now).map(|(_, c)| self.class_weight(*c)).sum()
         };
         let warm =
             |n: &&Node| n.entry.state == State::Live && n.entry.started.is_none_or(|t| now >= t + rules.ramp);
