--- a/src/api.rs
+++ b/src/api.rs
@@ -173,6 +173,8 @@
     pub keep_alive: Time,
     /// Answers tell whether a copy stood loaded.
     pub tells_cold: bool,
+    /// Answers tell how many calls of the function the worker held.
+    pub tells_alike: bool,
     /// The limit on orders to load, where there is one.
     pub ration: Option<Ration>,
     /// The price of memory in idle and loading copies, in points of the result.
@@ -186,6 +188,7 @@
             call_loads: true,
             keep_alive: 10_000_000_000,
             tells_cold: false,
+            tells_alike: false,
             ration: None,
             idle_memory_cost: 0.0,
         }
--- a/src/bin/pipithub-adapter/settings.rs
+++ b/src/bin/pipithub-adapter/settings.rs
@@ -48,6 +48,7 @@
             call_loads: family["WhenAbsent"].as_str() != Some("miss"),
             keep_alive: time(&family["StaysLoaded"]),
             tells_cold: flag(&family["MarksCold"]),
+            tells_alike: flag(&family["CountsAlike"]),
             ration: (window > 0).then(|| Ration {
                 window,
                 base: number(&family["LoadsAnyway"]),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,6 +25,8 @@
 const PACE_GAIN: f64 = 0.15;
 /// No sample counts for more than this many times what was expected: one heavy call is no bad worker.
 const SAMPLE_CAP: f64 = 4.0;
+/// ... and none for more than this in a run time: waits belong to the pace.
+const RUN_CAP: f64 = 4.0;
 /// The newcomer's own run is padded so much: served times have tails, the replay knows averages.
 const PAD: f64 = 1.6;
 /// A pace that no answer refreshes goes half the way back to the usual in this time.
@@ -36,8 +38,9 @@
 const SILENT_SENDS: usize = 3;
 /// A worker that turns a call away is held to this share of the own sends it had ...
 const ROOM_CUT: f64 = 0.7;
-/// ... and each answer it serves gives back so much.
+/// ... and each answer it serves gives back so much, each housekeeping round this multiple: twice in 1 s.
 const ROOM_RISE: f64 = 0.1;
+const ROOM_GROWTH: f64 = 1.0;
 /// The most late calls to have waiting at one worker for a load: they must not fill its queue.
 const LATE_MOST: usize = 8;
 /// First time that a worker is left alone after a failed connection or silence ...
@@ -78,6 +81,9 @@
     /// It was believed to wait for a load; or no answer had shown the copy yet.
     cold: bool,
     unproven: bool,
+    /// All lanes were taken; and own sends of the function there, itself included.
+    adds: bool,
+    same: f64,
     /// Own sends at the worker when it left, itself included.
     crowd: f64,
 }
@@ -86,6 +92,8 @@
 #[derive(Debug, Default)]
 struct Copies {
     count: u32,
+    /// Calls of it that other front ends have there.
+    others: f64,
     /// When they stand loaded.
     ready: Time,
     /// The last sign that they were in use.
@@ -210,6 +218,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Foreseen {
     cold: bool,
+    /// All lanes are taken: the worker may well start a further copy for it.
+    adds: bool,
     /// Every queued deadline still holds.
     others_hold: bool,
     /// When it would be served if a copy stood, and with any load counted.
@@ -288,9 +298,9 @@
         match event {
             Event::List { kind, entries } => self.list(kind, entries, actions),
             Event::Arrived(call) => self.arrived(call, actions),
-            Event::Finished { request, attempt, worker, outcome, took, settled, note, .. } => {
+            Event::Finished { request, attempt, worker, outcome, took, settled, note, alike, .. } => {
                 let place = self.nodes.get(&worker).map(|n| (n.entry.zone.clone(), n.entry.cell));
-                let at = self.attempt_over(&worker, request, attempt, outcome, took, note);
+                let at = self.attempt_over(&worker, request, attempt, outcome, took, note, alike);
                 self.outcome(request, place.map(|(zone, cell)| (at, zone, cell)), outcome, settled, actions);
             }
             Event::Streaming { request } => {
@@ -393,6 +403,7 @@
         outcome: Outcome,
         took: Time,
         note: Option<CopyNote>,
+        alike: Option<u32>,
     ) -> Time {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(worker) else { return 0 };
@@ -419,6 +430,15 @@
                     copies.ready = now;
                 }
                 (copies.count, copies.proven, copies.used) = (copies.count.max(1), true, now);
+                if let Some(alike) = alike.filter(|_| self.s.loading.tells_alike) {
+                    // What others had there, beside our own; and copies enough for all of them at once.
+                    let others = (f64::from(alike) + 1.0 - sent.same).max(0.0);
+                    copies.others += PACE_GAIN * (others - copies.others);
+                    let lanes = self.programs.get(&sent.function).map_or(1, |p| p.lanes.max(1));
+                    if note == Some(CopyNote::Warm) {
+                        copies.count = copies.count.max((alike + 1).div_ceil(lanes));
+                    }
+                }
                 let took = took as f64;
                 let expected = sent.run * node.pace.max(0.1);
                 let loaded = match note {
@@ -438,10 +458,10 @@
                 // Answers from an uncrowded worker tell the run itself; the rest is the worker's pace.
                 let gain = RUN_GAIN * (2.0 / sent.crowd).min(1.0).powi(2);
                 let mean = self.class_run[sent.class].get_or_insert(took);
-                *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
+                *mean += gain * (took.min(*mean * RUN_CAP) - *mean);
                 if let Some(program) = self.programs.get_mut(&sent.function) {
                     let mean = program.run.get_or_insert(sent.run);
-                    *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
+                    *mean += gain * (took.min(*mean * RUN_CAP) - *mean);
                 }
             }
             Outcome::Unreachable | Outcome::Broken if same_process => {
@@ -528,9 +548,15 @@
         let now = self.now;
         let copies = node.copies.get(&call.function);
         let ready = self.ready_at(node, call.function).or(presumed.then_some(now));
-        let lanes = u64::from(call.lanes.max(1)) * u64::from(copies.map_or(1, |c| c.count.max(1)));
-        // The other front ends follow the same order, so they fill their part of the lanes.
-        let lanes = lanes.div_ceil(u64::from(self.s.front_ends)).clamp(1, 64) as usize;
+        let all = f64::from(call.lanes.max(1)) * f64::from(copies.map_or(1, |c| c.count.max(1)));
+        // The other front ends follow the same order, so they fill their part of the lanes: as told, else alike.
+        let lanes = match copies.filter(|_| self.s.loading.tells_alike) {
+            Some(copies) => all - copies.others,
+            None => all / f64::from(self.s.front_ends),
+        };
+        let lanes = lanes.ceil().clamp(1.0, 64.0) as usize;
+        let adds = self.s.loading.tells_alike
+            && node.out.iter().filter(|s| s.function == call.function).count() >= lanes;
         let (before, pace) = (node.stretch(now, node.out.len()), node.stretch(now, node.out.len() + 1));
         let run = self.run_of(call.function, call.class) * pace;
         let begin = |ready: Time, run_newcomer: f64| -> (Time, bool) {
@@ -557,7 +583,7 @@
             Some(at) => begin(at, run * PAD).0,
             None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
         };
-        Foreseen { cold: ready.is_none(), others_hold, warm_finish, finish }
+        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish }
     }
 
     /// Loads that this front end believes under way, and whether one is of this function.
@@ -566,6 +592,7 @@
         for node in self.nodes.values() {
             let slow = |s: &&Sent| s.cold || s.unproven && self.now > s.at + (s.run * SAMPLE_CAP) as Time;
             let waiting = node.out.iter().filter(slow).map(|s| s.function);
+            count += node.out.iter().filter(|s| s.adds).count();
             let ordered = node.copies.iter().filter(|(_, c)| c.ordered.is_some()).map(|(f, _)| *f);
             let loading: BTreeSet<Function> = waiting.chain(ordered).collect();
             count += loading.len();
@@ -631,7 +658,8 @@
         // A slow store must not be asked for more: loads under way are bounded, and one that is under
         // way for this function is waited for, not begun again elsewhere.
         let (loads, loading) = self.loads_under_way(function);
-        let may_load = loads < self.loads_most() && !loading;
+        let may_add = loads < self.loads_most();
+        let may_load = may_add && !loading;
         let mut presume = !located;
         let (mut choice, mut late, mut want) = (None, None, None);
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
@@ -643,7 +671,8 @@
             // neither refuse all nor spread loads.
             let seen = self.replay(node, &open.call, presume);
             presume = false;
-            if seen.others_hold && seen.finish <= goal && (!seen.cold || may_load) {
+            if seen.others_hold && seen.finish <= goal && (!seen.cold || may_load) && (!seen.adds || may_add)
+            {
                 choice = Some((worker.clone(), seen, goal));
                 break;
             }
@@ -653,7 +682,7 @@
                     want = Some((worker.clone(), seen));
                 }
                 let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
-                let room = waiting < LATE_MOST && (!seen.cold || may_load);
+                let room = waiting < LATE_MOST && (!seen.cold || may_load) && (!seen.adds || may_add);
                 if late.is_none() && room && seen.finish <= open.deadline && class.late_worth > 0.0 {
                     late = Some((worker.clone(), seen, open.deadline));
                 }
@@ -739,6 +768,8 @@
             goal,
             run,
             cold: seen.cold || seen.finish > seen.warm_finish,
+            adds: seen.adds,
+            same: node.out.iter().filter(|s| s.function == function).count() as f64 + 1.0,
             unproven: node.copies.get(&function).is_none_or(|c| !c.proven),
             aim: open.aim,
             crowd,
@@ -814,6 +845,7 @@
         // most calls of one class is seen though others are answered; slow loads may look alike.
         let mut recalled = Vec::new();
         for node in self.nodes.values_mut() {
+            node.room *= ROOM_GROWTH;
             let keep = RATE_SPAN.max(self.s.rules.fall_span) + CHORES;
             for past in [&mut node.sends, &mut node.served] {
                 while past.front().is_some_and(|(t, _)| t + keep < now) {
@@ -910,6 +942,8 @@
                     wanted.push((copies.adequate, copies.missed_work, worker.clone(), *function));
                 }
                 (copies.used_work, copies.missed_work, copies.misses) = (0.0, 0.0, 0);
+                // Further copies go first when idle: what is not seen again is not believed for long.
+                copies.count = copies.count.saturating_sub(1).max(1);
             }
         }
         let least = |a: &(f64, Worker, Function), b: &(f64, Worker, Function)| a.0.total_cmp(&b.0);
