Spread a function by a load only where its copy should evict nothing

Change: a function that stands elsewhere is loaded at a further worker (by a late call or a hold) only where the copies believed there leave half its memory. Covers one-off functions and lost workers as well; may spread a hot function late.

--- a/src/api.rs
+++ b/src/api.rs
@@ -258,6 +258,8 @@
     pub zone: String,
     /// Its cell.
     pub cell: u64,
+    /// Its memory, in MB; 0 where unknown.
+    pub memory_mb: f64,
     /// The clock time at which it last started; `None`: long ago.
     pub started: Option<Time>,
 }
--- a/src/bin/pipithub-adapter/main.rs
+++ b/src/bin/pipithub-adapter/main.rs
@@ -71,7 +71,7 @@
                         if !lines.next()? {
                             return Err(lines.at("input ends inside a list"));
                         }
-                        entries.push(wire::entry(&lines.text).map_err(|e| lines.at(&e))?);
+                        entries.push(wire::entry(&lines.text, &host.names).map_err(|e| lines.at(&e))?);
                     }
                     Event::List { kind, entries }
                 }
--- a/src/bin/pipithub-adapter/settings.rs
+++ b/src/bin/pipithub-adapter/settings.rs
@@ -16,7 +16,10 @@
     let family = &all["FamilyInfo"];
     let grades = all["Grades"].as_array().map(Vec::as_slice).unwrap_or_default();
     let owners = all["Tenants"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let kinds = all["Models"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let memory = |i: usize| number(&family["KindMemoryMb"][i]).max(0.0);
     let names = Names {
+        kinds: kinds.iter().enumerate().map(|(i, kind)| (string(kind), memory(i))).collect(),
         classes: grades.iter().map(|g| string(&g["Name"])).collect(),
         tenants: owners.iter().map(|t| string(&t["Name"])).collect(),
     };
--- a/src/bin/pipithub-adapter/wire.rs
+++ b/src/bin/pipithub-adapter/wire.rs
@@ -7,10 +7,12 @@
     Action, CopyNote, Entry, Event, Function, ListKind, Load, Outcome, Request, State, Time, Worker,
 };
 
-/// The names behind the class and tenant numbers of one front end.
+/// The names that the lines of one front end use.
 pub struct Names {
     pub classes: Vec<String>,
     pub tenants: Vec<String>,
+    /// Machine kinds, with the memory of each in MB.
+    pub kinds: Vec<(String, f64)>,
 }
 
 /// What one line holds.
@@ -217,7 +219,7 @@
 }
 
 /// Reads one line of a list.
-pub fn entry(line: &str) -> Result<Entry, String> {
+pub fn entry(line: &str, names: &Names) -> Result<Entry, String> {
     let mut p = Parts::of(line);
     if p.text("message")? != "entry" {
         return Err(format!("expected 'entry', found '{line}'"));
@@ -234,10 +236,11 @@
             },
             zone: p.text("Dc")?.to_string(),
             cell: p.maybe("Block")?.unwrap_or(0),
-            started: {
-                p.text("FamilyType")?;
-                p.maybe::<Time>("StartTime")?.filter(|&t| t > 0)
+            memory_mb: {
+                let kind = p.text("FamilyType")?;
+                names.kinds.iter().find(|(name, _)| name == kind).map_or(0.0, |(_, memory)| *memory)
             },
+            started: p.maybe::<Time>("StartTime")?.filter(|&t| t > 0),
         })
     };
     fields(&mut p).map_err(|e| format!("entry: {e}"))
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,6 +43,9 @@
 const ROOM_GROWTH: f64 = 1.0;
 /// The most late calls to have waiting at one worker for a load: they must not fill its queue.
 const LATE_MOST: usize = 8;
+/// The share of a worker's memory that copies may be believed to fill before a further one evicts
+/// others: the rest is for running calls and for copies that this front end does not know of.
+const MEMORY_FILL: f64 = 0.5;
 /// First time that a worker is left alone after a failed connection or silence ...
 const SHUT_FIRST: Time = 500 * MS;
 /// ... which doubles at most so often: the bounded way back.
@@ -191,6 +194,7 @@
 #[derive(Debug, Default)]
 struct Program {
     lanes: u32,
+    memory_mb: f64,
     told_load: Option<Time>,
     /// The longest load seen, fading.
     seen_load: Option<f64>,
@@ -601,6 +605,15 @@
         (count, same)
     }
 
+    /// Whether a copy more should fit beside those believed at the worker: the shared order brings the
+    /// other front ends' calls of the same functions there, so own beliefs tell most of it.
+    fn has_room(&self, node: &Node, function: Function) -> bool {
+        let memory = |f: &Function| self.programs.get(f).map_or(0.0, |p| p.memory_mb);
+        let stands = node.copies.iter().filter(|(f, _)| self.ready_at(node, **f).is_some());
+        let held: f64 = stands.map(|(f, c)| memory(f) * f64::from(c.count.max(1))).sum();
+        node.entry.memory_mb <= 0.0 || held + memory(&function) <= node.entry.memory_mb * MEMORY_FILL
+    }
+
     /// The most loads that this front end has under way: one for each of its part of the workers.
     fn loads_most(&self) -> usize {
         let live = self.nodes.values().filter(|n| n.entry.state == State::Live).count();
@@ -682,7 +695,9 @@
                     want = Some((worker.clone(), seen));
                 }
                 let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
-                let room = waiting < LATE_MOST && (!seen.cold || may_load) && (!seen.adds || may_add);
+                // A function that stands elsewhere is loaded here only where that should evict nothing.
+                let worthwhile = may_load && (!located || self.has_room(node, function));
+                let room = waiting < LATE_MOST && (!seen.cold || worthwhile) && (!seen.adds || may_add);
                 if late.is_none() && room && seen.finish <= open.deadline && class.late_worth > 0.0 {
                     late = Some((worker.clone(), seen, open.deadline));
                 }
@@ -723,7 +738,7 @@
         let aim = now.saturating_add(class.aim).saturating_add(stretch).min(deadline);
         self.arrivals.push_back(now);
         let program = self.programs.entry(call.function).or_default();
-        (program.lanes, program.called) = (call.lanes, now);
+        (program.lanes, program.memory_mb, program.called) = (call.lanes, call.memory_mb.max(0.0), now);
         program.told_load = call.load_time.filter(|t| *t > 0).or(program.told_load);
         // Two ticks early: the answer must be out before the client's time is up.
         let after = budget.saturating_sub(2 * self.s.tick);
@@ -924,7 +939,8 @@
         let loading = |n: &Node| n.copies.get(&function).is_some_and(|c| c.ordered.is_some());
         let enough = self.nodes.get(worker).and_then(|n| n.copies.get(&function)).map_or(0, |c| c.misses);
         let needed = if self.s.loading.call_loads { MISSES_TO_SPREAD } else { 1 };
-        if enough >= needed && !self.nodes.values().any(loading) {
+        let room = self.nodes.get(worker).is_some_and(|n| self.has_room(n, function));
+        if enough >= needed && (room || !self.s.loading.call_loads) && !self.nodes.values().any(loading) {
             self.hold(worker, function, 1, actions);
         }
     }
