--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,185 @@
+//! A front end under test, with a hand-driven clock.
+#![allow(dead_code)]
+
+use std::collections::BTreeSet;
+
+use pipithub::api::*;
+use pipithub::decide::FrontEnd;
+
+/// Nanoseconds in a millisecond.
+pub const MS: u64 = 1_000_000;
+
+/// A front end, its clock, and all that it has done.
+pub struct Bench {
+    pub front: FrontEnd,
+    pub now: Time,
+    pub did: Vec<(Time, Action)>,
+    timers: BTreeSet<(Time, u64)>,
+    pub next_id: RequestId,
+}
+
+/// Settings with one class of the given effect, orders allowed, rules as at a usual site.
+pub fn settings(effect: Effect) -> Settings {
+    Settings {
+        front_ends: 1,
+        zone: "a".to_string(),
+        tick: 2 * MS,
+        classes: vec![Class {
+            effect,
+            late_worth: 0.3,
+            give_up: 4_000 * MS,
+            dedup_window: 2_500 * MS,
+            ..Class::default()
+        }],
+        limits: Limits {
+            max_attempts: 4,
+            cancel: true,
+            retry_after: true,
+            max_retry_after: 500 * MS,
+            ..Limits::default()
+        },
+        rules: Rules { cold_from: 0.2, ramp: 15_000 * MS, fall_multiple: 3.0, fall_span: 2_000 * MS },
+        loading: Loading { orders: true, tells_cold: true, ..Loading::default() },
+        ..Settings::default()
+    }
+}
+
+pub fn entry(name: &str) -> Entry {
+    Entry { worker: Worker::new(name), zone: "a".to_string(), share: 1.0, ..Entry::default() }
+}
+
+impl Bench {
+    pub fn new(settings: Settings, workers: &[&str]) -> Self {
+        let front = FrontEnd::new(settings, 11);
+        let (did, timers) = (Vec::new(), BTreeSet::new());
+        let mut bench = Bench { front, now: 1_000_000 * MS, did, timers, next_id: 1 };
+        let entries = workers.iter().map(|w| entry(w)).collect();
+        bench.event(Event::List { kind: ListKind::Remembered, entries });
+        bench
+    }
+
+    /// Hands over one event; what comes of it is returned and kept.
+    pub fn event(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.front.handle(self.now, event, &mut actions);
+        self.timers.extend(actions.iter().filter_map(|a| match a {
+            Action::Timer { after, token } => Some((self.now + after, *token)),
+            _ => None,
+        }));
+        self.did.extend(actions.iter().map(|a| (self.now, a.clone())));
+        actions
+    }
+
+    pub fn changes(&mut self, entries: Vec<Entry>) -> Vec<Action> {
+        self.event(Event::List { kind: ListKind::Changes, entries })
+    }
+
+    /// A call of a function with four lanes and a load of 500 ms.
+    pub fn call(&mut self, function: u64) -> (RequestId, Vec<Action>) {
+        self.call_with(Request {
+            function: Function(function),
+            lanes: 4,
+            memory_mb: 100.0,
+            load_time: Some(500 * MS),
+            budget: Some(4_000 * MS),
+            ..Request::default()
+        })
+    }
+
+    pub fn call_with(&mut self, request: Request) -> (RequestId, Vec<Action>) {
+        let id = self.next_id;
+        self.next_id += 1;
+        let actions = self.event(Event::Arrived(Request { id, ..request }));
+        (id, actions)
+    }
+
+    pub fn finish(&mut self, id: RequestId, attempt: u32, worker: &Worker, outcome: Outcome) -> Vec<Action> {
+        self.finish_noted(id, attempt, worker, outcome, 50 * MS, Some(CopyNote::Warm))
+    }
+
+    pub fn finish_noted(
+        &mut self,
+        request: RequestId,
+        attempt: u32,
+        worker: &Worker,
+        outcome: Outcome,
+        took: Time,
+        note: Option<CopyNote>,
+    ) -> Vec<Action> {
+        let note = note.filter(|_| outcome == Outcome::Served);
+        self.event(Event::Finished {
+            request,
+            attempt,
+            worker: worker.clone(),
+            outcome,
+            took,
+            settled: outcome == Outcome::Served,
+            note,
+            alike: None,
+            load: Load::default(),
+        })
+    }
+
+    /// Lets time pass, with every timer that falls due.
+    pub fn pass(&mut self, time: Time) -> Vec<Action> {
+        let until = self.now + time;
+        let mut all = Vec::new();
+        while let Some((due, token)) = self.timers.first().copied().filter(|(due, _)| *due <= until) {
+            self.timers.pop_first();
+            self.now = self.now.max(due);
+            all.extend(self.event(Event::Timer { token }));
+        }
+        self.now = until;
+        all
+    }
+
+    /// Answers every order to load given by these actions.
+    pub fn answer_orders(&mut self, actions: &[Action], outcome: Outcome, copies: u32) -> Vec<Action> {
+        let mut all = Vec::new();
+        for action in actions {
+            if let Action::Hold { worker, function, .. } = action {
+                let (worker, function) = (worker.clone(), *function);
+                all.extend(self.event(Event::Ordered { worker, function, outcome, took: 20 * MS, copies }));
+            }
+        }
+        all
+    }
+
+    /// Calls and answers a function so often that its home is known to be warm; tells the home.
+    pub fn warm(&mut self, function: u64) -> Worker {
+        let mut home = None;
+        for _ in 0..12 {
+            let (id, actions) = self.call(function);
+            let worker = sent_to(&actions).expect("a call of a known function is sent");
+            self.pass(50 * MS);
+            self.finish(id, 0, &worker, Outcome::Served);
+            home = Some(worker);
+        }
+        home.expect("twelve calls were made")
+    }
+}
+
+pub fn sent_to(actions: &[Action]) -> Option<Worker> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { worker, .. } => Some(worker.clone()),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
+}
+
+pub fn held(actions: &[Action]) -> Vec<Worker> {
+    actions
+        .iter()
+        .filter_map(|a| match a {
+            Action::Hold { worker, copies, .. } if *copies > 0 => Some(worker.clone()),
+            _ => None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,210 @@
+//! The five rules, each by tests that fail when its guard is taken out.
+
+mod common;
+
+use common::*;
+use pipithub::api::*;
+
+#[test]
+fn a_silent_worker_does_not_cost_the_final_answer() {
+    for effect in [Effect::Safe, Effect::Keyed, Effect::Unsafe] {
+        let mut b = Bench::new(settings(effect), &["w1"]);
+        let (_, actions) = b.call(1);
+        assert!(sent_to(&actions).is_some());
+        let ends = |a: &[Action]| refused(a) || failed(a);
+        let early = b.pass(3_900 * MS);
+        let late = b.pass(100 * MS);
+        assert_eq!(usize::from(ends(&early)) + usize::from(ends(&late)), 1, "{effect:?}");
+        assert!(!ends(&b.pass(5_000 * MS)));
+    }
+}
+
+#[test]
+fn nothing_to_send_to_means_a_refusal_at_once() {
+    let mut b = Bench::new(settings(Effect::Unsafe), &[]);
+    let (_, actions) = b.call(1);
+    let wanted = Action::Refuse { request: 1, retry_after: Some(500 * MS) };
+    assert!(actions.contains(&wanted));
+}
+
+#[test]
+fn a_call_without_time_is_refused_unsent() {
+    let mut b = Bench::new(settings(Effect::Safe), &["w1"]);
+    for budget in [0, MS, 4 * MS] {
+        let (_, actions) = b.call_with(Request { budget: Some(budget), ..Request::default() });
+        assert!(refused(&actions) && sent_to(&actions).is_none());
+    }
+}
+
+#[test]
+fn what_may_have_run_is_repeated_only_where_the_class_allows() {
+    use Outcome::*;
+    for outcome in [Error, TimedOut, Broken, Cancelled] {
+        let mut b = Bench::new(settings(Effect::Unsafe), &["w1", "w2"]);
+        let (id, actions) = b.call(1);
+        let after = b.finish(id, 0, &sent_to(&actions).unwrap(), outcome);
+        assert!(failed(&after) && !refused(&after) && sent_to(&after).is_none(), "{outcome:?}");
+
+        let mut b = Bench::new(settings(Effect::Safe), &["w1", "w2"]);
+        let (id, actions) = b.call(1);
+        let after = b.finish(id, 0, &sent_to(&actions).unwrap(), outcome);
+        assert!(sent_to(&after).is_some(), "{outcome:?}");
+    }
+    for outcome in [Full, Unreachable, NotSent, Absent] {
+        let mut b = Bench::new(settings(Effect::Unsafe), &["w1", "w2"]);
+        let (id, actions) = b.call(1);
+        let first = sent_to(&actions).unwrap();
+        let after = b.finish(id, 0, &first, outcome);
+        assert_ne!(sent_to(&after).expect("proved never to have run"), first, "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_keyed_call_is_repeated_only_in_its_group_and_window() {
+    let mut s = settings(Effect::Keyed);
+    s.classes[0].group = Group::Zone;
+    let zones = |b: &mut Bench, first: &Worker, other: &str| {
+        let names = ["w1", "w2"];
+        let of = |n: &&str| if Worker::new(n) == *first { "a" } else { other };
+        let list = names.iter().map(|n| Entry { zone: of(n).to_string(), ..entry(n) }).collect();
+        b.changes(list);
+    };
+    for (other, wait, again) in [("a", 100, true), ("b", 100, false), ("a", 2_490, false)] {
+        let mut b = Bench::new(s.clone(), &["w1", "w2"]);
+        let (id, actions) = b.call(1);
+        let first = sent_to(&actions).unwrap();
+        zones(&mut b, &first, other);
+        b.now += wait * MS;
+        let after = b.finish(id, 0, &first, Outcome::Broken);
+        assert_eq!(sent_to(&after).is_some(), again, "other zone {other}, after {wait} ms");
+        assert_eq!(failed(&after), !again, "a refusal would promise that trying again is harmless");
+    }
+}
+
+#[test]
+fn a_group_of_all_workers_may_be_refused() {
+    let mut b = Bench::new(settings(Effect::Keyed), &["w1"]);
+    let (id, actions) = b.call(1);
+    let after = b.finish(id, 0, &sent_to(&actions).unwrap(), Outcome::Broken);
+    assert!(refused(&after));
+}
+
+#[test]
+fn drained_and_gone_workers_get_neither_calls_nor_orders() {
+    for state in [State::Draining, State::Gone] {
+        let mut b = Bench::new(settings(Effect::Safe), &["w1", "w2", "w3"]);
+        let home = b.warm(1);
+        b.changes(vec![Entry { state, ..entry(&home.0) }]);
+        b.did.clear();
+        for i in 0..200 {
+            let (id, actions) = b.call(i % 7);
+            b.pass(20 * MS);
+            if let Some(worker) = sent_to(&actions) {
+                b.finish(id, 0, &worker, if i % 3 == 0 { Outcome::Full } else { Outcome::Served });
+            }
+        }
+        for (_, action) in &b.did {
+            if let Action::Send { worker, .. } | Action::Hold { worker, .. } = action {
+                assert_ne!(*worker, home, "{state:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_worker_missing_from_a_complete_list_is_gone() {
+    let mut b = Bench::new(settings(Effect::Safe), &["w1", "w2"]);
+    let home = b.warm(1);
+    let rest = ["w1", "w2"].iter().filter(|n| Worker::new(n) != home).map(|n| entry(n)).collect();
+    b.event(Event::List { kind: ListKind::Complete, entries: rest });
+    let (_, actions) = b.call(1);
+    assert_ne!(sent_to(&actions).expect("the other worker"), home);
+}
+
+/// Sends to a worker that has just started, over any span, against what it may be sent.
+#[test]
+fn a_cold_worker_is_sent_no_more_than_its_part_over_any_span() {
+    let s = settings(Effect::Safe);
+    let (rules, names) = (s.rules.clone(), ["w1", "w2", "w3"]);
+    let mut b = Bench::new(s, &names);
+    let home = b.warm(1);
+    // Ten calls a second are what each warm worker serves this front end.
+    for _ in 0..60 {
+        for function in 0..3 {
+            let (id, actions) = b.call(function + 10);
+            b.pass(33 * MS);
+            let worker = sent_to(&actions).expect("an idle fleet takes calls");
+            b.finish(id, 0, &worker, Outcome::Served);
+        }
+    }
+    let started = b.now;
+    b.changes(vec![Entry { started: Some(started), ..entry(&home.0) }]);
+    b.did.clear();
+    let mut sends = Vec::new();
+    for i in 0..1_500 {
+        let (id, actions) = b.call(1);
+        b.pass(5 * MS);
+        if let Some(worker) = sent_to(&actions) {
+            if worker == home {
+                sends.push(b.now);
+            }
+            // Refusals count too: they are work that arrived.
+            b.finish(id, 0, &worker, if i % 2 == 0 { Outcome::Served } else { Outcome::Full });
+        }
+    }
+    assert!(!sends.is_empty(), "a cold worker is not shut out");
+    let most_served = 1_500.0 / 7.5 / 2.0;
+    for &t in &sends {
+        let within = sends.iter().filter(|&&u| u <= t && u + rules.fall_span > t).count() as f64;
+        let age = (t - started) as f64 / rules.ramp as f64;
+        let part = rules.cold_from + (1.0 - rules.cold_from) * age.min(1.0);
+        let span = rules.fall_span as f64 / 1e9;
+        assert!(within <= 1.0 + rules.fall_multiple * part * most_served * span, "{within} at age {age:.2}");
+    }
+    let first_span = sends.iter().filter(|&&t| t < started + rules.fall_span).count();
+    assert!(first_span < 60, "the first burst is held: {first_span} of 400 calls");
+}
+
+#[test]
+fn orders_to_load_stay_within_the_ration_over_any_window() {
+    let mut s = settings(Effect::Safe);
+    s.loading.call_loads = false;
+    let ration = Ration { window: 5_000 * MS, base: 3.0, share: 0.15 };
+    s.loading.ration = Some(ration.clone());
+    let mut b = Bench::new(s, &["w1", "w2", "w3", "w4"]);
+    let mut calls = Vec::new();
+    for i in 0..400 {
+        calls.push(b.now);
+        let (id, actions) = b.call(i);
+        b.pass(35 * MS);
+        let mut actions = actions;
+        if let Some(worker) = sent_to(&actions) {
+            actions.extend(b.finish(id, 0, &worker, Outcome::Absent));
+        }
+        b.answer_orders(&actions, Outcome::Full, 0);
+    }
+    let orders: Vec<Time> =
+        b.did.iter().filter(|(_, a)| matches!(a, Action::Hold { copies: 1.., .. })).map(|(t, _)| *t).collect();
+    assert!(orders.len() > 20, "the ration is used: {}", orders.len());
+    for &t in &orders {
+        let given = orders.iter().filter(|&&u| u <= t && u + ration.window > t).count() as f64;
+        let taken = calls.iter().filter(|&&u| u <= t && u + ration.window > t).count() as f64;
+        assert!(given <= ration.base + ration.share * taken, "{given} orders on {taken} calls");
+    }
+}
+
+#[test]
+fn never_two_attempts_at_once_nor_more_than_allowed() {
+    let mut b = Bench::new(settings(Effect::Safe), &["w1", "w2", "w3", "w4", "w5", "w6"]);
+    let (id, actions) = b.call(1);
+    let mut worker = sent_to(&actions);
+    let mut attempts = 0;
+    while let Some(w) = worker {
+        let again = b.event(Event::Timer { token: id });
+        assert!(sent_to(&again).is_none(), "the first attempt is still out");
+        b.now += 10 * MS;
+        worker = sent_to(&b.finish(id, attempts, &w, Outcome::Full));
+        attempts += 1;
+    }
+    assert_eq!(attempts, 4);
+}
