Tests of troubles and rules; one load a function until a copy is proven; order-only workers wait for the order

A function with an unproven copy is not loaded a second time; presumption only for a first attempt; a missing copy does not rule its worker out.

--- a/src/api.rs
+++ b/src/api.rs
@@ -343,6 +343,44 @@
     pub loads: Option<f64>,
 }
 
+/// The end of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finished {
+    /// The request.
+    pub request: RequestId,
+    /// Which of its attempts, from 0.
+    pub attempt: u32,
+    /// Where it was sent.
+    pub worker: Worker,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it took.
+    pub took: Time,
+    /// The request is over, by this outcome or before it.
+    pub settled: bool,
+    /// What it met there, where told.
+    pub note: Option<CopyNote>,
+    /// Calls of the same function that the worker held when this one came, where told.
+    pub alike: Option<u32>,
+    /// The worker's report, where one came.
+    pub load: Load,
+}
+
+/// The reply to an order to hold copies.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ordered {
+    /// The worker.
+    pub worker: Worker,
+    /// The function.
+    pub function: Function,
+    /// How it ended; [`Outcome::Served`]: the copies stand.
+    pub outcome: Outcome,
+    /// How long it took.
+    pub took: Time,
+    /// Copies that stand loaded now.
+    pub copies: u32,
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -356,26 +394,7 @@
     /// A request came in.
     Arrived(Request),
     /// An attempt ended.
-    Finished {
-        /// The request.
-        request: RequestId,
-        /// Which of its attempts, from 0.
-        attempt: u32,
-        /// Where it was sent.
-        worker: Worker,
-        /// How it ended.
-        outcome: Outcome,
-        /// How long it took.
-        took: Time,
-        /// The request is over, by this outcome or before it.
-        settled: bool,
-        /// What it met there, where told.
-        note: Option<CopyNote>,
-        /// Calls of the same function that the worker held when this one came, where told.
-        alike: Option<u32>,
-        /// The worker's report, where one came.
-        load: Load,
-    },
+    Finished(Finished),
     /// The answer of a streamed call has begun; it has no deadline from here on.
     Streaming {
         /// The request.
@@ -396,18 +415,7 @@
         load: Load,
     },
     /// An order to hold copies ended.
-    Ordered {
-        /// The worker.
-        worker: Worker,
-        /// The function.
-        function: Function,
-        /// How it ended; [`Outcome::Served`]: the copies stand.
-        outcome: Outcome,
-        /// How long it took.
-        took: Time,
-        /// Copies that stand loaded now.
-        copies: u32,
-    },
+    Ordered(Ordered),
     /// A timer fell due.
     Timer {
         /// The token given with it.
--- a/src/bin/pipithub-adapter/wire.rs
+++ b/src/bin/pipithub-adapter/wire.rs
@@ -4,7 +4,8 @@
 use std::str::FromStr;
 
 use pipithub::api::{
-    Action, CopyNote, Entry, Event, Function, ListKind, Load, Outcome, Request, State, Time, Worker,
+    Action, CopyNote, Entry, Event, Finished, Function, ListKind, Load, Ordered, Outcome, Request, State,
+    Time, Worker,
 };
 
 /// The names that the lines of one front end use.
@@ -179,13 +180,13 @@
         }
         "wake" => Event::Timer { token: p.value("Cookie")? },
         "heard" => Event::Peer { from: p.value("Author")?, bytes: bytes(p.text("Bytes")?)? },
-        "brought_up" => Event::Ordered {
+        "brought_up" => Event::Ordered(Ordered {
             worker: p.worker()?,
             function: p.function()?,
             outcome: p.outcome()?,
             took: p.maybe("Rtt")?.unwrap_or(0),
             copies: p.maybe("Copies")?.unwrap_or(0),
-        },
+        }),
         "lapsed" => Event::Left { request: p.value("Req")? },
         "completed" => {
             let request = p.value("Req")?;
@@ -195,7 +196,7 @@
             let took = p.maybe("Rtt")?.unwrap_or(0);
             let settled = p.bool("Settled")?;
             let detail: Option<u32> = p.maybe("Detail")?;
-            Event::Finished {
+            Event::Finished(Finished {
                 request,
                 attempt,
                 worker,
@@ -211,7 +212,7 @@
                 },
                 alike: detail.map(|d| d / 8),
                 load: p.load()?,
-            }
+            })
         }
         "head_received" => Event::Streaming { request: p.value("Req")? },
         _ => return Err("unknown message".to_string()),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,10 +1,11 @@
 //! The decisions of one front end. The types that go in and out stand in `src/api.rs`.
 //!
 //! A request goes to the first worker in a shared hash order whose replayed queue of this front end's
-//! own sends, any load counted, still meets every deadline; else it is refused unsent. No clock, no
-//! thread, no I/O: equal events give equal actions.
+//! own sends, any load counted, still meets every deadline; else it is refused unsent. No clock, thread
+//! or I/O: equal events give equal actions. Plain data stands in `src/state.rs`.
 
 use crate::api::*;
+use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- constants ----
@@ -25,8 +26,6 @@
 const PACE_GAIN: f64 = 0.15;
 /// No sample counts for more than this many times what was expected: one heavy call is no bad worker.
 const SAMPLE_CAP: f64 = 4.0;
-/// ... and none for more than this in a run time: waits belong to the pace.
-const RUN_CAP: f64 = 4.0;
 /// The newcomer's own run is padded so much: served times have tails, the replay knows averages.
 const PAD: f64 = 1.6;
 /// A pace that no answer refreshes goes half the way back to the usual in this time.
@@ -38,9 +37,8 @@
 const SILENT_SENDS: usize = 3;
 /// A worker that turns a call away is held to this share of the own sends it had ...
 const ROOM_CUT: f64 = 0.7;
-/// ... and each answer it serves gives back so much, each housekeeping round this multiple: twice in 1 s.
+/// ... and each answer it serves gives back so much.
 const ROOM_RISE: f64 = 0.1;
-const ROOM_GROWTH: f64 = 1.0;
 /// The most late calls to have waiting at one worker for a load: they must not fill its queue.
 const LATE_MOST: usize = 8;
 /// The share of a worker's memory that copies may be believed to fill before a further one evicts
@@ -65,64 +63,6 @@
 
 // ---- worker list and health ----
 
-/// A send that has no outcome yet.
-#[derive(Debug)]
-struct Sent {
-    request: RequestId,
-    attempt: u32,
-    function: Function,
-    class: usize,
-    at: Time,
-    /// When the replay foresaw its answer.
-    due: Time,
-    /// The deadline that the replay held it to.
-    goal: Time,
-    /// The run alone, at the usual pace.
-    run: f64,
-    /// An answer after this is late.
-    aim: Time,
-    /// It was believed to wait for a load; or no answer had shown the copy yet.
-    cold: bool,
-    unproven: bool,
-    /// All lanes were taken; and own sends of the function there, itself included.
-    adds: bool,
-    same: f64,
-    /// Own sends at the worker when it left, itself included.
-    crowd: f64,
-}
-
-/// What is believed of a function's copies at one worker.
-#[derive(Debug, Default)]
-struct Copies {
-    count: u32,
-    /// Calls of it that other front ends have there.
-    others: f64,
-    /// When they stand loaded.
-    ready: Time,
-    /// The last sign that they were in use.
-    used: Time,
-    /// An answer or order reply has shown them.
-    proven: bool,
-    /// Placed by an order of this front end.
-    placed: bool,
-    /// An order for them is under way since then.
-    ordered: Option<Time>,
-    /// Run time admitted here in this interval.
-    used_work: f64,
-    /// Run time that moved on in this interval because no copy stood here, and how often.
-    missed_work: f64,
-    misses: u32,
-    /// Least time to spare beyond the run among those.
-    adequate: f64,
-}
-
-/// Troubles not yet outweighed by answers, and until when the worker is left alone.
-#[derive(Clone, Debug, Default)]
-struct Health {
-    bad: u32,
-    shut_until: Time,
-}
-
 impl Health {
     /// Leaves the worker alone for a while, longer each time.
     fn shut(&mut self, now: Time) {
@@ -131,47 +71,7 @@
     }
 }
 
-#[derive(Debug)]
-struct Node {
-    entry: Entry,
-    hash: u64,
-    copies: BTreeMap<Function, Copies>,
-    out: Vec<Sent>,
-    /// Served time over the usual, and own sends there meanwhile.
-    pace: f64,
-    crowd: f64,
-    heard: Time,
-    /// The most own sends to have there; a refusal cuts it, answers raise it.
-    room: f64,
-    /// Its health for each class: what stands behind a worker may fail one class alone.
-    health: Vec<Health>,
-    /// Sends within the last rate span, with their class.
-    sends: VecDeque<(Time, usize)>,
-    /// Answers served within it, likewise.
-    served: VecDeque<(Time, usize)>,
-}
-
 impl Node {
-    fn new(entry: Entry, classes: usize) -> Self {
-        let hash =
-            entry.worker.0.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| {
-                (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3)
-            });
-        Node {
-            entry,
-            hash: mix(hash),
-            copies: BTreeMap::new(),
-            out: Vec::new(),
-            pace: 1.0,
-            crowd: 1.0,
-            room: f64::INFINITY,
-            heard: 0,
-            health: vec![Health::default(); classes],
-            sends: VecDeque::new(),
-            served: VecDeque::new(),
-        }
-    }
-
     /// Its pace now: old knowledge fades to the usual, so no bad spell is believed for ever.
     fn pace_at(&self, now: Time) -> f64 {
         let age = now.saturating_sub(self.heard) as f64 / PACE_AGE as f64;
@@ -190,54 +90,12 @@
     }
 }
 
-/// A function as this front end knows it.
-#[derive(Debug, Default)]
-struct Program {
-    lanes: u32,
-    memory_mb: f64,
-    told_load: Option<Time>,
-    /// The longest load seen, fading.
-    seen_load: Option<f64>,
-    run: Option<f64>,
-    called: Time,
-}
-
-/// A request that has no final answer yet.
-#[derive(Debug)]
-struct Open {
-    call: Request,
-    aim: Time,
-    deadline: Time,
-    attempts: u32,
-    outstanding: bool,
-    /// The first attempt that may have run: when, and in which zone and cell.
-    may_have_run: Option<(Time, String, u64)>,
-    tried: Vec<Worker>,
-    streaming: bool,
-    /// It waits, unsent, for an order's reply.
-    parked: bool,
-}
-
-/// What the replay of one worker foresees for a newcomer.
-#[derive(Clone, Copy, Debug)]
-struct Foreseen {
-    cold: bool,
-    /// All lanes are taken: the worker may well start a further copy for it.
-    adds: bool,
-    /// Every queued deadline still holds.
-    others_hold: bool,
-    /// When it would be served if a copy stood, and with any load counted.
-    warm_finish: Time,
-    finish: Time,
-}
-
 /// One front end.
 #[derive(Debug)]
 pub struct FrontEnd {
     s: Settings,
     now: Time,
     seed: u64,
-    started: Option<Time>,
     nodes: BTreeMap<Worker, Node>,
     programs: BTreeMap<Function, Program>,
     open: BTreeMap<RequestId, Open>,
@@ -254,12 +112,6 @@
     allowance: f64,
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 impl FrontEnd {
     /// A front end that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -273,7 +125,6 @@
             s,
             now: 0,
             seed,
-            started: None,
             nodes: BTreeMap::new(),
             programs: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -290,8 +141,7 @@
     /// Takes one event and appends what to do about it.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if self.started.is_none() {
-            self.started = Some(self.now);
+        if self.next_round == 0 {
             // The rounds of the front ends are spread, so that they do not all order at once.
             self.next_round = self.now + self.interval() / 2 + mix(self.seed) % (self.interval() / 2);
             actions.push(Action::Timer { after: CHORES, token: CHORES_TOKEN });
@@ -302,10 +152,9 @@
         match event {
             Event::List { kind, entries } => self.list(kind, entries, actions),
             Event::Arrived(call) => self.arrived(call, actions),
-            Event::Finished { request, attempt, worker, outcome, took, settled, note, alike, .. } => {
-                let place = self.nodes.get(&worker).map(|n| (n.entry.zone.clone(), n.entry.cell));
-                let at = self.attempt_over(&worker, request, attempt, outcome, took, note, alike);
-                self.outcome(request, place.map(|(zone, cell)| (at, zone, cell)), outcome, settled, actions);
+            Event::Finished(end) => {
+                let ran = self.attempt_over(&end);
+                self.outcome(&end, ran, actions);
             }
             Event::Streaming { request } => {
                 if let Some(open) = self.open.get_mut(&request) {
@@ -315,9 +164,7 @@
             Event::Left { request } => {
                 self.open.remove(&request);
             }
-            Event::Ordered { worker, function, outcome, took, copies } => {
-                self.ordered(&worker, function, outcome, took, copies, actions)
-            }
+            Event::Ordered(reply) => self.ordered(&reply, actions),
             Event::Timer { token: CHORES_TOKEN } => self.chores(actions),
             Event::Timer { token } => self.time_up(token, actions),
             Event::Probed { .. } | Event::Peer { .. } => {}
@@ -398,30 +245,20 @@
         *seen = if took > *seen { took.min(*seen * 2.0) } else { *seen + 0.3 * (took - *seen) };
     }
 
-    /// Takes an ended attempt out of the worker's queue and learns from it; tells when it was sent.
-    fn attempt_over(
-        &mut self,
-        worker: &Worker,
-        request: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        took: Time,
-        note: Option<CopyNote>,
-        alike: Option<u32>,
-    ) -> Time {
+    /// Takes an ended attempt out of the worker's queue and learns from it; tells when it was sent and where.
+    fn attempt_over(&mut self, end: &Finished) -> Option<(Time, String, u64)> {
         let now = self.now;
-        let Some(node) = self.nodes.get_mut(worker) else { return 0 };
-        let Some(at) = node.out.iter().position(|s| s.request == request && s.attempt == attempt) else {
-            return 0;
-        };
+        let node = self.nodes.get_mut(&end.worker)?;
+        let at = node.out.iter().position(|s| s.request == end.request && s.attempt == end.attempt)?;
         let sent = node.out.remove(at);
+        let ran = Some((sent.at, node.entry.zone.clone(), node.entry.cell));
         // An attempt of an earlier process tells nothing of the present one.
         let same_process = node.entry.started.is_none_or(|t| t <= sent.at);
         if node.entry.state == State::Gone && node.out.is_empty() {
-            self.nodes.remove(worker);
-            return sent.at;
+            self.nodes.remove(&end.worker);
+            return ran;
         }
-        match outcome {
+        match end.outcome {
             Outcome::Served if same_process => {
                 let health = &mut node.health[sent.class];
                 health.bad = health.bad.saturating_sub(1);
@@ -434,27 +271,27 @@
                     copies.ready = now;
                 }
                 (copies.count, copies.proven, copies.used) = (copies.count.max(1), true, now);
-                if let Some(alike) = alike.filter(|_| self.s.loading.tells_alike) {
+                if let Some(alike) = end.alike.filter(|_| self.s.loading.tells_alike) {
                     // What others had there, beside our own; and copies enough for all of them at once.
                     let others = (f64::from(alike) + 1.0 - sent.same).max(0.0);
                     copies.others += PACE_GAIN * (others - copies.others);
                     let lanes = self.programs.get(&sent.function).map_or(1, |p| p.lanes.max(1));
-                    if note == Some(CopyNote::Warm) {
+                    if end.note == Some(CopyNote::Warm) {
                         copies.count = copies.count.max((alike + 1).div_ceil(lanes));
                     }
                 }
-                let took = took as f64;
+                let took = end.took as f64;
                 let expected = sent.run * node.pace.max(0.1);
-                let loaded = match note {
+                let loaded = match end.note {
                     Some(CopyNote::Warm) => false,
                     Some(_) => true,
                     None => (sent.cold || sent.unproven) && took > expected * SAMPLE_CAP,
                 };
                 if loaded {
-                    if note != Some(CopyNote::Waited) {
+                    if end.note != Some(CopyNote::Waited) {
                         self.learn_load(sent.function, (took - expected).max(0.0));
                     }
-                    return sent.at;
+                    return ran;
                 }
                 let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
                 node.pace += PACE_GAIN * (ratio - node.pace);
@@ -462,10 +299,10 @@
                 // Answers from an uncrowded worker tell the run itself; the rest is the worker's pace.
                 let gain = RUN_GAIN * (2.0 / sent.crowd).min(1.0).powi(2);
                 let mean = self.class_run[sent.class].get_or_insert(took);
-                *mean += gain * (took.min(*mean * RUN_CAP) - *mean);
+                *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
                 if let Some(program) = self.programs.get_mut(&sent.function) {
                     let mean = program.run.get_or_insert(sent.run);
-                    *mean += gain * (took.min(*mean * RUN_CAP) - *mean);
+                    *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
                 }
             }
             Outcome::Unreachable | Outcome::Broken if same_process => {
@@ -482,22 +319,16 @@
             }
             _ => {}
         }
-        sent.at
+        ran
     }
 
-    fn ordered(
-        &mut self,
-        worker: &Worker,
-        function: Function,
-        outcome: Outcome,
-        took: Time,
-        count: u32,
-        actions: &mut Vec<Action>,
-    ) {
+    /// Takes the reply to an order; calls that waited for it are placed again.
+    fn ordered(&mut self, reply: &Ordered, actions: &mut Vec<Action>) {
+        let (worker, function, took, count) = (&reply.worker, reply.function, reply.took, reply.copies);
         let run = self.run_of(function, 0);
         if let Some(copies) = self.nodes.get_mut(worker).and_then(|n| n.copies.get_mut(&function)) {
             if copies.ordered.take().is_some() {
-                let stands = outcome == Outcome::Served && count > 0;
+                let stands = reply.outcome == Outcome::Served && count > 0;
                 if stands {
                     (copies.count, copies.proven, copies.placed) = (count, true, true);
                     (copies.ready, copies.used) = (copies.ready.min(self.now), self.now);
@@ -516,6 +347,9 @@
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
+            if let Some(open) = self.open.get_mut(&id).filter(|_| reply.outcome == Outcome::Served) {
+                open.tried.pop();
+            }
             self.place(id, actions);
         }
     }
@@ -553,7 +387,7 @@
         let copies = node.copies.get(&call.function);
         let ready = self.ready_at(node, call.function).or(presumed.then_some(now));
         let all = f64::from(call.lanes.max(1)) * f64::from(copies.map_or(1, |c| c.count.max(1)));
-        // The other front ends follow the same order, so they fill their part of the lanes: as told, else alike.
+        // The other front ends follow the same order and fill their part of the lanes: as told, else alike.
         let lanes = match copies.filter(|_| self.s.loading.tells_alike) {
             Some(copies) => all - copies.others,
             None => all / f64::from(self.s.front_ends),
@@ -600,7 +434,9 @@
             let ordered = node.copies.iter().filter(|(_, c)| c.ordered.is_some()).map(|(f, _)| *f);
             let loading: BTreeSet<Function> = waiting.chain(ordered).collect();
             count += loading.len();
-            same |= loading.contains(&function);
+            // Before an answer has shown a copy anywhere, a second load would be a guess on a guess.
+            same |=
+                loading.contains(&function) || node.out.iter().any(|s| s.unproven && s.function == function);
         }
         (count, same)
     }
@@ -673,7 +509,7 @@
         let (loads, loading) = self.loads_under_way(function);
         let may_add = loads < self.loads_most();
         let may_load = may_add && !loading;
-        let mut presume = !located;
+        let mut presume = !located && open.attempts == 0;
         let (mut choice, mut late, mut want) = (None, None, None);
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
             let node = &self.nodes[worker];
@@ -692,7 +528,7 @@
             if seen.others_hold && seen.warm_finish <= goal {
                 // Only a load stands in the way.
                 if seen.cold && want.is_none() {
-                    want = Some((worker.clone(), seen));
+                    want = Some(worker.clone());
                 }
                 let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
                 // A function that stands elsewhere is loaded here only where that should evict nothing.
@@ -704,25 +540,25 @@
             }
         }
         let spare = open.aim.saturating_sub(now) as f64;
-        if let Some((worker, _)) = &want {
+        if let Some(worker) = &want {
             self.missed(worker, id, spare);
-            if choice.is_some() || !self.s.loading.call_loads {
+            if choice.is_some() {
                 self.hold_after_miss(worker, function, actions);
             }
         }
-        let choice = choice.or(late);
-        match choice {
-            Some((worker, seen, goal)) if self.s.loading.call_loads || !seen.cold => {
-                self.send(id, &worker, seen, goal, actions)
-            }
-            Some((worker, ..))
-                if self.nodes[&worker].copies.get(&function).is_some_and(|c| c.ordered.is_some()) =>
-            {
+        match choice.or(late) {
+            Some((worker, seen, _)) if seen.cold && !self.s.loading.call_loads => {
+                // Only an order brings the function in: the call waits here, unsent, for its reply.
+                if !self.hold(&worker, function, 1, actions) {
+                    return self.end(id, actions);
+                }
                 if let Some(open) = self.open.get_mut(&id) {
                     open.parked = true;
+                    open.tried.push(worker);
                 }
             }
-            _ => self.end(id, actions),
+            Some((worker, seen, goal)) => self.send(id, &worker, seen, goal, actions),
+            None => self.end(id, actions),
         }
     }
 
@@ -805,25 +641,22 @@
         actions.push(Action::Send { request: id, worker: worker.clone(), timeout: None });
     }
 
-    fn outcome(
-        &mut self,
-        id: RequestId,
-        place: Option<(Time, String, u64)>,
-        outcome: Outcome,
-        settled: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        if settled {
-            self.open.remove(&id);
+    fn outcome(&mut self, end: &Finished, ran: Option<(Time, String, u64)>, actions: &mut Vec<Action>) {
+        if end.settled {
+            self.open.remove(&end.request);
             return;
         }
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.open.get_mut(&end.request) else { return };
         open.outstanding = false;
-        if !outcome.never_ran() && open.may_have_run.is_none() {
+        if end.outcome == Outcome::Absent {
+            // The worker is sound, only the copy is not there: an order may still bring it.
+            open.tried.pop();
+        }
+        if !end.outcome.never_ran() && open.may_have_run.is_none() {
             // Where the send is not known any more, the window counts as over.
-            open.may_have_run = Some(place.unwrap_or_default());
+            open.may_have_run = Some(ran.unwrap_or_default());
         }
-        self.place(id, actions);
+        self.place(end.request, actions);
     }
 
     /// Gives the final answer: a refusal where a further try is harmless, else a failure.
@@ -860,7 +693,6 @@
         // most calls of one class is seen though others are answered; slow loads may look alike.
         let mut recalled = Vec::new();
         for node in self.nodes.values_mut() {
-            node.room *= ROOM_GROWTH;
             let keep = RATE_SPAN.max(self.s.rules.fall_span) + CHORES;
             for past in [&mut node.sends, &mut node.served] {
                 while past.front().is_some_and(|(t, _)| t + keep < now) {
@@ -937,10 +769,9 @@
     /// asked again and again for what it has not brought yet.
     fn hold_after_miss(&mut self, worker: &Worker, function: Function, actions: &mut Vec<Action>) {
         let loading = |n: &Node| n.copies.get(&function).is_some_and(|c| c.ordered.is_some());
-        let enough = self.nodes.get(worker).and_then(|n| n.copies.get(&function)).map_or(0, |c| c.misses);
-        let needed = if self.s.loading.call_loads { MISSES_TO_SPREAD } else { 1 };
-        let room = self.nodes.get(worker).is_some_and(|n| self.has_room(n, function));
-        if enough >= needed && (room || !self.s.loading.call_loads) && !self.nodes.values().any(loading) {
+        let Some(node) = self.nodes.get(worker) else { return };
+        let enough = node.copies.get(&function).is_some_and(|c| c.misses >= MISSES_TO_SPREAD);
+        if enough && self.has_room(node, function) && !self.nodes.values().any(loading) {
             self.hold(worker, function, 1, actions);
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,3 +20,4 @@
 
 pub mod api;
 pub mod decide;
+mod state;
--- /dev/null
+++ b/tests/trouble.rs
@@ -0,0 +1,272 @@
+//! Behaviour in trouble, and after it: what fails is left, what comes back is used again.
+
+mod common;
+
+use common::*;
+use pipithub::api::*;
+
+/// Calls a function at 20 a second; `answer` says how a worker answers. Tells how many were served.
+fn play(
+    b: &mut Bench,
+    function: u64,
+    calls: usize,
+    mut answer: impl FnMut(&Worker) -> Option<Outcome>,
+) -> (usize, Vec<Worker>) {
+    let (mut served, mut workers) = (0, Vec::new());
+    let mut open: Vec<(RequestId, u32, Worker)> = Vec::new();
+    for _ in 0..calls {
+        let (id, actions) = b.call(function);
+        let mut queue = vec![(id, 0, actions)];
+        let passed = b.pass(50 * MS);
+        for (id, attempt, worker) in std::mem::take(&mut open) {
+            let gone = passed.iter().any(|a| matches!(a, Action::Cancel { request, .. } if *request == id));
+            if gone {
+                let actions = b.finish(id, attempt, &worker, Outcome::Cancelled);
+                queue.push((id, attempt + 1, actions));
+            } else {
+                open.push((id, attempt, worker));
+            }
+        }
+        while let Some((id, attempt, actions)) = queue.pop() {
+            b.answer_orders(&actions, Outcome::Served, 1);
+            let Some(worker) = sent_to(&actions) else { continue };
+            workers.push(worker.clone());
+            match answer(&worker) {
+                Some(outcome) => {
+                    served += usize::from(outcome == Outcome::Served);
+                    let actions = b.finish(id, attempt, &worker, outcome);
+                    queue.push((id, attempt + 1, actions));
+                }
+                None => open.push((id, attempt, worker)),
+            }
+        }
+    }
+    (served, workers)
+}
+
+const THREE: [&str; 3] = ["w1", "w2", "w3"];
+
+#[test]
+fn the_home_is_the_same_at_every_front_end_and_stable_under_churn() {
+    let homes = |workers: &[&str], seed: u32| -> Vec<Worker> {
+        let mut s = settings(Effect::Safe);
+        s.front_ends = seed;
+        let mut b = Bench::new(s, workers);
+        let mut one = |function| {
+            let (id, actions) = b.call(function);
+            let worker = sent_to(&actions)?;
+            b.pass(20 * MS);
+            b.finish(id, 0, &worker, Outcome::Served);
+            Some(worker)
+        };
+        (0..200).filter_map(&mut one).collect()
+    };
+    let all = homes(&["w1", "w2", "w3", "w4", "w5"], 1);
+    assert_eq!(all.len(), 200);
+    assert_eq!(all, homes(&["w5", "w3", "w1", "w2", "w4"], 3));
+    let less = homes(&["w1", "w2", "w3", "w4"], 1);
+    let moved = all.iter().zip(&less).filter(|(a, b)| a != b).count();
+    let lost = all.iter().filter(|w| **w == Worker::new("w5")).count();
+    assert_eq!(moved, lost, "only what stood at the lost worker moves");
+    assert!((20..=60).contains(&lost), "each worker is home to its part: {lost}");
+}
+
+#[test]
+fn a_silent_worker_is_left_and_used_again_when_it_answers() {
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    let home = b.warm(1);
+    let (served, workers) = play(&mut b, 1, 100, |w| (*w != home).then_some(Outcome::Served));
+    assert!(served > 90, "served {served} of 100");
+    let wasted = workers.iter().filter(|w| **w == home).count();
+    assert!(wasted < 25, "{wasted} sends to a silent worker");
+    let (served, workers) = play(&mut b, 1, 200, |_| Some(Outcome::Served));
+    assert!(served > 195, "served {served} of 200");
+    let back = workers[100..].iter().filter(|w| **w == home).count();
+    assert!(back > 90, "the home serves again: {back} of 100");
+}
+
+#[test]
+fn a_class_that_a_worker_swallows_is_moved_though_another_is_answered() {
+    let mut s = settings(Effect::Safe);
+    s.classes.push(s.classes[0].clone());
+    let mut b = Bench::new(s, &THREE);
+    let home = b.warm(1);
+    let mut sent_home = 0;
+    for _ in 0..60 {
+        for class in [0, 1] {
+            let call = Request {
+                function: Function(1),
+                lanes: 8,
+                class,
+                budget: Some(4_000 * MS),
+                ..Request::default()
+            };
+            let (id, actions) = b.call_with(call);
+            b.pass(25 * MS);
+            let Some(worker) = sent_to(&actions) else { continue };
+            sent_home += usize::from(class == 1 && worker == home);
+            if class == 0 || worker != home {
+                b.finish(id, 0, &worker, Outcome::Served);
+            }
+        }
+    }
+    assert!(sent_home < 30, "{sent_home} of 60 calls of the swallowed class still went there");
+    let (_, actions) = b.call(1);
+    assert_eq!(sent_to(&actions), Some(home), "the other class stays at its home");
+}
+
+#[test]
+fn a_crashed_worker_is_left_at_once_and_comes_back_cold() {
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    let home = b.warm(1);
+    let (served, workers) =
+        play(&mut b, 1, 60, |w| Some(if *w == home { Outcome::Unreachable } else { Outcome::Served }));
+    assert_eq!(served, 60);
+    assert!(workers.iter().filter(|w| **w == home).count() < 10);
+    let started = Some(b.now);
+    b.changes(vec![Entry { started, ..entry(&home.0) }]);
+    let (served, workers) = play(&mut b, 1, 600, |_| Some(Outcome::Served));
+    assert!(served > 590, "served {served} of 600");
+    assert!(workers[300..].iter().filter(|w| **w == home).count() > 250, "the home is used again");
+}
+
+#[test]
+fn the_loss_of_most_workers_neither_stops_service_nor_lasts() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut b = Bench::new(settings(Effect::Safe), &names);
+    for function in 0..6 {
+        b.warm(function);
+    }
+    b.changes(names[..5].iter().map(|n| Entry { state: State::Gone, ..entry(n) }).collect());
+    for function in 0..6 {
+        let (served, _) = play(&mut b, function, 40, |_| Some(Outcome::Served));
+        assert!(served >= 38, "function {function}: {served} of 40");
+    }
+    let started = Some(b.now);
+    b.changes(names[..5].iter().map(|n| Entry { started, ..entry(n) }).collect());
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..8 {
+        for function in 0..6 {
+            used.extend(play(&mut b, function, 40, |_| Some(Outcome::Served)).1);
+        }
+    }
+    assert!(used.len() >= 3, "functions go home again: {used:?}");
+}
+
+#[test]
+fn a_slow_store_is_not_asked_twice_for_one_function() {
+    let mut b = Bench::new(settings(Effect::Safe), &["w1", "w2", "w3", "w4", "w5", "w6"]);
+    let mut workers = std::collections::BTreeSet::new();
+    for _ in 0..60 {
+        workers.extend(sent_to(&b.call(1).1));
+        b.pass(10 * MS);
+    }
+    assert_eq!(workers.len(), 1, "all wait for one load: {workers:?}");
+}
+
+#[test]
+fn one_off_functions_do_not_begin_loads_without_bound() {
+    let mut b = Bench::new(settings(Effect::Safe), &["w1", "w2", "w3", "w4"]);
+    let sends = (0..200).filter(|f| {
+        b.pass(2 * MS);
+        sent_to(&b.call(1_000 + f).1).is_some()
+    });
+    let sends = sends.count();
+    assert!((1..200).contains(&sends), "{sends}");
+}
+
+#[test]
+fn heavy_calls_do_not_shut_a_worker() {
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    let home = b.warm(1);
+    for i in 0..100 {
+        let (id, actions) = b.call(1);
+        b.pass(50 * MS);
+        if let Some(worker) = sent_to(&actions) {
+            let took = if i % 25 == 0 { 2_000 * MS } else { 50 * MS };
+            b.finish_noted(id, 0, &worker, Outcome::Served, took, Some(CopyNote::Warm));
+        }
+    }
+    let (_, workers) = play(&mut b, 1, 50, |_| Some(Outcome::Served));
+    assert!(workers.iter().filter(|w| **w == home).count() > 45);
+}
+
+#[test]
+fn a_refusal_spiral_does_not_feed_itself() {
+    let mut b = Bench::new(settings(Effect::Safe), &["w1"]);
+    b.warm(1);
+    let mut out = Vec::new();
+    for _ in 0..400 {
+        let (id, actions) = b.call(1);
+        if sent_to(&actions).is_some() {
+            out.push(id);
+        }
+        b.pass(2 * MS);
+    }
+    assert!(out.len() < 400, "an overload is refused in part");
+    for id in out {
+        b.pass(5 * MS);
+        b.finish_noted(id, 0, &Worker::new("w1"), Outcome::Served, 900 * MS, Some(CopyNote::Warm));
+    }
+    let (_, actions) = b.call(1);
+    assert!(sent_to(&actions).is_some(), "an emptied worker takes calls at once");
+}
+
+#[test]
+fn a_full_worker_is_sent_fewer_and_then_more_again() {
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    let home = b.warm(1);
+    let (served, _) = play(&mut b, 1, 50, |w| Some(if *w == home { Outcome::Full } else { Outcome::Served }));
+    assert!(served >= 48, "turned away calls are served elsewhere: {served}");
+    let (_, workers) = play(&mut b, 1, 200, |_| Some(Outcome::Served));
+    assert!(workers[100..].iter().filter(|w| **w == home).count() > 90);
+}
+
+#[test]
+fn after_a_restart_a_stale_list_is_enough_to_serve() {
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    let dead = sent_to(&b.call(1).1).unwrap();
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    let mut served = 0;
+    for function in 0..40 {
+        let answer = |w: &Worker| Some(if *w == dead { Outcome::Unreachable } else { Outcome::Served });
+        served += play(&mut b, function, 2, answer).0;
+    }
+    assert!(served >= 76, "served {served} of 80");
+}
+
+#[test]
+fn a_worker_that_loads_only_by_order_is_served_by_one() {
+    let mut s = settings(Effect::Safe);
+    s.loading.call_loads = false;
+    let mut b = Bench::new(s, &THREE);
+    let (id, actions) = b.call(1);
+    let home = sent_to(&actions).expect("presumed at its home");
+    let after = b.finish(id, 0, &home, Outcome::Absent);
+    let at = held(&after);
+    assert_eq!(at.len(), 1, "one order");
+    assert!(sent_to(&after).is_none(), "the call waits for it");
+    b.pass(300 * MS);
+    let after = b.answer_orders(&after, Outcome::Served, 1);
+    assert_eq!(sent_to(&after).as_ref(), Some(&at[0]));
+}
+
+#[test]
+fn state_stays_bounded_on_a_long_run() {
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    let mut sizes = Vec::new();
+    for round in 0..30u64 {
+        for i in 0..200u64 {
+            let (id, actions) = b.call(round * 1_000 + i);
+            b.pass(50 * MS);
+            if let Some(worker) = sent_to(&actions) {
+                b.finish(id, 0, &worker, Outcome::Served);
+            }
+        }
+        let name = format!("n{round}");
+        b.changes(vec![entry(&name)]);
+        b.changes(vec![Entry { state: State::Gone, ..entry(&name) }]);
+        sizes.push(format!("{:?}", b.front).len());
+    }
+    assert!(sizes[29] < sizes[9] * 3 / 2, "remembered text grows: {sizes:?}");
+}
