--- a/src/api.rs
+++ b/src/api.rs
@@ -65,8 +65,6 @@
     pub aim_stretch: f64,
     /// The longest that a client waits over all its tries.
     pub give_up: Time,
-    /// What an answer is worth.
-    pub worth: f64,
     /// The share of the worth that a late answer earns.
     pub late_worth: f64,
     /// How far repeats are harmless.
@@ -83,7 +81,6 @@
             aim: 1_000_000_000,
             aim_stretch: 0.0,
             give_up: 4_000_000_000,
-            worth: 1.0,
             late_worth: 0.0,
             effect: Effect::Safe,
             group: Group::All,
@@ -92,26 +89,13 @@
     }
 }
 
-/// A customer of the service and its share.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Tenant {
-    /// Requests a second, over all front ends, that count in full.
-    pub quota_per_s: f64,
-}
-
 /// What a front end may do here.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     /// The most attempts one request may have.
     pub max_attempts: u32,
-    /// Two attempts of a request may be out at once.
-    pub second_copies: bool,
     /// Attempts may be cancelled.
     pub cancel: bool,
-    /// Workers may be probed.
-    pub probes: bool,
-    /// Front ends may send each other messages.
-    pub peers: bool,
     /// Refusals may carry a time to stay away.
     pub retry_after: bool,
     /// The longest such time that clients heed.
@@ -120,15 +104,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits {
-            max_attempts: 3,
-            second_copies: false,
-            cancel: false,
-            probes: false,
-            peers: false,
-            retry_after: false,
-            max_retry_after: 0,
-        }
+        Limits { max_attempts: 3, cancel: false, retry_after: false, max_retry_after: 0 }
     }
 }
 
@@ -177,8 +153,6 @@
     pub tells_alike: bool,
     /// The limit on orders to load, where there is one.
     pub ration: Option<Ration>,
-    /// The price of memory in idle and loading copies, in points of the result.
-    pub idle_memory_cost: f64,
 }
 
 impl Default for Loading {
@@ -190,7 +164,6 @@
             tells_cold: false,
             tells_alike: false,
             ration: None,
-            idle_memory_cost: 0.0,
         }
     }
 }
@@ -200,16 +173,10 @@
 pub struct Settings {
     /// Front ends in this pool, this one included; 0 counts as 1.
     pub front_ends: u32,
-    /// The zone of this front end.
-    pub zone: String,
     /// The shortest gap between two calls of `handle`.
     pub tick: Time,
     /// The classes, in the order that [`Request::class`] counts.
     pub classes: Vec<Class>,
-    /// The tenants, in the order that [`Request::tenant`] counts.
-    pub tenants: Vec<Tenant>,
-    /// What a call beyond its tenant's share is worth, as a share of its class's worth.
-    pub over_share_worth: f64,
     /// What is allowed.
     pub limits: Limits,
     /// The figures of the rules.
@@ -271,8 +238,6 @@
     pub id: RequestId,
     /// The work it is expected to take, where told.
     pub expected: Option<Time>,
-    /// Its tenant, as an index into the settings.
-    pub tenant: Option<usize>,
     /// Memory of one loaded copy, in MB.
     pub memory_mb: f64,
     /// Calls that one copy runs at a time.
@@ -461,11 +426,6 @@
         /// The request.
         request: RequestId,
     },
-    /// Ask a worker for a sign of life.
-    Probe {
-        /// The worker.
-        worker: Worker,
-    },
     /// Have a worker hold at least so many copies; 0 only asks how many stand.
     Hold {
         /// The worker.
--- a/src/bin/pipithub-adapter/settings.rs
+++ b/src/bin/pipithub-adapter/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings that a front end is given at its start.
 
-use pipithub::api::{Class, Effect, Group, Limits, Loading, Ration, Rules, Settings, Tenant};
+use pipithub::api::{Class, Effect, Group, Limits, Loading, Ration, Rules, Settings};
 use serde_json::Value;
 
 use crate::wire::Names;
@@ -15,28 +15,20 @@
     let rules = &all["Rules"];
     let family = &all["FamilyInfo"];
     let grades = all["Grades"].as_array().map(Vec::as_slice).unwrap_or_default();
-    let owners = all["Tenants"].as_array().map(Vec::as_slice).unwrap_or_default();
     let kinds = all["Models"].as_array().map(Vec::as_slice).unwrap_or_default();
     let memory = |i: usize| number(&family["KindMemoryMb"][i]).max(0.0);
     let names = Names {
         kinds: kinds.iter().enumerate().map(|(i, kind)| (string(kind), memory(i))).collect(),
         classes: grades.iter().map(|g| string(&g["Name"])).collect(),
-        tenants: owners.iter().map(|t| string(&t["Name"])).collect(),
     };
     let window = time(&family["LoadSpan"]);
     let settings = Settings {
         front_ends: time(&all["PeersTotal"]).clamp(1, u64::from(u32::MAX)) as u32,
-        zone: string(&all["Zone"]),
         tick: time(&all["Granularity"]),
         classes: grades.iter().map(class).collect::<Result<_, _>>()?,
-        tenants: owners.iter().map(|t| Tenant { quota_per_s: number(&t["QuotaPerS"]) }).collect(),
-        over_share_worth: all["OverShareWorth"].as_f64().unwrap_or(1.0),
         limits: Limits {
             max_attempts: time(&limits["MostTries"]).clamp(1, u64::from(u32::MAX)) as u32,
-            second_copies: flag(&limits["SecondCopies"]),
             cancel: flag(&limits["MayCancel"]),
-            probes: flag(&limits["Probes"]),
-            peers: flag(&limits["Peers"]),
             retry_after: flag(&limits["RetryAfter"]),
             max_retry_after: time(&limits["MaxRetryAfter"]),
         },
@@ -57,7 +49,6 @@
                 base: number(&family["LoadsAnyway"]),
                 share: number(&family["LoadsPerRequest"]),
             }),
-            idle_memory_cost: number(&family["IdleMemoryCost"]),
         },
         list_on_request: all["RegistryMode"].as_str() == Some("on_request"),
     };
@@ -69,7 +60,6 @@
         aim: time(&grade["Aim"]),
         aim_stretch: number(&grade["AimStretch"]),
         give_up: time(&grade["GiveUp"]),
-        worth: number(&grade["Worth"]),
         late_worth: number(&grade["LateWorth"]),
         effect: match grade["Effect"].as_str() {
             Some("read_like") => Effect::Safe,
--- a/src/bin/pipithub-adapter/wire.rs
+++ b/src/bin/pipithub-adapter/wire.rs
@@ -11,7 +11,6 @@
 /// The names that the lines of one front end use.
 pub struct Names {
     pub classes: Vec<String>,
-    pub tenants: Vec<String>,
     /// Machine kinds, with the memory of each in MB.
     pub kinds: Vec<(String, f64)>,
 }
@@ -153,7 +152,7 @@
         "query" => {
             let id = p.value("Req")?;
             let expected = p.maybe("Expected")?;
-            let owner = p.text("Owner")?;
+            p.text("Owner")?;
             let memory_mb = p.maybe::<f64>("SizeMb")?.filter(|m| m.is_finite()).unwrap_or(0.0);
             let lanes = p.maybe::<f64>("PerCopy")?.unwrap_or(1.0) as u32;
             let grade = p.text("Grade")?;
@@ -164,7 +163,6 @@
             Event::Arrived(Request {
                 id,
                 expected,
-                tenant: names.tenants.iter().position(|n| n == owner),
                 memory_mb,
                 lanes,
                 class: class.ok_or_else(|| format!("Grade: unknown '{grade}'"))?,
@@ -271,7 +269,6 @@
         Action::Refuse { request, retry_after: Some(t) } => writeln!(reply, "reject {end} {request} {t}"),
         Action::Refuse { request, retry_after: None } => writeln!(reply, "reject {end} {request} -"),
         Action::Fail { request } => writeln!(reply, "abort {end} {request}"),
-        Action::Probe { worker } => writeln!(reply, "touch {end} {}", worker.0),
         Action::Hold { worker, function, copies } => {
             writeln!(reply, "bring_up {end} {:016x} {} {copies}", function.0, worker.0)
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,8 @@
 
 /// Nanoseconds in a millisecond.
 const MS: Time = 1_000_000;
+/// No length of time told or seen counts as longer, so that no sum overflows.
+const LONGEST: Time = 3_600_000 * MS;
 /// Housekeeping period: short beside any aim, long beside a tick.
 const CHORES: Time = 50 * MS;
 /// Token of the housekeeping timer; request ids stay far below.
@@ -120,6 +122,11 @@
             s.classes.push(Class::default());
         }
         s.front_ends = s.front_ends.max(1);
+        let (rules, loading) = (&mut s.rules, &mut s.loading);
+        let window = loading.ration.iter_mut().map(|r| &mut r.window);
+        let told = [&mut s.tick, &mut rules.ramp, &mut rules.fall_span, &mut loading.keep_alive];
+        let class = s.classes.iter_mut().flat_map(|c| [&mut c.aim, &mut c.give_up, &mut c.dedup_window]);
+        told.into_iter().chain(window).chain(class).for_each(|t| *t = (*t).min(LONGEST));
         FrontEnd {
             class_run: vec![None; s.classes.len()],
             s,
@@ -140,7 +147,7 @@
 
     /// Takes one event and appends what to do about it.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
-        self.now = self.now.max(now);
+        self.now = self.now.max(now.min(Time::MAX >> 2));
         if self.next_round == 0 {
             // The rounds of the front ends are spread, so that they do not all order at once.
             self.next_round = self.now + self.interval() / 2 + mix(self.seed) % (self.interval() / 2);
@@ -185,7 +192,8 @@
             }
         }
         let classes = self.s.classes.len();
-        for entry in entries {
+        for mut entry in entries {
+            entry.started = entry.started.map(|t| t.min(Time::MAX >> 2));
             let node =
                 self.nodes.entry(entry.worker.clone()).or_insert_with(|| Node::new(entry.clone(), classes));
             if node.entry.started != entry.started {
@@ -201,12 +209,8 @@
 
     /// The workers that may be sent work, in the function's order: the same at every front end.
     fn order(&self, function: Function) -> Vec<Worker> {
-        let mut ranked: Vec<(u64, &Worker)> = self
-            .nodes
-            .iter()
-            .filter(|(_, n)| n.entry.state == State::Live)
-            .map(|(w, n)| (mix(n.hash ^ mix(function.0)), w))
-            .collect();
+        let live = self.nodes.iter().filter(|(_, n)| n.entry.state == State::Live);
+        let mut ranked: Vec<_> = live.map(|(w, n)| (mix(n.hash ^ mix(function.0)), w)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked.into_iter().map(|(_, w)| w.clone()).collect()
     }
@@ -273,6 +277,7 @@
                 (copies.count, copies.proven, copies.used) = (copies.count.max(1), true, now);
                 if let Some(alike) = end.alike.filter(|_| self.s.loading.tells_alike) {
                     // What others had there, beside our own; and copies enough for all of them at once.
+                    let alike = alike.min(1_000);
                     let others = (f64::from(alike) + 1.0 - sent.same).max(0.0);
                     copies.others += PACE_GAIN * (others - copies.others);
                     let lanes = self.programs.get(&sent.function).map_or(1, |p| p.lanes.max(1));
@@ -280,7 +285,7 @@
                         copies.count = copies.count.max((alike + 1).div_ceil(lanes));
                     }
                 }
-                let took = end.took as f64;
+                let took = end.took.min(LONGEST) as f64;
                 let expected = sent.run * node.pace.max(0.1);
                 let loaded = match end.note {
                     Some(CopyNote::Warm) => false,
@@ -324,7 +329,8 @@
 
     /// Takes the reply to an order; calls that waited for it are placed again.
     fn ordered(&mut self, reply: &Ordered, actions: &mut Vec<Action>) {
-        let (worker, function, took, count) = (&reply.worker, reply.function, reply.took, reply.copies);
+        let (worker, function, took, count) =
+            (&reply.worker, reply.function, reply.took.min(LONGEST), reply.copies.min(64));
         let run = self.run_of(function, 0);
         if let Some(copies) = self.nodes.get_mut(worker).and_then(|n| n.copies.get_mut(&function)) {
             if copies.ordered.take().is_some() {
@@ -340,12 +346,8 @@
                 }
             }
         }
-        let waiting: Vec<RequestId> = self
-            .open
-            .iter()
-            .filter(|(_, o)| o.parked && o.call.function == function)
-            .map(|(id, _)| *id)
-            .collect();
+        let waits = |o: &Open| o.parked && o.call.function == function;
+        let waiting: Vec<RequestId> = self.open.iter().filter(|(_, o)| waits(o)).map(|(id, _)| *id).collect();
         for id in waiting {
             if let Some(open) = self.open.get_mut(&id).filter(|_| reply.outcome == Outcome::Served) {
                 open.tried.pop();
@@ -358,7 +360,7 @@
 
     /// When the copies of a function stand at a worker: `None` where none is believed there.
     fn ready_at(&self, node: &Node, function: Function) -> Option<Time> {
-        let copies = node.copies.get(&function)?;
+        let copies = node.copies.get(&function).filter(|c| c.ready > 0)?;
         let busy = node.out.iter().any(|s| s.function == function);
         if !busy && copies.ordered.is_none() && self.now > copies.used + self.s.loading.keep_alive {
             return None;
@@ -371,11 +373,7 @@
         Some(match first {
             Some((at, due)) if due < self.now => {
                 let load = at + self.load_of(function, 0) as Time;
-                if load > self.now {
-                    load
-                } else {
-                    self.now + (self.now - at) / 2
-                }
+                Some(load).filter(|t| *t > self.now).unwrap_or(self.now + (self.now - at) / 2)
             }
             _ => copies.ready.max(self.now),
         })
@@ -568,14 +566,14 @@
         let now = self.now;
         call.class = call.class.min(self.s.classes.len() - 1);
         let class = &self.s.classes[call.class];
-        let stretch = (call.expected.unwrap_or(0) as f64 * class.aim_stretch.max(0.0)) as Time;
-        let budget = call.budget.unwrap_or(class.give_up);
-        let deadline = now.saturating_add(budget);
-        let aim = now.saturating_add(class.aim).saturating_add(stretch).min(deadline);
+        let stretch = call.expected.unwrap_or(0).min(LONGEST) as f64 * class.aim_stretch.clamp(0.0, 1e3);
+        let budget = call.budget.unwrap_or(class.give_up).min(LONGEST);
+        let deadline = now + budget;
+        let aim = (now + class.aim + stretch as Time).min(deadline);
         self.arrivals.push_back(now);
         let program = self.programs.entry(call.function).or_default();
         (program.lanes, program.memory_mb, program.called) = (call.lanes, call.memory_mb.max(0.0), now);
-        program.told_load = call.load_time.filter(|t| *t > 0).or(program.told_load);
+        program.told_load = call.load_time.filter(|t| *t > 0).map(|t| t.min(LONGEST)).or(program.told_load);
         // Two ticks early: the answer must be out before the client's time is up.
         let after = budget.saturating_sub(2 * self.s.tick);
         actions.push(Action::Timer { after, token: call.id });
@@ -663,11 +661,8 @@
     fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.remove(&id) else { return };
         let class = &self.s.classes[open.call.class];
-        let harmless = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => class.group == Group::All || open.may_have_run.is_none() && !open.outstanding,
-            Effect::Unsafe => open.may_have_run.is_none() && !open.outstanding,
-        };
+        let any = class.effect == Effect::Safe || class.effect == Effect::Keyed && class.group == Group::All;
+        let harmless = any || open.may_have_run.is_none() && !open.outstanding;
         if harmless {
             let limits = &self.s.limits;
             let retry_after = Some(limits.max_retry_after).filter(|t| limits.retry_after && *t > 0);
@@ -708,11 +703,8 @@
                 let since = node.out.iter().filter(overdue).map(|s| s.at).min().unwrap_or(now);
                 let answers = node.served.iter().filter(|(t, c)| *c == class && *t > since).count();
                 let health = &mut node.health[class];
-                let trial = health.bad > 0 && now >= health.shut_until;
-                if count > answers
-                    && count >= if trial { 1 } else { SILENT_SENDS }
-                    && now >= health.shut_until
-                {
+                let needed = if health.bad > 0 { 1 } else { SILENT_SENDS };
+                if now >= health.shut_until && count >= needed && count > answers {
                     health.shut(now);
                 }
                 if now < health.shut_until {
@@ -723,24 +715,17 @@
         }
         for (id, attempt) in recalled {
             let Some(open) = self.open.get(&id) else { continue };
-            let class = &self.s.classes[open.call.class];
-            if self.s.limits.cancel
-                && class.effect != Effect::Unsafe
-                && open.attempts < self.s.limits.max_attempts
-            {
+            let (limits, effect) = (&self.s.limits, self.s.classes[open.call.class].effect);
+            if limits.cancel && effect != Effect::Unsafe && open.attempts < limits.max_attempts {
                 actions.push(Action::Cancel { request: id, attempt });
             }
         }
-        if let Some(ration) = &self.s.loading.ration {
-            let old = |t: &Time| t + ration.window + CHORES < now;
-            while self.orders.front().is_some_and(old) {
-                self.orders.pop_front();
+        let window = self.s.loading.ration.as_ref().map_or(0, |r| r.window) + CHORES;
+        for past in [&mut self.orders, &mut self.arrivals] {
+            while past.front().is_some_and(|t| t + window < now) {
+                past.pop_front();
             }
         }
-        let window = self.s.loading.ration.as_ref().map_or(0, |r| r.window);
-        while self.arrivals.front().is_some_and(|t| t + window + CHORES < now) {
-            self.arrivals.pop_front();
-        }
         if now >= self.next_round {
             self.next_round = now + self.interval();
             self.replace(actions);
@@ -841,9 +826,8 @@
                 return false;
             }
         }
-        let Some(node) = self.nodes.get_mut(worker).filter(|n| n.entry.state == State::Live) else {
-            return false;
-        };
+        let live = self.nodes.get_mut(worker).filter(|n| n.entry.state == State::Live);
+        let Some(node) = live else { return false };
         let copies = node.copies.entry(function).or_default();
         if copies.ordered.is_some() {
             return false;
@@ -882,12 +866,9 @@
         };
         let warm =
             |n: &&Node| n.entry.state == State::Live && n.entry.started.is_none_or(|t| now >= t + rules.ramp);
-        let (count, total) = self
-            .nodes
-            .values()
-            .filter(warm)
-            .fold((0u32, 0.0), |(c, t), n| (c + 1, t + within(&n.served, RATE_SPAN)));
-        let rate = total / f64::from(count.max(1)) / RATE_SPAN as f64;
+        let served: Vec<f64> =
+            self.nodes.values().filter(warm).map(|n| within(&n.served, RATE_SPAN)).collect();
+        let rate = served.iter().sum::<f64>() / served.len().max(1) as f64 / RATE_SPAN as f64;
         let age = now.saturating_sub(started) as f64 / rules.ramp.max(1) as f64;
         let part = rules.cold_from + (1.0 - rules.cold_from) * age;
         let budget = COLD_SAFETY * rules.fall_multiple * part * rate * rules.fall_span as f64;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,7 +22,6 @@
 pub fn settings(effect: Effect) -> Settings {
     Settings {
         front_ends: 1,
-        zone: "a".to_string(),
         tick: 2 * MS,
         classes: vec![Class {
             effect,
