--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,3 +21,7 @@
 pub mod api;
 pub mod decide;
 mod state;
+
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
--- /dev/null
+++ b/tests/random.rs
@@ -0,0 +1,245 @@
+//! Long random event sequences, seeded: the rules hold, nothing panics, equal events give equal actions.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{settings, MS};
+use pipithub::api::*;
+use pipithub::decide::FrontEnd;
+
+/// A small generator of our own, so that the sequences never change.
+struct Dice(u64);
+
+impl Dice {
+    fn roll(&mut self, sides: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) % sides
+    }
+}
+
+const OUTCOMES: [Outcome; 9] = [
+    Outcome::Served,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::TimedOut,
+    Outcome::Unreachable,
+    Outcome::Broken,
+    Outcome::Cancelled,
+    Outcome::NotSent,
+    Outcome::Absent,
+];
+
+/// What the test knows of a request.
+#[derive(Default)]
+struct Known {
+    class: usize,
+    deadline: Time,
+    attempts: u32,
+    outstanding: u32,
+    may_have_run: Option<(Time, u64)>,
+    over: bool,
+}
+
+/// Plays one sequence and checks the rules on the way; returns all actions.
+fn play(seed: u64, steps: usize) -> Vec<Action> {
+    let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let mut s = settings(Effect::Safe);
+    s.classes.push(Class { effect: Effect::Keyed, group: Group::Cell, ..s.classes[0].clone() });
+    s.classes.push(Class { effect: Effect::Unsafe, late_worth: 0.0, ..s.classes[0].clone() });
+    s.loading.call_loads = seed % 3 != 0;
+    s.loading.tells_alike = seed % 2 == 0;
+    s.front_ends = 1 + (seed % 3) as u32;
+    let ration = Ration { window: 5_000 * MS, base: 3.0, share: 0.15 };
+    s.loading.ration = (seed % 2 == 1).then(|| ration.clone());
+    let slack = 8 * MS;
+    let mut front = FrontEnd::new(s.clone(), seed);
+    let mut now: Time = if seed % 4 == 0 { 0 } else { 77_000_000 * MS };
+    let mut states: BTreeMap<Worker, (State, u64)> = BTreeMap::new();
+    let mut known: BTreeMap<RequestId, Known> = BTreeMap::new();
+    let mut out: Vec<(RequestId, u32, Worker)> = Vec::new();
+    let mut orders: Vec<(Worker, Function)> = Vec::new();
+    let mut timers: BTreeSet<(Time, u64)> = BTreeSet::new();
+    let (mut order_times, mut call_times) = (Vec::new(), Vec::new());
+    let (mut next, mut all) = (1, Vec::new());
+    for step in 0..steps {
+        now += dice.roll(30) * MS;
+        let mut events = Vec::new();
+        while timers.first().is_some_and(|(due, _)| *due <= now) {
+            let (due, token) = timers.pop_first().unwrap();
+            events.push((due, Event::Timer { token }));
+        }
+        let event = match dice.roll(20) {
+            _ if step == 0 => Event::List { kind: ListKind::Remembered, entries: entries(&mut dice, now, 6) },
+            0 => Event::List { kind: ListKind::Changes, entries: entries(&mut dice, now, 2) },
+            1 if dice.roll(10) == 0 => {
+                Event::List { kind: ListKind::Complete, entries: entries(&mut dice, now, 5) }
+            }
+            2 if dice.roll(10) == 0 => Event::List { kind: ListKind::Lost, entries: Vec::new() },
+            3 => Event::Timer { token: dice.roll(1 << 40) },
+            4 => Event::Left { request: dice.roll(next + 5) },
+            5 => Event::Ordered(Ordered {
+                worker: Worker::new(&format!("w{}", dice.roll(12))),
+                function: Function(dice.roll(9)),
+                outcome: OUTCOMES[dice.roll(9) as usize],
+                took: dice.roll(u64::MAX >> 12),
+                copies: dice.roll(1 << 32) as u32,
+            }),
+            6 if !orders.is_empty() => {
+                let (worker, function) = orders.remove(dice.roll(orders.len() as u64) as usize);
+                let outcome = OUTCOMES[dice.roll(9) as usize];
+                Event::Ordered(Ordered { worker, function, outcome, took: 300 * MS, copies: 1 })
+            }
+            7..=12 if !out.is_empty() => {
+                let (request, attempt, worker) = out.remove(dice.roll(out.len() as u64) as usize);
+                let outcome =
+                    if dice.roll(2) == 0 { Outcome::Served } else { OUTCOMES[dice.roll(9) as usize] };
+                let k = known.get_mut(&request).unwrap();
+                k.outstanding -= 1;
+                let settled = k.over || outcome == Outcome::Served;
+                Event::Finished(Finished {
+                    request,
+                    attempt,
+                    worker,
+                    outcome,
+                    took: if dice.roll(50) == 0 { u64::MAX } else { dice.roll(900) * MS },
+                    settled,
+                    note: [None, Some(CopyNote::Warm), Some(CopyNote::Began)][dice.roll(3) as usize],
+                    alike: Some(dice.roll(40) as u32),
+                    load: Load::default(),
+                })
+            }
+            _ => {
+                let class = dice.roll(3) as usize;
+                let budget = [0, MS, 50 * MS, 2_000 * MS, 4_000 * MS][dice.roll(5) as usize];
+                known.insert(next, Known { class, deadline: now + budget, ..Known::default() });
+                call_times.push(now);
+                next += 1;
+                Event::Arrived(Request {
+                    id: next - 1,
+                    function: Function(dice.roll(9)),
+                    class,
+                    lanes: dice.roll(4) as u32,
+                    memory_mb: [0.0, -3.0, 700.0][dice.roll(3) as usize],
+                    load_time: [None, Some(0), Some(u64::MAX), Some(700 * MS)][dice.roll(4) as usize],
+                    budget: Some(budget),
+                    ..Request::default()
+                })
+            }
+        };
+        events.push((now, event));
+        for (at, event) in events {
+            note_list(&event, &mut states);
+            let mut ran = None;
+            if let Event::Finished(end) = &event {
+                let cell = states.get(&end.worker).map_or(0, |(_, cell)| *cell);
+                known.get_mut(&end.request).unwrap().over |= end.outcome == Outcome::Served;
+                ran = (!end.outcome.never_ran()).then_some((end.request, cell));
+            }
+            if let Event::Left { request } = &event {
+                known.entry(*request).or_default().over = true;
+            }
+            let mut actions = Vec::new();
+            front.handle(at, event, &mut actions);
+            for action in &actions {
+                match action {
+                    Action::Send { request, worker, .. } => {
+                        let k = known.get_mut(request).expect("only what came in is sent");
+                        assert!(!k.over && k.outstanding == 0, "seed {seed}: one attempt at a time");
+                        assert_eq!(states[worker].0, State::Live, "seed {seed}: drained or gone");
+                        let effect = s.classes[k.class].effect;
+                        if let Some((first, cell)) = k.may_have_run.or(ran.map(|(_, c)| (0, c))) {
+                            if ran.is_none_or(|(r, _)| r == *request) || k.may_have_run.is_some() {
+                                assert_ne!(effect, Effect::Unsafe, "seed {seed}: an effect twice");
+                                if effect == Effect::Keyed && k.may_have_run.is_some() {
+                                    assert!(at < first + s.classes[k.class].dedup_window);
+                                    assert_eq!(states[worker].1, cell, "seed {seed}: out of the group");
+                                }
+                            }
+                        }
+                        // Until its outcome proves otherwise it may have run.
+                        k.attempts += 1;
+                        k.outstanding += 1;
+                        assert!(k.attempts <= s.limits.max_attempts);
+                        out.push((*request, k.attempts - 1, worker.clone()));
+                    }
+                    Action::Refuse { request, .. } | Action::Fail { request } => {
+                        let k = known.get_mut(request).expect("only what came in is ended");
+                        assert!(!k.over, "seed {seed}: two final answers");
+                        assert!(at <= k.deadline + slack, "seed {seed}: too late");
+                        let refuse = matches!(action, Action::Refuse { .. });
+                        let proven = s.classes[k.class].effect == Effect::Safe
+                            || k.may_have_run.is_none() && ran.is_none() && k.outstanding == 0;
+                        assert!(!refuse || proven, "seed {seed}: a refusal promises too much");
+                        k.over = true;
+                    }
+                    Action::Hold { worker, function, copies } => {
+                        assert_eq!(states[worker].0, State::Live);
+                        assert!(*copies > 0);
+                        orders.push((worker.clone(), *function));
+                        order_times.push(at);
+                        let within = |t: &&Time| **t + ration.window > at;
+                        let given = order_times.iter().filter(within).count() as f64;
+                        let taken = call_times.iter().filter(within).count() as f64;
+                        let allowed = ration.base + ration.share * taken;
+                        assert!(s.loading.ration.is_none() || given <= allowed, "seed {seed}: ration");
+                    }
+                    Action::Timer { after, token } => {
+                        timers.insert((at + after, *token));
+                    }
+                    _ => {}
+                }
+            }
+            if let Some((request, cell)) = ran {
+                known.get_mut(&request).unwrap().may_have_run.get_or_insert((at, cell));
+            }
+            all.extend(actions);
+        }
+        for k in known.values() {
+            assert!(k.over || k.deadline + 40 * MS >= now, "seed {seed}: a request without an answer");
+        }
+    }
+    all
+}
+
+fn entries(dice: &mut Dice, now: Time, count: u64) -> Vec<Entry> {
+    let one = |dice: &mut Dice| {
+        let n = dice.roll(10);
+        let state = match dice.roll(6) {
+            0 => State::Draining,
+            1 => State::Gone,
+            _ => State::Live,
+        };
+        let started = (dice.roll(4) == 0).then_some(now);
+        let worker = Worker::new(&format!("w{n}"));
+        Entry { worker, state, cell: n % 2, memory_mb: 4_000.0, started, ..Entry::default() }
+    };
+    (0..count).map(|_| one(dice)).collect()
+}
+
+fn note_list(event: &Event, states: &mut BTreeMap<Worker, (State, u64)>) {
+    if let Event::List { kind, entries } = event {
+        if matches!(kind, ListKind::Complete | ListKind::Remembered) {
+            states.values_mut().for_each(|s| s.0 = State::Gone);
+        }
+        for e in entries {
+            states.insert(e.worker.clone(), (e.state, e.cell));
+        }
+    }
+}
+
+#[test]
+fn the_rules_hold_on_random_sequences() {
+    for seed in 1..=24 {
+        play(seed, 2_500);
+    }
+}
+
+#[test]
+fn equal_events_give_equal_actions() {
+    for seed in [3, 8] {
+        assert_eq!(play(seed, 2_000), play(seed, 2_000));
+    }
+}
