--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,6 +46,9 @@
 /// The share of a worker's memory that copies may be believed to fill before a further one evicts
 /// others: the rest is for running calls and for copies that this front end does not know of.
 const MEMORY_FILL: f64 = 0.5;
+/// Failed or broken connections, with no answer between, before a worker is left alone; at one more its
+/// copies are taken as lost.
+const STRIKES: u32 = 2;
 /// First time that a worker is left alone after a failed connection or silence ...
 const SHUT_FIRST: Time = 500 * MS;
 /// ... which doubles at most so often: the bounded way back.
@@ -199,7 +202,7 @@
             if node.entry.started != entry.started {
                 // A process that started anew holds nothing and has no past.
                 node.copies.clear();
-                (node.pace, node.crowd, node.room) = (1.0, 1.0, f64::INFINITY);
+                (node.pace, node.crowd, node.room, node.strikes) = (1.0, 1.0, f64::INFINITY, 0);
                 node.health = vec![Health::default(); classes];
             }
             node.entry = entry;
@@ -266,7 +269,7 @@
             Outcome::Served if same_process => {
                 let health = &mut node.health[sent.class];
                 health.bad = health.bad.saturating_sub(1);
-                node.heard = now;
+                (node.heard, node.strikes) = (now, 0);
                 node.room += ROOM_RISE;
                 node.served.push_back((now, sent.class));
                 let copies = node.copies.entry(sent.function).or_default();
@@ -311,8 +314,15 @@
                 }
             }
             Outcome::Unreachable | Outcome::Broken if same_process => {
-                node.copies.clear();
-                node.health.iter_mut().for_each(|h| h.shut(now));
+                // One broken connection is no dead process: acting on it would throw away warm copies and
+                // spread its calls, and where every worker resets a few, bring all down by itself.
+                node.strikes += 1;
+                if node.strikes >= STRIKES {
+                    node.health.iter_mut().filter(|h| now >= h.shut_until).for_each(|h| h.shut(now));
+                }
+                if node.strikes > STRIKES {
+                    node.copies.clear();
+                }
             }
             Outcome::Absent if same_process => {
                 node.copies.remove(&sent.function);
@@ -706,8 +716,6 @@
                 let needed = if health.bad > 0 { 1 } else { SILENT_SENDS };
                 if now >= health.shut_until && count >= needed && count > answers {
                     health.shut(now);
-                }
-                if now < health.shut_until {
                     let out = node.out.iter().filter(|s| s.class == class);
                     recalled.extend(out.map(|s| (s.request, s.attempt)));
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,6 +75,8 @@
     pub(crate) room: f64,
     /// Its health for each class: what stands behind a worker may fail one class alone.
     pub(crate) health: Vec<Health>,
+    /// Failed or broken connections since its last answer.
+    pub(crate) strikes: u32,
     /// Sends within the last rate span, with their class.
     pub(crate) sends: VecDeque<(Time, usize)>,
     /// Answers served within it, likewise.
@@ -98,6 +100,7 @@
             room: f64::INFINITY,
             heard: 0,
             health: vec![Health::default(); classes],
+            strikes: 0,
             sends: VecDeque::new(),
             served: VecDeque::new(),
         }
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -270,3 +270,22 @@
     }
     assert!(sizes[29] < sizes[9] * 3 / 2, "remembered text grows: {sizes:?}");
 }
+
+#[test]
+fn one_broken_connection_neither_moves_a_function_nor_withdraws_its_other_calls() {
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    let home = b.warm(1);
+    let mut at_home = 0;
+    for i in 0..100 {
+        let (id, actions) = b.call(1);
+        let worker = sent_to(&actions).expect("served somewhere");
+        at_home += usize::from(worker == home);
+        let (other, _) = b.call(1);
+        let broken = i % 5 == 0;
+        b.finish(id, 0, &worker, if broken { Outcome::Broken } else { Outcome::Served });
+        let after = b.pass(60 * MS);
+        assert!(!after.iter().any(|a| matches!(a, Action::Cancel { .. })), "call {other} is left to run");
+        b.finish(other, 0, &home, Outcome::Served);
+    }
+    assert!(at_home > 95, "{at_home} of 100 at home");
+}
