--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -282,7 +282,10 @@
         at_home += usize::from(worker == home);
         let (other, _) = b.call(1);
         let broken = i % 5 == 0;
-        b.finish(id, 0, &worker, if broken { Outcome::Broken } else { Outcome::Served });
+        let after = b.finish(id, 0, &worker, if broken { Outcome::Broken } else { Outcome::Served });
+        if let Some(again) = sent_to(&after) {
+            b.finish(id, 1, &again, Outcome::Served);
+        }
         let after = b.pass(60 * MS);
         assert!(!after.iter().any(|a| matches!(a, Action::Cancel { .. })), "call {other} is left to run");
         b.finish(other, 0, &home, Outcome::Served);
