--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,7 +54,7 @@
 /// ... which doubles at most so often: the bounded way back.
 const SHUT_STEPS: u32 = 3;
 /// The share of its estimated part of a cold worker's budget that this front end spends.
-const COLD_SAFETY: f64 = 0.6;
+const COLD_SAFETY: f64 = 0.85;
 /// Time over which sends are counted to learn what a warm worker takes.
 const RATE_SPAN: Time = 4_000 * MS;
 /// The most of the placed copies replaced in a round (the paper's cap).
@@ -304,8 +304,10 @@
                 let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
                 node.pace += PACE_GAIN * (ratio - node.pace);
                 node.crowd += PACE_GAIN * (sent.crowd - node.crowd);
-                // Answers from an uncrowded worker tell the run itself; the rest is the worker's pace.
-                let gain = RUN_GAIN * (2.0 / sent.crowd).min(1.0).powi(2);
+                // Answers from an uncrowded worker tell the run itself; the rest is its pace. Where the worker tells
+                // what it holds, that counts: with many front ends the own part says little.
+                let held = end.load.held.unwrap_or(0.0);
+                let gain = RUN_GAIN * (2.0 / sent.crowd.max(held / 2.0)).min(1.0).powi(2);
                 let mean = self.class_run[sent.class].get_or_insert(took);
                 *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
                 if let Some(program) = self.programs.get_mut(&sent.function) {
