--- a/src/decide.rs
+++ b/src/decide.rs
@@ -304,8 +304,8 @@
                 let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
                 node.pace += PACE_GAIN * (ratio - node.pace);
                 node.crowd += PACE_GAIN * (sent.crowd - node.crowd);
-                // Answers from an uncrowded worker tell the run itself; the rest is its pace. Where the worker tells
-                // what it holds, that counts: with many front ends the own part says little.
+                // Answers from an uncrowded worker tell the run itself; the rest is its pace. What the
+                // worker tells to hold counts too: with many front ends the own part says little.
                 let held = end.load.held.unwrap_or(0.0);
                 let gain = RUN_GAIN * (2.0 / sent.crowd.max(held / 2.0)).min(1.0).powi(2);
                 let mean = self.class_run[sent.class].get_or_insert(took);
