Read again: one learning step for both run times, an order always asks for one copy

The class and the function mean were learnt by two copies of one line; the order's count was always 1; when an order was given was kept but never read.

--- a/src/bin/pipithub-adapter/main.rs
+++ b/src/bin/pipithub-adapter/main.rs
@@ -12,7 +12,7 @@
 use pipithub::decide::FrontEnd;
 use wire::{Input, Names};
 
-/// One hosted front end, with the class and tenant names that its lines use.
+/// One hosted front end, with the names that its lines use.
 struct Hosted {
     front: FrontEnd,
     names: Names,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -308,11 +308,10 @@
                 // worker tells to hold counts too: with many front ends the own part says little.
                 let held = end.load.held.unwrap_or(0.0);
                 let gain = RUN_GAIN * (2.0 / sent.crowd.max(held / 2.0)).min(1.0).powi(2);
-                let mean = self.class_run[sent.class].get_or_insert(took);
-                *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
+                let learn = |mean: &mut f64| *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
+                learn(self.class_run[sent.class].get_or_insert(took));
                 if let Some(program) = self.programs.get_mut(&sent.function) {
-                    let mean = program.run.get_or_insert(sent.run);
-                    *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
+                    learn(program.run.get_or_insert(sent.run));
                 }
             }
             Outcome::Unreachable | Outcome::Broken if same_process => {
@@ -345,7 +344,7 @@
             (&reply.worker, reply.function, reply.took.min(LONGEST), reply.copies.min(64));
         let run = self.run_of(function, 0);
         if let Some(copies) = self.nodes.get_mut(worker).and_then(|n| n.copies.get_mut(&function)) {
-            if copies.ordered.take().is_some() {
+            if std::mem::take(&mut copies.ordered) {
                 let stands = reply.outcome == Outcome::Served && count > 0;
                 if stands {
                     (copies.count, copies.proven, copies.placed) = (count, true, true);
@@ -374,7 +373,7 @@
     fn ready_at(&self, node: &Node, function: Function) -> Option<Time> {
         let copies = node.copies.get(&function).filter(|c| c.ready > 0)?;
         let busy = node.out.iter().any(|s| s.function == function);
-        if !busy && copies.ordered.is_none() && self.now > copies.used + self.s.loading.keep_alive {
+        if !busy && !copies.ordered && self.now > copies.used + self.s.loading.keep_alive {
             return None;
         }
         if copies.proven && copies.ready <= self.now {
@@ -441,7 +440,7 @@
             let slow = |s: &&Sent| s.cold || s.unproven && self.now > s.at + (s.run * SAMPLE_CAP) as Time;
             let waiting = node.out.iter().filter(slow).map(|s| s.function);
             count += node.out.iter().filter(|s| s.adds).count();
-            let ordered = node.copies.iter().filter(|(_, c)| c.ordered.is_some()).map(|(f, _)| *f);
+            let ordered = node.copies.iter().filter(|(_, c)| c.ordered).map(|(f, _)| *f);
             let loading: BTreeSet<Function> = waiting.chain(ordered).collect();
             count += loading.len();
             // Before an answer has shown a copy anywhere, a second load would be a guess on a guess.
@@ -559,7 +558,7 @@
         match choice.or(late) {
             Some((worker, seen, _)) if seen.cold && !self.s.loading.call_loads => {
                 // Only an order brings the function in: the call waits here, unsent, for its reply.
-                if !self.hold(&worker, function, 1, actions) {
+                if !self.hold(&worker, function, actions) {
                     return self.end(id, actions);
                 }
                 if let Some(open) = self.open.get_mut(&id) {
@@ -763,11 +762,11 @@
     /// After a miss, one hold loads the function there: one at a time, so that a slow store is not
     /// asked again and again for what it has not brought yet.
     fn hold_after_miss(&mut self, worker: &Worker, function: Function, actions: &mut Vec<Action>) {
-        let loading = |n: &Node| n.copies.get(&function).is_some_and(|c| c.ordered.is_some());
+        let loading = |n: &Node| n.copies.get(&function).is_some_and(|c| c.ordered);
         let Some(node) = self.nodes.get(worker) else { return };
         let enough = node.copies.get(&function).is_some_and(|c| c.misses >= MISSES_TO_SPREAD);
         if enough && self.has_room(node, function) && !self.nodes.values().any(loading) {
-            self.hold(worker, function, 1, actions);
+            self.hold(worker, function, actions);
         }
     }
 
@@ -798,7 +797,7 @@
                 break;
             }
             let Some((used, old_worker, old)) = placed.next() else { break };
-            if missed <= used || !self.hold(&worker, function, 1, actions) {
+            if missed <= used || !self.hold(&worker, function, actions) {
                 break;
             }
             self.allowance -= 1.0;
@@ -812,9 +811,8 @@
         let (now, keep) = (self.now, self.s.loading.keep_alive);
         for node in self.nodes.values_mut() {
             let busy: BTreeSet<Function> = node.out.iter().map(|s| s.function).collect();
-            node.copies.retain(|f, c| {
-                busy.contains(f) || c.ordered.is_some() || c.used + 2 * keep > now && c.ready > 0
-            });
+            node.copies
+                .retain(|f, c| busy.contains(f) || c.ordered || c.used + 2 * keep > now && c.ready > 0);
         }
         let forget = FORGET_INTERVALS * self.interval();
         self.programs.retain(|_, p| p.called + forget > now);
@@ -823,7 +821,7 @@
     // ---- rule guards ----
 
     /// The only place that orders loads: drained and gone workers get none, and the ration holds.
-    fn hold(&mut self, worker: &Worker, function: Function, count: u32, actions: &mut Vec<Action>) -> bool {
+    fn hold(&mut self, worker: &Worker, function: Function, actions: &mut Vec<Action>) -> bool {
         let now = self.now;
         if !self.s.loading.orders || !self.programs.contains_key(&function) {
             return false;
@@ -839,16 +837,16 @@
         let live = self.nodes.get_mut(worker).filter(|n| n.entry.state == State::Live);
         let Some(node) = live else { return false };
         let copies = node.copies.entry(function).or_default();
-        if copies.ordered.is_some() {
+        if copies.ordered {
             return false;
         }
-        copies.ordered = Some(now);
+        copies.ordered = true;
         if !copies.proven {
             copies.ready = Time::MAX >> 1;
         }
         copies.used = now;
         self.orders.push_back(now);
-        actions.push(Action::Hold { worker: worker.clone(), function, copies: count });
+        actions.push(Action::Hold { worker: worker.clone(), function, copies: 1 });
         true
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,8 +43,8 @@
     pub(crate) proven: bool,
     /// Placed by an order of this front end.
     pub(crate) placed: bool,
-    /// An order for them is under way since then.
-    pub(crate) ordered: Option<Time>,
+    /// An order for them is under way.
+    pub(crate) ordered: bool,
     /// Run time admitted here in this interval.
     pub(crate) used_work: f64,
     /// Run time that moved on in this interval because no copy stood here, and how often.
