--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,6 +55,10 @@
 const SHUT_STEPS: u32 = 3;
 /// The share of its estimated part of a cold worker's budget that this front end spends.
 const COLD_SAFETY: f64 = 0.85;
+/// The share that it spends where that part is under one send, so that chance does not overdraw the sum ...
+const COLD_SHARE: f64 = 0.5;
+/// ... and the time over which calls that want the worker are counted for that.
+const WANTS_SPAN: Time = 6_000 * MS;
 /// Time over which sends are counted to learn what a warm worker takes.
 const RATE_SPAN: Time = 4_000 * MS;
 /// The most of the placed copies replaced in a round (the paper's cap).
@@ -96,7 +100,7 @@
 }
 
 /// One front end.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct FrontEnd {
     s: Settings,
     now: Time,
@@ -115,6 +119,8 @@
     orders: VecDeque<Time>,
     next_round: Time,
     allowance: f64,
+    /// Calls of mean work that a warm worker serves this front end, for each unit of time.
+    warm_rate: f64,
 }
 
 impl FrontEnd {
@@ -130,22 +136,8 @@
         let told = [&mut s.tick, &mut rules.ramp, &mut rules.fall_span, &mut loading.keep_alive];
         let class = s.classes.iter_mut().flat_map(|c| [&mut c.aim, &mut c.give_up, &mut c.dedup_window]);
         told.into_iter().chain(window).chain(class).for_each(|t| *t = (*t).min(LONGEST));
-        FrontEnd {
-            class_run: vec![None; s.classes.len()],
-            s,
-            now: 0,
-            seed,
-            nodes: BTreeMap::new(),
-            programs: BTreeMap::new(),
-            open: BTreeMap::new(),
-            load_stretch: 1.0,
-            load_mean: None,
-            load_heard: 0,
-            arrivals: VecDeque::new(),
-            orders: VecDeque::new(),
-            next_round: 0,
-            allowance: 0.0,
-        }
+        let class_run = vec![None; s.classes.len()];
+        FrontEnd { class_run, s, seed, load_stretch: 1.0, ..FrontEnd::default() }
     }
 
     /// Takes one event and appends what to do about it.
@@ -430,7 +422,7 @@
             Some(at) => begin(at, run * PAD).0,
             None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
         };
-        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish }
+        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish }
     }
 
     /// Loads that this front end believes under way, and whether one is of this function.
@@ -483,7 +475,7 @@
         repeat_ok
             && self.healthy(node, open.call.class)
             && (node.out.len() as f64) < node.room
-            && self.cold_budget_left(node, open.call.class)
+            && self.cold_budget_left(node, open.call.id, open.call.class)
     }
 
     /// A worker in trouble is left alone; once that time is over one send at a time tries it.
@@ -531,7 +523,7 @@
             presume = false;
             if seen.others_hold && seen.finish <= goal && (!seen.cold || may_load) && (!seen.adds || may_add)
             {
-                choice = Some((worker.clone(), seen, goal));
+                choice = Some((worker.clone(), Foreseen { goal, ..seen }));
                 break;
             }
             if seen.others_hold && seen.warm_finish <= goal {
@@ -544,7 +536,7 @@
                 let worthwhile = may_load && (!located || self.has_room(node, function));
                 let room = waiting < LATE_MOST && (!seen.cold || worthwhile) && (!seen.adds || may_add);
                 if late.is_none() && room && seen.finish <= open.deadline && class.late_worth > 0.0 {
-                    late = Some((worker.clone(), seen, open.deadline));
+                    late = Some((worker.clone(), Foreseen { goal: open.deadline, ..seen }));
                 }
             }
         }
@@ -556,7 +548,7 @@
             }
         }
         match choice.or(late) {
-            Some((worker, seen, _)) if seen.cold && !self.s.loading.call_loads => {
+            Some((worker, seen)) if seen.cold && !self.s.loading.call_loads => {
                 // Only an order brings the function in: the call waits here, unsent, for its reply.
                 if !self.hold(&worker, function, actions) {
                     return self.end(id, actions);
@@ -566,7 +558,7 @@
                     open.tried.push(worker);
                 }
             }
-            Some((worker, seen, goal)) => self.send(id, &worker, seen, goal, actions),
+            Some((worker, seen)) => self.send(id, &worker, seen, actions),
             None => self.end(id, actions),
         }
     }
@@ -604,14 +596,7 @@
         self.place(id, actions);
     }
 
-    fn send(
-        &mut self,
-        id: RequestId,
-        worker: &Worker,
-        seen: Foreseen,
-        goal: Time,
-        actions: &mut Vec<Action>,
-    ) {
+    fn send(&mut self, id: RequestId, worker: &Worker, seen: Foreseen, actions: &mut Vec<Action>) {
         let now = self.now;
         let Some(open) = self.open.get(&id) else { return };
         let (function, class) = (open.call.function, open.call.class);
@@ -625,7 +610,7 @@
             class,
             at: now,
             due: seen.finish,
-            goal,
+            goal: seen.goal,
             run,
             cold: seen.cold || seen.finish > seen.warm_finish,
             adds: seen.adds,
@@ -729,7 +714,8 @@
                 actions.push(Action::Cancel { request: id, attempt });
             }
         }
-        let window = self.s.loading.ration.as_ref().map_or(0, |r| r.window) + CHORES;
+        self.learn_warm_rate();
+        let window = self.s.loading.ration.as_ref().map_or(0, |r| r.window).max(RATE_SPAN) + CHORES;
         for past in [&mut self.orders, &mut self.arrivals] {
             while past.front().is_some_and(|t| t + window < now) {
                 past.pop_front();
@@ -860,26 +846,50 @@
         }
     }
 
-    /// Whether a worker that has just started can take one more send. Its capacity is told nowhere: it
-    /// is judged by what warm workers serve this front end, which is also this one's part of it; sends would
-    /// not do, as those turned away would swell it.
-    fn cold_budget_left(&self, node: &Node, class: usize) -> bool {
+    /// Whether a worker that has just started can take this send. Its capacity is told nowhere: it is judged
+    /// by what warm workers serve this front end, which is also this one's part of it; sends would not do,
+    /// as those turned away would swell it. Where that part is under one send a span, a send each would add
+    /// up over a large tier: then a draw lets through so many of the calls that want it as fit the part. It
+    /// hurts where wants are few and far between: a cold worker is then used less than it could be.
+    fn cold_budget_left(&self, node: &Node, id: RequestId, class: usize) -> bool {
         let (rules, now) = (&self.s.rules, self.now);
         let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
         if rules.fall_span == 0 || rules.fall_multiple <= 0.0 {
             return true;
         }
-        let within = |past: &VecDeque<(Time, usize)>, span: Time| -> f64 {
-            past.iter().filter(|(t, _)| t + span > now).map(|(_, c)| self.class_weight(*c)).sum()
-        };
-        let warm =
-            |n: &&Node| n.entry.state == State::Live && n.entry.started.is_none_or(|t| now >= t + rules.ramp);
-        let served: Vec<f64> =
-            self.nodes.values().filter(warm).map(|n| within(&n.served, RATE_SPAN)).collect();
-        let rate = served.iter().sum::<f64>() / served.len().max(1) as f64 / RATE_SPAN as f64;
         let age = now.saturating_sub(started) as f64 / rules.ramp.max(1) as f64;
         let part = rules.cold_from + (1.0 - rules.cold_from) * age;
-        let budget = COLD_SAFETY * rules.fall_multiple * part * rate * rules.fall_span as f64;
-        within(&node.sends, rules.fall_span) + self.class_weight(class) <= budget.max(1.0)
+        let rate = rules.fall_multiple * part * self.warm_rate;
+        let weight = self.class_weight(class);
+        let budget = COLD_SAFETY * rate * rules.fall_span as f64;
+        if budget >= 1.0 {
+            let sent = node.sends.iter().filter(|(t, _)| t + rules.fall_span > now);
+            return sent.map(|(_, c)| self.class_weight(*c)).sum::<f64>() + weight <= budget;
+        }
+        let (last, wants) = node.wants.get();
+        let wants = 1.0 + wants * (-(now.saturating_sub(last) as f64) / WANTS_SPAN as f64).exp();
+        node.wants.set((now, wants));
+        let wanted = (wants / WANTS_SPAN as f64).max(self.warm_rate) * weight.max(1.0);
+        let draw = mix(self.seed ^ node.hash ^ mix(id)) >> 11;
+        (draw as f64) < COLD_SHARE * rate / wanted * (1u64 << 53) as f64
+    }
+
+    /// What a warm worker serves this front end, in calls of mean work for each unit of time. Where none is
+    /// warm the last figure stands; it is never held to be under half this front end's part of the calls.
+    fn learn_warm_rate(&mut self) {
+        let (now, ramp) = (self.now, self.s.rules.ramp);
+        let live = || self.nodes.values().filter(|n| n.entry.state == State::Live);
+        let warm = || live().filter(|n| n.entry.started.is_none_or(|t| now >= t + ramp));
+        let within = |n: &Node| -> f64 {
+            let served = n.served.iter().filter(|(t, _)| t + RATE_SPAN > now);
+            served.map(|(_, c)| self.class_weight(*c)).sum()
+        };
+        let mean = |total: f64, count: usize| total / count.max(1) as f64 / RATE_SPAN as f64;
+        let came = self.arrivals.iter().filter(|t| **t + RATE_SPAN > now).count() as f64;
+        let rate = match warm().count() {
+            0 => self.warm_rate,
+            count => mean(warm().map(within).sum(), count),
+        };
+        self.warm_rate = rate.max(mean(came, live().count()) / 2.0);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a front end remembers, as plain data. What is made of it stands in `src/decide.rs`.
 
 use crate::api::*;
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A send that has no outcome yet.
@@ -77,6 +78,8 @@
     pub(crate) health: Vec<Health>,
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
+    /// Calls that wanted it while it was cold, fading, and when that was last counted.
+    pub(crate) wants: Cell<(Time, f64)>,
     /// Sends within the last rate span, with their class.
     pub(crate) sends: VecDeque<(Time, usize)>,
     /// Answers served within it, likewise.
@@ -101,6 +104,7 @@
             heard: 0,
             health: vec![Health::default(); classes],
             strikes: 0,
+            wants: Cell::default(),
             sends: VecDeque::new(),
             served: VecDeque::new(),
         }
@@ -146,6 +150,8 @@
     /// When it would be served if a copy stood, and with any load counted.
     pub(crate) warm_finish: Time,
     pub(crate) finish: Time,
+    /// The deadline that it is held to.
+    pub(crate) goal: Time,
 }
 
 pub(crate) fn mix(mut x: u64) -> u64 {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -43,7 +43,11 @@
 
 impl Bench {
     pub fn new(settings: Settings, workers: &[&str]) -> Self {
-        let front = FrontEnd::new(settings, 11);
+        Bench::seeded(settings, workers, 11)
+    }
+
+    pub fn seeded(settings: Settings, workers: &[&str], seed: u64) -> Self {
+        let front = FrontEnd::new(settings, seed);
         let (did, timers) = (Vec::new(), BTreeSet::new());
         let mut bench = Bench { front, now: 1_000_000 * MS, did, timers, next_id: 1 };
         let entries = workers.iter().map(|w| entry(w)).collect();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -218,3 +218,48 @@
     }
     assert_eq!(attempts, 4);
 }
+
+/// A hundred front ends, each with under one send a span to spare, against what all may send together.
+#[test]
+fn a_large_tier_together_does_not_push_a_cold_worker_over() {
+    let mut s = settings(Effect::Safe);
+    s.front_ends = 100;
+    let (rules, names) = (s.rules.clone(), ["w1", "w2", "w3", "w4"]);
+    let mut tier: Vec<Bench> = (0..100).map(|seed| Bench::seeded(s.clone(), &names, seed)).collect();
+    // A call a second at each front end, by 16 functions: about 25 a second are what a warm worker serves.
+    let home = sent_to(&tier[0].call(1).1).unwrap();
+    for b in &mut tier {
+        b.finish(1, 0, &home, Outcome::Served);
+        for i in 0..20 {
+            let (id, actions) = b.call(10 + (i * 7 + b.now / MS) % 16);
+            b.pass(50 * MS);
+            if let Some(worker) = sent_to(&actions) {
+                b.finish(id, 0, &worker, Outcome::Served);
+            }
+            b.pass(950 * MS);
+        }
+        b.changes(vec![Entry { started: Some(b.now), ..entry(&home.0) }]);
+    }
+    let mut sends = Vec::new();
+    for (i, b) in tier.iter_mut().enumerate() {
+        // The calls of one function, two a second each, begin at once at all front ends.
+        let started = b.now;
+        b.pass(5 * MS * i as u64);
+        for _ in 0..30 {
+            let (id, actions) = b.call(1);
+            if let Some(worker) = sent_to(&actions) {
+                sends.extend((worker == home).then(|| b.now - started));
+                b.pass(50 * MS);
+                b.finish(id, 0, &worker, Outcome::Served);
+            }
+            b.pass(450 * MS);
+        }
+    }
+    assert!(sends.len() > 30, "a cold worker is not shut out: {}", sends.len());
+    for &t in &sends {
+        let within = sends.iter().filter(|&&u| u <= t && u + rules.fall_span > t).count() as f64;
+        let part = rules.cold_from + (1.0 - rules.cold_from) * (t as f64 / rules.ramp as f64).min(1.0);
+        let most = rules.fall_multiple * part * 25.0 * rules.fall_span as f64 / 1e9;
+        assert!(within <= most, "{within} sends, {most:.1} allowed at {} ms", t / MS);
+    }
+}
