Runs learnt with doubt in a large tier; guesses where others likely hold a copy

Cause: at size refusals came from run times learnt out of the others' queues (0.8 to 1.2 s for 0.25 s) and from further workers believed cold, with two loads believed under way. Still many attempts turned away as full: homes take more than they can.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,6 +24,13 @@
 const FIRST_LOAD: f64 = 1.0;
 /// Weight of a new sample in a function's run time: about its last twenty answers.
 const RUN_GAIN: f64 = 0.05;
+/// The least weight that a sample above the mean has beside one below it, in a large tier.
+const DOUBT: f64 = 0.2;
+/// A function's run time counts for no more than this multiple of its class's.
+const RUN_MOST: f64 = 3.0;
+/// Calls that may be sent on a guess that others hold a copy, for each call taken, and the most saved up.
+const GUESS_SHARE: f64 = 0.2;
+const GUESSES_MOST: f64 = 4.0;
 /// Weight of a new sample in a worker's pace: about its last seven, so a slow-down shows in time.
 const PACE_GAIN: f64 = 0.15;
 /// No sample counts for more than this many times what was expected: one heavy call is no bad worker.
@@ -121,6 +128,8 @@
     allowance: f64,
     /// Calls of mean work that a warm worker serves this front end, for each unit of time.
     warm_rate: f64,
+    /// Calls that may now be sent on a guess.
+    guesses: f64,
 }
 
 impl FrontEnd {
@@ -214,8 +223,9 @@
 
     /// What a run of the call takes at the usual pace, averaged from served answers.
     fn run_of(&self, function: Function, class: usize) -> f64 {
-        let known = self.programs.get(&function).and_then(|p| p.run).or(self.class_run[class]);
-        known.unwrap_or(self.s.classes[class].aim as f64 * FIRST_RUN)
+        // Capped, so that no estimate shuts a function out: what is never sent is never learnt again.
+        let usual = self.class_run[class].unwrap_or(self.s.classes[class].aim as f64 * FIRST_RUN);
+        self.programs.get(&function).and_then(|p| p.run).map_or(usual, |run| run.min(usual * RUN_MOST))
     }
 
     /// What a load takes: the told time at the store's present pace, else the longest seen.
@@ -300,7 +310,16 @@
                 // worker tells to hold counts too: with many front ends the own part says little.
                 let held = end.load.held.unwrap_or(0.0);
                 let gain = RUN_GAIN * (2.0 / sent.crowd.max(held / 2.0)).min(1.0).powi(2);
-                let learn = |mean: &mut f64| *mean += gain * (took.min(*mean * SAMPLE_CAP) - *mean);
+                // Where that is not told, a long answer is rather the queue of the others than a long run.
+                let rise = if end.load.held.is_some() {
+                    1.0
+                } else {
+                    (2.0 / f64::from(self.s.front_ends)).clamp(DOUBT, 1.0)
+                };
+                let learn = |mean: &mut f64| {
+                    let sample = took.min(*mean * SAMPLE_CAP);
+                    *mean += gain * (sample - *mean) * if sample > *mean { rise } else { 1.0 };
+                };
                 learn(self.class_run[sent.class].get_or_insert(took));
                 if let Some(program) = self.programs.get_mut(&sent.function) {
                     learn(program.run.get_or_insert(sent.run));
@@ -547,7 +566,16 @@
                 self.hold_after_miss(worker, function, actions);
             }
         }
-        match choice.or(late) {
+        let mut choice = choice.or(late);
+        if choice.is_none() && self.guesses >= 1.0 {
+            // The others follow the same order: what moved on here moved on there, and has likely loaded it.
+            if let Some(worker) = want.filter(|_| self.s.loading.call_loads) {
+                self.guesses -= 1.0;
+                let seen = self.replay(&self.nodes[&worker], &self.open[&id].call, true);
+                choice = Some((worker, Foreseen { goal: self.open[&id].deadline, ..seen }));
+            }
+        }
+        match choice {
             Some((worker, seen)) if seen.cold && !self.s.loading.call_loads => {
                 // Only an order brings the function in: the call waits here, unsent, for its reply.
                 if !self.hold(&worker, function, actions) {
@@ -574,6 +602,8 @@
         let deadline = now + budget;
         let aim = (now + class.aim + stretch as Time).min(deadline);
         self.arrivals.push_back(now);
+        let guesses = GUESS_SHARE * (1.0 - 2.0 / f64::from(self.s.front_ends)).max(0.0);
+        self.guesses = (self.guesses + guesses).min(GUESSES_MOST);
         let program = self.programs.entry(call.function).or_default();
         (program.lanes, program.memory_mb, program.called) = (call.lanes, call.memory_mb.max(0.0), now);
         program.told_load = call.load_time.filter(|t| *t > 0).map(|t| t.min(LONGEST)).or(program.told_load);
