--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,6 +28,11 @@
 const DOUBT: f64 = 0.2;
 /// A function's run time counts for no more than this multiple of its class's.
 const RUN_MOST: f64 = 3.0;
+/// Run time, in runs, that may be owed to a part of under one lane, and how far lanes are filled on average.
+const DEBT_RUNS: f64 = 2.0;
+const LANE_FILL: f64 = 0.8;
+/// How far beyond an even part of all calls a worker may be filled.
+const HEADROOM: f64 = 1.3;
 /// Calls that may be sent on a guess that others hold a copy, for each call taken, and the most saved up.
 const GUESS_SHARE: f64 = 0.2;
 const GUESSES_MOST: f64 = 4.0;
@@ -128,6 +133,7 @@
     allowance: f64,
     /// Calls of mean work that a warm worker serves this front end, for each unit of time.
     warm_rate: f64,
+    even_rate: f64,
     /// Calls that may now be sent on a guess.
     guesses: f64,
 }
@@ -408,10 +414,16 @@
         let ready = self.ready_at(node, call.function).or(presumed.then_some(now));
         let all = f64::from(call.lanes.max(1)) * f64::from(copies.map_or(1, |c| c.count.max(1)));
         // The other front ends follow the same order and fill their part of the lanes: as told, else alike.
+        let part = all / f64::from(self.s.front_ends);
         let lanes = match copies.filter(|_| self.s.loading.tells_alike) {
             Some(copies) => all - copies.others,
-            None => all / f64::from(self.s.front_ends),
+            None => part,
         };
+        // Too large a tier to have a lane each: over time, its own runs must fit its part of the lanes.
+        let usual = self.run_of(call.function, call.class);
+        let over = part < 1.0
+            && (copies.is_some_and(|c| self.debt(c, part) > DEBT_RUNS * usual)
+                || self.owed(node) > DEBT_RUNS);
         let lanes = lanes.ceil().clamp(1.0, 64.0) as usize;
         let adds = self.s.loading.tells_alike
             && node.out.iter().filter(|s| s.function == call.function).count() >= lanes;
@@ -441,7 +453,19 @@
             Some(at) => begin(at, run * PAD).0,
             None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
         };
-        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish }
+        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish, over }
+    }
+
+    /// Run time sent to these copies that this front end's part of their lanes has not worked off yet.
+    fn debt(&self, copies: &Copies, part: f64) -> f64 {
+        let (at, debt) = copies.debt;
+        (debt - self.now.saturating_sub(at) as f64 * part * LANE_FILL).max(0.0)
+    }
+
+    /// Calls sent to a worker beyond this front end's even part of what it takes, with some headroom.
+    fn owed(&self, node: &Node) -> f64 {
+        let (at, owed) = node.owed;
+        (owed - self.now.saturating_sub(at) as f64 * self.even_rate * HEADROOM).max(0.0)
     }
 
     /// Loads that this front end believes under way, and whether one is of this function.
@@ -530,7 +554,7 @@
         let may_add = loads < self.loads_most();
         let may_load = may_add && !loading;
         let mut presume = !located && open.attempts == 0;
-        let (mut choice, mut late, mut want) = (None, None, None);
+        let (mut choice, mut late, mut want, mut soft) = (None, None, None, None);
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
             let node = &self.nodes[worker];
             if !self.allowed(open, node) {
@@ -540,8 +564,10 @@
             // neither refuse all nor spread loads.
             let seen = self.replay(node, &open.call, presume);
             presume = false;
-            if seen.others_hold && seen.finish <= goal && (!seen.cold || may_load) && (!seen.adds || may_add)
-            {
+            let fits = seen.others_hold && seen.finish <= goal;
+            if fits && seen.over && !seen.cold && soft.is_none() {
+                soft = Some((worker.clone(), Foreseen { goal, ..seen }));
+            } else if fits && !seen.over && (!seen.cold || may_load) && (!seen.adds || may_add) {
                 choice = Some((worker.clone(), Foreseen { goal, ..seen }));
                 break;
             }
@@ -553,7 +579,10 @@
                 let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
                 // A function that stands elsewhere is loaded here only where that should evict nothing.
                 let worthwhile = may_load && (!located || self.has_room(node, function));
-                let room = waiting < LATE_MOST && (!seen.cold || worthwhile) && (!seen.adds || may_add);
+                let room = !seen.over
+                    && waiting < LATE_MOST
+                    && (!seen.cold || worthwhile)
+                    && (!seen.adds || may_add);
                 if late.is_none() && room && seen.finish <= open.deadline && class.late_worth > 0.0 {
                     late = Some((worker.clone(), Foreseen { goal: open.deadline, ..seen }));
                 }
@@ -575,7 +604,7 @@
                 choice = Some((worker, Foreseen { goal: self.open[&id].deadline, ..seen }));
             }
         }
-        match choice {
+        match choice.or(soft) {
             Some((worker, seen)) if seen.cold && !self.s.loading.call_loads => {
                 // Only an order brings the function in: the call waits here, unsent, for its reply.
                 if !self.hold(&worker, function, actions) {
@@ -631,7 +660,12 @@
         let Some(open) = self.open.get(&id) else { return };
         let (function, class) = (open.call.function, open.call.class);
         let run = self.run_of(function, class);
+        let part = f64::from(open.call.lanes.max(1)) / f64::from(self.s.front_ends);
+        let copies = self.nodes.get(worker).and_then(|n| n.copies.get(&function));
+        let debt = copies.map_or(0.0, |c| self.debt(c, part * f64::from(c.count.max(1))));
+        let owed = self.nodes.get(worker).map_or(0.0, |n| self.owed(n));
         let (Some(node), Some(open)) = (self.nodes.get_mut(worker), self.open.get_mut(&id)) else { return };
+        node.owed = (now, owed + 1.0);
         let crowd = node.out.len() as f64 + 1.0;
         node.out.push(Sent {
             request: id,
@@ -659,6 +693,7 @@
         }
         copies.used = now;
         copies.used_work += run;
+        copies.debt = (now, debt + run);
         open.attempts += 1;
         open.outstanding = true;
         open.tried.push(worker.clone());
@@ -920,6 +955,7 @@
             0 => self.warm_rate,
             count => mean(warm().map(within).sum(), count),
         };
-        self.warm_rate = rate.max(mean(came, live().count()) / 2.0);
+        self.even_rate = mean(came, live().count());
+        self.warm_rate = rate.max(self.even_rate / 2.0);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,6 +36,8 @@
     pub(crate) count: u32,
     /// Calls of it that other front ends have there.
     pub(crate) others: f64,
+    /// Own run time sent there and not worked off by then.
+    pub(crate) debt: (Time, f64),
     /// When they stand loaded.
     pub(crate) ready: Time,
     /// The last sign that they were in use.
@@ -78,6 +80,7 @@
     pub(crate) health: Vec<Health>,
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
+    pub(crate) owed: (Time, f64),
     /// Calls that wanted it while it was cold, fading, and when that was last counted.
     pub(crate) wants: Cell<(Time, f64)>,
     /// Sends within the last rate span, with their class.
@@ -104,6 +107,7 @@
             heard: 0,
             health: vec![Health::default(); classes],
             strikes: 0,
+            owed: (0, 0.0),
             wants: Cell::default(),
             sends: VecDeque::new(),
             served: VecDeque::new(),
@@ -145,6 +149,8 @@
     pub(crate) cold: bool,
     /// All lanes are taken: the worker may well start a further copy for it.
     pub(crate) adds: bool,
+    /// This front end's part of the lanes is used up for now.
+    pub(crate) over: bool,
     /// Every queued deadline still holds.
     pub(crate) others_hold: bool,
     /// When it would be served if a copy stood, and with any load counted.
