--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,8 +34,8 @@
 /// How far beyond an even part of all calls a worker may be filled.
 const HEADROOM: f64 = 1.3;
 /// Calls that may be sent on a guess that others hold a copy, for each call taken, and the most saved up.
-const GUESS_SHARE: f64 = 0.2;
-const GUESSES_MOST: f64 = 4.0;
+const GUESS_SHARE: f64 = 0.5;
+const GUESSES_MOST: f64 = 8.0;
 /// Weight of a new sample in a worker's pace: about its last seven, so a slow-down shows in time.
 const PACE_GAIN: f64 = 0.15;
 /// No sample counts for more than this many times what was expected: one heavy call is no bad worker.
