--- a/src/api.rs
+++ b/src/api.rs
@@ -96,6 +96,8 @@
     pub max_attempts: u32,
     /// Attempts may be cancelled.
     pub cancel: bool,
+    /// Workers may be probed for their load.
+    pub probes: bool,
     /// Refusals may carry a time to stay away.
     pub retry_after: bool,
     /// The longest such time that clients heed.
@@ -104,7 +106,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { max_attempts: 3, cancel: false, retry_after: false, max_retry_after: 0 }
+        Limits { max_attempts: 3, cancel: false, probes: false, retry_after: false, max_retry_after: 0 }
     }
 }
 
@@ -442,6 +444,11 @@
         /// The function.
         function: Function,
     },
+    /// Ask a worker for its load; one [`Event::Probed`] follows.
+    Probe {
+        /// The worker.
+        worker: Worker,
+    },
     /// Ask for an [`Event::Timer`].
     Timer {
         /// How far from now.
--- a/src/bin/pipithub-adapter/settings.rs
+++ b/src/bin/pipithub-adapter/settings.rs
@@ -29,6 +29,7 @@
         limits: Limits {
             max_attempts: time(&limits["MostTries"]).clamp(1, u64::from(u32::MAX)) as u32,
             cancel: flag(&limits["MayCancel"]),
+            probes: flag(&limits["Probes"]) && all["Report"]["How"].as_str().is_some_and(|how| how != "none"),
             retry_after: flag(&limits["RetryAfter"]),
             max_retry_after: time(&limits["MaxRetryAfter"]),
         },
--- a/src/bin/pipithub-adapter/wire.rs
+++ b/src/bin/pipithub-adapter/wire.rs
@@ -275,6 +275,7 @@
         Action::Drop { worker, function } => {
             writeln!(reply, "shelve {end} {:016x} {}", function.0, worker.0)
         }
+        Action::Probe { worker } => writeln!(reply, "touch {end} {}", worker.0),
         Action::Timer { after, token } => writeln!(reply, "remind {end} {after} {token}"),
         Action::FollowList => writeln!(reply, "tail {end} 1"),
     };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,6 +28,14 @@
 const DOUBT: f64 = 0.2;
 /// A function's run time counts for no more than this multiple of its class's.
 const RUN_MOST: f64 = 3.0;
+/// Marks the timers of calls that wait for a probe; how long they wait; and how often for each call.
+const ASK_TOKEN: u64 = 1 << 61;
+const ASK_WAIT: Time = 30 * MS;
+const ASKS_MOST: u32 = 3;
+/// Word of a worker's load, or an answer from it, is fresh for so long.
+const FRESH: Time = 700 * MS;
+/// A worker whose cores are busier than this has a queue.
+const BUSY: f64 = 0.95;
 /// Run time, in runs, that may be owed to a part of under one lane, and how far lanes are filled on average.
 const DEBT_RUNS: f64 = 2.0;
 const LANE_FILL: f64 = 0.8;
@@ -134,6 +142,8 @@
     /// Calls of mean work that a warm worker serves this front end, for each unit of time.
     warm_rate: f64,
     even_rate: f64,
+    /// Mean of what workers told to hold, and of how far runs were stretched there.
+    held_seen: (f64, f64),
     /// Calls that may now be sent on a guess.
     guesses: f64,
 }
@@ -152,7 +162,7 @@
         let class = s.classes.iter_mut().flat_map(|c| [&mut c.aim, &mut c.give_up, &mut c.dedup_window]);
         told.into_iter().chain(window).chain(class).for_each(|t| *t = (*t).min(LONGEST));
         let class_run = vec![None; s.classes.len()];
-        FrontEnd { class_run, s, seed, load_stretch: 1.0, ..FrontEnd::default() }
+        FrontEnd { class_run, s, seed, load_stretch: 1.0, held_seen: (6.0, 1.0), ..FrontEnd::default() }
     }
 
     /// Takes one event and appends what to do about it.
@@ -170,6 +180,9 @@
             Event::List { kind, entries } => self.list(kind, entries, actions),
             Event::Arrived(call) => self.arrived(call, actions),
             Event::Finished(end) => {
+                if end.load != Load::default() {
+                    self.told(&end.worker, end.load, actions);
+                }
                 let ran = self.attempt_over(&end);
                 self.outcome(&end, ran, actions);
             }
@@ -183,8 +196,19 @@
             }
             Event::Ordered(reply) => self.ordered(&reply, actions),
             Event::Timer { token: CHORES_TOKEN } => self.chores(actions),
+            Event::Probed { worker, answered, load } => {
+                let silent = Load { busy: Some(1.0), ..Load::default() };
+                self.told(&worker, if answered { load } else { silent }, actions);
+            }
+            Event::Timer { token } if token & ASK_TOKEN > 0 => {
+                let asks = self.open.get_mut(&(token & !ASK_TOKEN)).and_then(|o| o.asks.take());
+                if let Some(worker) = asks {
+                    self.told(&worker, Load { busy: Some(1.0), ..Load::default() }, actions);
+                    self.place(token & !ASK_TOKEN, actions);
+                }
+            }
             Event::Timer { token } => self.time_up(token, actions),
-            Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Peer { .. } => {}
         }
     }
 
@@ -310,6 +334,11 @@
                     return ran;
                 }
                 let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
+                if let Some(held) = node.told.1.held.filter(|h| *h > 2.0 && node.told.0 + FRESH > sent.at) {
+                    let (mean, ratios) = &mut self.held_seen;
+                    *mean += RUN_GAIN * (held - *mean);
+                    *ratios += RUN_GAIN * (ratio.max(1.0) - *ratios);
+                }
                 node.pace += PACE_GAIN * (ratio - node.pace);
                 node.crowd += PACE_GAIN * (sent.crowd - node.crowd);
                 // Answers from an uncrowded worker tell the run itself; the rest is its pace. What the
@@ -384,6 +413,38 @@
         }
     }
 
+    /// Notes what a worker tells of its load; calls that waited to hear it are placed.
+    fn told(&mut self, worker: &Worker, load: Load, actions: &mut Vec<Action>) {
+        let Some(node) = self.nodes.get_mut(worker) else { return };
+        node.told = (self.now, load);
+        let asks = |o: &Open| o.asks.as_ref() == Some(worker);
+        let waiting: Vec<RequestId> = self.open.iter().filter(|(_, o)| asks(o)).map(|(id, _)| *id).collect();
+        for id in waiting {
+            self.open.entry(id).and_modify(|o| o.asks = None);
+            self.place(id, actions);
+        }
+    }
+
+    /// Whether a worker is worth asking for its load before a call goes there.
+    fn unheard(&self, node: &Node) -> bool {
+        self.s.limits.probes && self.now > FRESH + node.told.0.max(node.heard)
+    }
+
+    /// What fresh word of a worker's load says of a run there: how far it is stretched.
+    fn told_stretch(&self, node: &Node) -> f64 {
+        let (at, load) = &node.told;
+        if self.now > *at + FRESH {
+            return 1.0;
+        }
+        let held = load.held.map_or(1.0, |h| (h + 1.0) / self.at_once());
+        held.max(if load.busy.is_some_and(|b| b > BUSY) && load.held.is_none() { 100.0 } else { 1.0 })
+    }
+
+    /// Calls that a worker runs at once without stretching them, as answers show.
+    fn at_once(&self) -> f64 {
+        (self.held_seen.0 / self.held_seen.1.max(0.1)).max(1.0)
+    }
+
     // ---- replay and admission ----
 
     /// When the copies of a function stand at a worker: `None` where none is believed there.
@@ -532,7 +593,7 @@
     fn place(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         open.parked = false;
-        if open.outstanding || open.streaming {
+        if open.outstanding || open.streaming || open.asks.is_some() {
             return;
         }
         let open = &self.open[&id];
@@ -554,7 +615,7 @@
         let may_add = loads < self.loads_most();
         let may_load = may_add && !loading;
         let mut presume = !located && open.attempts == 0;
-        let (mut choice, mut late, mut want, mut soft) = (None, None, None, None);
+        let (mut choice, mut late, mut want, mut soft, mut ask) = (None, None, None, None, None);
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
             let node = &self.nodes[worker];
             if !self.allowed(open, node) {
@@ -564,7 +625,14 @@
             // neither refuse all nor spread loads.
             let seen = self.replay(node, &open.call, presume);
             presume = false;
+            let mut seen = seen;
+            let run = self.run_of(function, open.call.class);
+            seen.over |= run * PAD * self.told_stretch(node) > (goal - now) as f64;
             let fits = seen.others_hold && seen.finish <= goal;
+            if fits && !seen.over && self.unheard(node) && open.asked < ASKS_MOST {
+                ask = Some(worker.clone());
+                break;
+            }
             if fits && seen.over && !seen.cold && soft.is_none() {
                 soft = Some((worker.clone(), Foreseen { goal, ..seen }));
             } else if fits && !seen.over && (!seen.cold || may_load) && (!seen.adds || may_add) {
@@ -588,6 +656,15 @@
                 }
             }
         }
+        if let Some(worker) = ask {
+            if self.nodes.get_mut(&worker).is_some_and(|n| n.asked + FRESH < now) {
+                actions.push(Action::Probe { worker: worker.clone() });
+                self.nodes.entry(worker.clone()).and_modify(|n| n.asked = now);
+            }
+            actions.push(Action::Timer { after: ASK_WAIT, token: id | ASK_TOKEN });
+            self.open.entry(id).and_modify(|o| (o.asks, o.asked) = (Some(worker), o.asked + 1));
+            return;
+        }
         let spare = open.aim.saturating_sub(now) as f64;
         if let Some(worker) = &want {
             self.missed(worker, id, spare);
@@ -650,6 +727,8 @@
             tried: Vec::new(),
             streaming: false,
             parked: false,
+            asks: None,
+            asked: 0,
         };
         self.open.insert(id, open);
         self.place(id, actions);
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,6 +81,9 @@
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
     pub(crate) owed: (Time, f64),
+    /// What it told of its load last, when, and when it was last asked.
+    pub(crate) told: (Time, Load),
+    pub(crate) asked: Time,
     /// Calls that wanted it while it was cold, fading, and when that was last counted.
     pub(crate) wants: Cell<(Time, f64)>,
     /// Sends within the last rate span, with their class.
@@ -108,6 +111,8 @@
             health: vec![Health::default(); classes],
             strikes: 0,
             owed: (0, 0.0),
+            told: (0, Load::default()),
+            asked: 0,
             wants: Cell::default(),
             sends: VecDeque::new(),
             served: VecDeque::new(),
@@ -141,6 +146,9 @@
     pub(crate) streaming: bool,
     /// It waits, unsent, for an order's reply.
     pub(crate) parked: bool,
+    /// It waits, unsent, for a worker to tell its load; and how often it has.
+    pub(crate) asks: Option<Worker>,
+    pub(crate) asked: u32,
 }
 
 /// What the replay of one worker foresees for a newcomer.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -30,7 +30,13 @@
             dedup_window: 2_500 * MS,
             ..Class::default()
         }],
-        limits: Limits { max_attempts: 4, cancel: true, retry_after: true, max_retry_after: 500 * MS },
+        limits: Limits {
+            max_attempts: 4,
+            cancel: true,
+            probes: false,
+            retry_after: true,
+            max_retry_after: 500 * MS,
+        },
         rules: Rules { cold_from: 0.2, ramp: 15_000 * MS, fall_multiple: 3.0, fall_span: 2_000 * MS },
         loading: Loading { orders: true, tells_cold: true, ..Loading::default() },
         ..Settings::default()
