--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,8 +39,6 @@
 /// Run time, in runs, that may be owed to a part of under one lane, and how far lanes are filled on average.
 const DEBT_RUNS: f64 = 2.0;
 const LANE_FILL: f64 = 0.8;
-/// How far beyond an even part of all calls a worker may be filled.
-const HEADROOM: f64 = 1.3;
 /// Calls that may be sent on a guess that others hold a copy, for each call taken, and the most saved up.
 const GUESS_SHARE: f64 = 0.5;
 const GUESSES_MOST: f64 = 8.0;
@@ -141,7 +139,6 @@
     allowance: f64,
     /// Calls of mean work that a warm worker serves this front end, for each unit of time.
     warm_rate: f64,
-    even_rate: f64,
     /// Mean of what workers told to hold, and of how far runs were stretched there.
     held_seen: (f64, f64),
     /// Calls that may now be sent on a guess.
@@ -482,9 +479,7 @@
         };
         // Too large a tier to have a lane each: over time, its own runs must fit its part of the lanes.
         let usual = self.run_of(call.function, call.class);
-        let over = part < 1.0
-            && (copies.is_some_and(|c| self.debt(c, part) > DEBT_RUNS * usual)
-                || self.owed(node) > DEBT_RUNS);
+        let over = part < 1.0 && copies.is_some_and(|c| self.debt(c, part) > DEBT_RUNS * usual);
         let lanes = lanes.ceil().clamp(1.0, 64.0) as usize;
         let adds = self.s.loading.tells_alike
             && node.out.iter().filter(|s| s.function == call.function).count() >= lanes;
@@ -523,12 +518,6 @@
         (debt - self.now.saturating_sub(at) as f64 * part * LANE_FILL).max(0.0)
     }
 
-    /// Calls sent to a worker beyond this front end's even part of what it takes, with some headroom.
-    fn owed(&self, node: &Node) -> f64 {
-        let (at, owed) = node.owed;
-        (owed - self.now.saturating_sub(at) as f64 * self.even_rate * HEADROOM).max(0.0)
-    }
-
     /// Loads that this front end believes under way, and whether one is of this function.
     fn loads_under_way(&self, function: Function) -> (usize, bool) {
         let (mut count, mut same) = (0, false);
@@ -742,9 +731,7 @@
         let part = f64::from(open.call.lanes.max(1)) / f64::from(self.s.front_ends);
         let copies = self.nodes.get(worker).and_then(|n| n.copies.get(&function));
         let debt = copies.map_or(0.0, |c| self.debt(c, part * f64::from(c.count.max(1))));
-        let owed = self.nodes.get(worker).map_or(0.0, |n| self.owed(n));
         let (Some(node), Some(open)) = (self.nodes.get_mut(worker), self.open.get_mut(&id)) else { return };
-        node.owed = (now, owed + 1.0);
         let crowd = node.out.len() as f64 + 1.0;
         node.out.push(Sent {
             request: id,
@@ -1034,7 +1021,6 @@
             0 => self.warm_rate,
             count => mean(warm().map(within).sum(), count),
         };
-        self.even_rate = mean(came, live().count());
-        self.warm_rate = rate.max(self.even_rate / 2.0);
+        self.warm_rate = rate.max(mean(came, live().count()) / 2.0);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,7 +80,6 @@
     pub(crate) health: Vec<Health>,
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
-    pub(crate) owed: (Time, f64),
     /// What it told of its load last, when, and when it was last asked.
     pub(crate) told: (Time, Load),
     pub(crate) asked: Time,
@@ -110,7 +109,6 @@
             heard: 0,
             health: vec![Health::default(); classes],
             strikes: 0,
-            owed: (0, 0.0),
             told: (0, Load::default()),
             asked: 0,
             wants: Cell::default(),
