--- a/src/decide.rs
+++ b/src/decide.rs
@@ -374,6 +374,7 @@
             Outcome::Full if same_process => {
                 // Its queue is full, whoever filled it: hold fewer there until answers show room.
                 node.room = (sent.crowd * ROOM_CUT).max(1.0);
+                node.told = (now, Load { busy: Some(1.0), ..Load::default() });
                 node.heard = now;
             }
             _ => {}
@@ -614,35 +615,34 @@
             // neither refuse all nor spread loads.
             let seen = self.replay(node, &open.call, presume);
             presume = false;
-            let mut seen = seen;
-            let run = self.run_of(function, open.call.class);
-            seen.over |= run * PAD * self.told_stretch(node) > (goal - now) as f64;
-            let fits = seen.others_hold && seen.finish <= goal;
-            if fits && !seen.over && self.unheard(node) && open.asked < ASKS_MOST {
+            let run = self.run_of(function, open.call.class) * PAD;
+            let crowded = run * self.told_stretch(node) > (goal - now) as f64;
+            if !seen.others_hold || seen.warm_finish > goal || crowded {
+                continue;
+            }
+            if self.unheard(node) && open.asked < ASKS_MOST {
                 ask = Some(worker.clone());
                 break;
             }
-            if fits && seen.over && !seen.cold && soft.is_none() {
-                soft = Some((worker.clone(), Foreseen { goal, ..seen }));
-            } else if fits && !seen.over && (!seen.cold || may_load) && (!seen.adds || may_add) {
+            if seen.over {
+                let warm = Some(worker.clone()).filter(|_| !seen.cold && soft.is_none());
+                soft = warm.map(|w| (w, Foreseen { goal, ..seen })).or(soft);
+                continue;
+            }
+            if seen.finish <= goal && (!seen.cold || may_load) && (!seen.adds || may_add) {
                 choice = Some((worker.clone(), Foreseen { goal, ..seen }));
                 break;
             }
-            if seen.others_hold && seen.warm_finish <= goal {
-                // Only a load stands in the way.
-                if seen.cold && want.is_none() {
-                    want = Some(worker.clone());
-                }
-                let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
-                // A function that stands elsewhere is loaded here only where that should evict nothing.
-                let worthwhile = may_load && (!located || self.has_room(node, function));
-                let room = !seen.over
-                    && waiting < LATE_MOST
-                    && (!seen.cold || worthwhile)
-                    && (!seen.adds || may_add);
-                if late.is_none() && room && seen.finish <= open.deadline && class.late_worth > 0.0 {
-                    late = Some((worker.clone(), Foreseen { goal: open.deadline, ..seen }));
-                }
+            // Only a load stands in the way.
+            if seen.cold && want.is_none() {
+                want = Some(worker.clone());
+            }
+            let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
+            // A function that stands elsewhere is loaded here only where that should evict nothing.
+            let worthwhile = may_load && (!located || self.has_room(node, function));
+            let room = waiting < LATE_MOST && (!seen.cold || worthwhile) && (!seen.adds || may_add);
+            if late.is_none() && room && seen.finish <= open.deadline && class.late_worth > 0.0 {
+                late = Some((worker.clone(), Foreseen { goal: open.deadline, ..seen }));
             }
         }
         if let Some(worker) = ask {
