--- a/src/decide.rs
+++ b/src/decide.rs
@@ -374,7 +374,7 @@
             Outcome::Full if same_process => {
                 // Its queue is full, whoever filled it: hold fewer there until answers show room.
                 node.room = (sent.crowd * ROOM_CUT).max(1.0);
-                node.told = (now, Load { busy: Some(1.0), ..Load::default() });
+                node.told = (now, Load { held: Some(1e6), ..Load::default() });
                 node.heard = now;
             }
             _ => {}
@@ -434,8 +434,7 @@
         if self.now > *at + FRESH {
             return 1.0;
         }
-        let held = load.held.map_or(1.0, |h| (h + 1.0) / self.at_once());
-        held.max(if load.busy.is_some_and(|b| b > BUSY) && load.held.is_none() { 100.0 } else { 1.0 })
+        load.held.map_or(1.0, |h| (h + 1.0) / self.at_once())
     }
 
     /// Calls that a worker runs at once without stretching them, as answers show.
@@ -613,8 +612,9 @@
             }
             // A function found nowhere is presumed at its home: a front end that knows nothing must
             // neither refuse all nor spread loads.
-            let seen = self.replay(node, &open.call, presume);
+            let mut seen = self.replay(node, &open.call, presume);
             presume = false;
+            seen.over |= now < node.told.0 + FRESH && node.told.1.busy.is_some_and(|b| b > BUSY);
             let run = self.run_of(function, open.call.class) * PAD;
             let crowded = run * self.told_stretch(node) > (goal - now) as f64;
             if !seen.others_hold || seen.warm_finish > goal || crowded {
@@ -750,6 +750,7 @@
             crowd,
         });
         node.sends.push_back((now, class));
+        node.sent = now;
         let copies = node.copies.entry(function).or_default();
         if copies.ready == 0 || seen.cold {
             *copies = Copies { count: 1, ready: now, placed: copies.placed, ..Copies::default() };
@@ -838,6 +839,16 @@
                 }
             }
         }
+        // One lost answer is no silent worker. While a repeat elsewhere can still be in time, a call whose
+        // answer is overdue is repeated, of few: runs have tails, and a slow tier must not be sent twice.
+        for sent in self.nodes.values().flat_map(|n| n.out.iter()) {
+            let last = sent.aim.saturating_sub((sent.run * PAD) as Time + 2 * CHORES);
+            let (first, due) = (sent.attempt == 0, now > sent.due && now > last && now < sent.aim);
+            if first && due && self.guesses >= 1.0 && self.s.classes[sent.class].effect != Effect::Unsafe {
+                self.guesses -= 1.0;
+                recalled.push((sent.request, sent.attempt));
+            }
+        }
         for (id, attempt) in recalled {
             let Some(open) = self.open.get(&id) else { continue };
             let (limits, effect) = (&self.s.limits, self.s.classes[open.call.class].effect);
@@ -997,12 +1008,19 @@
             let sent = node.sends.iter().filter(|(t, _)| t + rules.fall_span > now);
             return sent.map(|(_, c)| self.class_weight(*c)).sum::<f64>() + weight <= budget;
         }
+        // Besides, its own sends there are spaced by its part, the first by a draw: however great the wish.
+        let part = COLD_SHARE * rate;
+        let first = (mix(self.seed ^ node.hash ^ started) >> 11) as f64 / (1u64 << 53) as f64;
+        let (since, needed) = if node.sent > started { (node.sent, weight) } else { (started, first) };
+        if (now - since.min(now)) as f64 * part < needed {
+            return false;
+        }
         let (last, wants) = node.wants.get();
         let wants = 1.0 + wants * (-(now.saturating_sub(last) as f64) / WANTS_SPAN as f64).exp();
         node.wants.set((now, wants));
         let wanted = (wants / WANTS_SPAN as f64).max(self.warm_rate) * weight.max(1.0);
         let draw = mix(self.seed ^ node.hash ^ mix(id)) >> 11;
-        (draw as f64) < COLD_SHARE * rate / wanted * (1u64 << 53) as f64
+        (draw as f64) < part / wanted * (1u64 << 53) as f64
     }
 
     /// What a warm worker serves this front end, in calls of mean work for each unit of time. Where none is
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,8 @@
     /// What it told of its load last, when, and when it was last asked.
     pub(crate) told: (Time, Load),
     pub(crate) asked: Time,
+    /// When it was last sent a call.
+    pub(crate) sent: Time,
     /// Calls that wanted it while it was cold, fading, and when that was last counted.
     pub(crate) wants: Cell<(Time, f64)>,
     /// Sends within the last rate span, with their class.
@@ -111,6 +113,7 @@
             strikes: 0,
             told: (0, Load::default()),
             asked: 0,
+            sent: 0,
             wants: Cell::default(),
             sends: VecDeque::new(),
             served: VecDeque::new(),
