--- a/src/decide.rs
+++ b/src/decide.rs
@@ -839,16 +839,6 @@
                 }
             }
         }
-        // One lost answer is no silent worker. While a repeat elsewhere can still be in time, a call whose
-        // answer is overdue is repeated, of few: runs have tails, and a slow tier must not be sent twice.
-        for sent in self.nodes.values().flat_map(|n| n.out.iter()) {
-            let last = sent.aim.saturating_sub((sent.run * PAD) as Time + 2 * CHORES);
-            let (first, due) = (sent.attempt == 0, now > sent.due && now > last && now < sent.aim);
-            if first && due && self.guesses >= 1.0 && self.s.classes[sent.class].effect != Effect::Unsafe {
-                self.guesses -= 1.0;
-                recalled.push((sent.request, sent.attempt));
-            }
-        }
         for (id, attempt) in recalled {
             let Some(open) = self.open.get(&id) else { continue };
             let (limits, effect) = (&self.s.limits, self.s.classes[open.call.class].effect);
