--- a/src/decide.rs
+++ b/src/decide.rs
@@ -662,12 +662,15 @@
             }
         }
         let mut choice = choice.or(late);
-        if choice.is_none() && self.guesses >= 1.0 {
-            // The others follow the same order: what moved on here moved on there, and has likely loaded it.
-            if let Some(worker) = want.filter(|_| self.s.loading.call_loads) {
+        // The others follow the same order: what moved on here moved on there, and has likely loaded it. A
+        // wrong guess must still be served, so a call with little time goes where a copy stands, or not at all.
+        if let Some(worker) = want.filter(|_| choice.is_none() && self.guesses >= 1.0) {
+            let (node, open) = (&self.nodes[&worker], &self.open[&id]);
+            let loaded = self.replay(node, &open.call, false).finish;
+            if self.s.loading.call_loads && loaded <= open.deadline {
                 self.guesses -= 1.0;
-                let seen = self.replay(&self.nodes[&worker], &self.open[&id].call, true);
-                choice = Some((worker, Foreseen { goal: self.open[&id].deadline, ..seen }));
+                let seen = self.replay(node, &open.call, true);
+                choice = Some((worker, Foreseen { goal: open.deadline, ..seen }));
             }
         }
         match choice.or(soft) {
