--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,8 @@
 const ASK_TOKEN: u64 = 1 << 61;
 const ASK_WAIT: Time = 30 * MS;
 const ASKS_MOST: u32 = 3;
+/// Among more front ends than this, own sends tell too little of the queues.
+const OWN_VIEW: u32 = 8;
 /// Word of a worker's load, or an answer from it, is fresh for so long.
 const FRESH: Time = 700 * MS;
 /// A worker whose cores are busier than this has a queue.
@@ -343,7 +345,7 @@
                 let held = end.load.held.unwrap_or(0.0);
                 let gain = RUN_GAIN * (2.0 / sent.crowd.max(held / 2.0)).min(1.0).powi(2);
                 // Where that is not told, a long answer is rather the queue of the others than a long run.
-                let rise = if end.load.held.is_some() {
+                let rise = if end.load.held.is_some() || self.s.front_ends <= OWN_VIEW {
                     1.0
                 } else {
                     (2.0 / f64::from(self.s.front_ends)).clamp(DOUBT, 1.0)
@@ -374,7 +376,6 @@
             Outcome::Full if same_process => {
                 // Its queue is full, whoever filled it: hold fewer there until answers show room.
                 node.room = (sent.crowd * ROOM_CUT).max(1.0);
-                node.told = (now, Load { held: Some(1e6), ..Load::default() });
                 node.heard = now;
             }
             _ => {}
@@ -423,15 +424,21 @@
         }
     }
 
+    /// Whether this front end's own sends are too small a part of the queues to tell of them.
+    fn blind(&self) -> bool {
+        self.s.front_ends > OWN_VIEW
+    }
+
     /// Whether a worker is worth asking for its load before a call goes there.
     fn unheard(&self, node: &Node) -> bool {
-        self.s.limits.probes && self.now > FRESH + node.told.0.max(node.heard)
+        self.blind() && self.s.limits.probes && self.now > FRESH + node.told.0.max(node.heard)
     }
 
     /// What fresh word of a worker's load says of a run there: how far it is stretched.
     fn told_stretch(&self, node: &Node) -> f64 {
         let (at, load) = &node.told;
-        if self.now > *at + FRESH {
+        // An own answer since tells more: pace and replay rest on it.
+        if self.now > *at + FRESH || node.heard >= *at || !self.blind() {
             return 1.0;
         }
         load.held.map_or(1.0, |h| (h + 1.0) / self.at_once())
@@ -479,7 +486,8 @@
         };
         // Too large a tier to have a lane each: over time, its own runs must fit its part of the lanes.
         let usual = self.run_of(call.function, call.class);
-        let over = part < 1.0 && copies.is_some_and(|c| self.debt(c, part) > DEBT_RUNS * usual);
+        let over =
+            self.blind() && part < 1.0 && copies.is_some_and(|c| self.debt(c, part) > DEBT_RUNS * usual);
         let lanes = lanes.ceil().clamp(1.0, 64.0) as usize;
         let adds = self.s.loading.tells_alike
             && node.out.iter().filter(|s| s.function == call.function).count() >= lanes;
@@ -614,7 +622,8 @@
             // neither refuse all nor spread loads.
             let mut seen = self.replay(node, &open.call, presume);
             presume = false;
-            seen.over |= now < node.told.0 + FRESH && node.told.1.busy.is_some_and(|b| b > BUSY);
+            seen.over |=
+                self.blind() && now < node.told.0 + FRESH && node.told.1.busy.is_some_and(|b| b > BUSY);
             let run = self.run_of(function, open.call.class) * PAD;
             let crowded = run * self.told_stretch(node) > (goal - now) as f64;
             if !seen.others_hold || seen.warm_finish > goal || crowded {
@@ -700,7 +709,7 @@
         let deadline = now + budget;
         let aim = (now + class.aim + stretch as Time).min(deadline);
         self.arrivals.push_back(now);
-        let guesses = GUESS_SHARE * (1.0 - 2.0 / f64::from(self.s.front_ends)).max(0.0);
+        let guesses = GUESS_SHARE * f64::from(u8::from(self.blind()));
         self.guesses = (self.guesses + guesses).min(GUESSES_MOST);
         let program = self.programs.entry(call.function).or_default();
         (program.lanes, program.memory_mb, program.called) = (call.lanes, call.memory_mb.max(0.0), now);
