--- a/src/decide.rs
+++ b/src/decide.rs
@@ -38,9 +38,6 @@
 const FRESH: Time = 700 * MS;
 /// A worker whose cores are busier than this has a queue.
 const BUSY: f64 = 0.95;
-/// Run time, in runs, that may be owed to a part of under one lane, and how far lanes are filled on average.
-const DEBT_RUNS: f64 = 2.0;
-const LANE_FILL: f64 = 0.8;
 /// Calls that may be sent on a guess that others hold a copy, for each call taken, and the most saved up.
 const GUESS_SHARE: f64 = 0.5;
 const GUESSES_MOST: f64 = 8.0;
@@ -479,15 +476,10 @@
         let ready = self.ready_at(node, call.function).or(presumed.then_some(now));
         let all = f64::from(call.lanes.max(1)) * f64::from(copies.map_or(1, |c| c.count.max(1)));
         // The other front ends follow the same order and fill their part of the lanes: as told, else alike.
-        let part = all / f64::from(self.s.front_ends);
         let lanes = match copies.filter(|_| self.s.loading.tells_alike) {
             Some(copies) => all - copies.others,
-            None => part,
+            None => all / f64::from(self.s.front_ends),
         };
-        // Too large a tier to have a lane each: over time, its own runs must fit its part of the lanes.
-        let usual = self.run_of(call.function, call.class);
-        let over =
-            self.blind() && part < 1.0 && copies.is_some_and(|c| self.debt(c, part) > DEBT_RUNS * usual);
         let lanes = lanes.ceil().clamp(1.0, 64.0) as usize;
         let adds = self.s.loading.tells_alike
             && node.out.iter().filter(|s| s.function == call.function).count() >= lanes;
@@ -517,13 +509,7 @@
             Some(at) => begin(at, run * PAD).0,
             None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
         };
-        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish, over }
-    }
-
-    /// Run time sent to these copies that this front end's part of their lanes has not worked off yet.
-    fn debt(&self, copies: &Copies, part: f64) -> f64 {
-        let (at, debt) = copies.debt;
-        (debt - self.now.saturating_sub(at) as f64 * part * LANE_FILL).max(0.0)
+        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish, over: false }
     }
 
     /// Loads that this front end believes under way, and whether one is of this function.
@@ -620,10 +606,8 @@
             }
             // A function found nowhere is presumed at its home: a front end that knows nothing must
             // neither refuse all nor spread loads.
-            let mut seen = self.replay(node, &open.call, presume);
+            let seen = self.replay(node, &open.call, presume);
             presume = false;
-            seen.over |=
-                self.blind() && now < node.told.0 + FRESH && node.told.1.busy.is_some_and(|b| b > BUSY);
             let run = self.run_of(function, open.call.class) * PAD;
             let crowded = run * self.told_stretch(node) > (goal - now) as f64;
             if !seen.others_hold || seen.warm_finish > goal || crowded {
@@ -740,9 +724,6 @@
         let Some(open) = self.open.get(&id) else { return };
         let (function, class) = (open.call.function, open.call.class);
         let run = self.run_of(function, class);
-        let part = f64::from(open.call.lanes.max(1)) / f64::from(self.s.front_ends);
-        let copies = self.nodes.get(worker).and_then(|n| n.copies.get(&function));
-        let debt = copies.map_or(0.0, |c| self.debt(c, part * f64::from(c.count.max(1))));
         let (Some(node), Some(open)) = (self.nodes.get_mut(worker), self.open.get_mut(&id)) else { return };
         let crowd = node.out.len() as f64 + 1.0;
         node.out.push(Sent {
@@ -772,7 +753,6 @@
         }
         copies.used = now;
         copies.used_work += run;
-        copies.debt = (now, debt + run);
         open.attempts += 1;
         open.outstanding = true;
         open.tried.push(worker.clone());
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,8 +36,6 @@
     pub(crate) count: u32,
     /// Calls of it that other front ends have there.
     pub(crate) others: f64,
-    /// Own run time sent there and not worked off by then.
-    pub(crate) debt: (Time, f64),
     /// When they stand loaded.
     pub(crate) ready: Time,
     /// The last sign that they were in use.
@@ -158,7 +156,7 @@
     pub(crate) cold: bool,
     /// All lanes are taken: the worker may well start a further copy for it.
     pub(crate) adds: bool,
-    /// This front end's part of the lanes is used up for now.
+    /// The worker tells that its cores are busy.
     pub(crate) over: bool,
     /// Every queued deadline still holds.
     pub(crate) others_hold: bool,
