--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,8 +5,9 @@
 //! or I/O: equal events give equal actions. Plain data stands in `src/state.rs`.
 
 use crate::api::*;
+pub use crate::state::FrontEnd;
 use crate::state::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 // ---- constants ----
 
@@ -36,8 +37,6 @@
 const OWN_VIEW: u32 = 8;
 /// Word of a worker's load, or an answer from it, is fresh for so long.
 const FRESH: Time = 700 * MS;
-/// A worker whose cores are busier than this has a queue.
-const BUSY: f64 = 0.95;
 /// Calls that may be sent on a guess that others hold a copy, for each call taken, and the most saved up.
 const GUESS_SHARE: f64 = 0.5;
 const GUESSES_MOST: f64 = 8.0;
@@ -72,10 +71,8 @@
 const SHUT_STEPS: u32 = 3;
 /// The share of its estimated part of a cold worker's budget that this front end spends.
 const COLD_SAFETY: f64 = 0.85;
-/// The share that it spends where that part is under one send, so that chance does not overdraw the sum ...
+/// The share that it spends where that part is under one send, so that chance does not overdraw the sum.
 const COLD_SHARE: f64 = 0.5;
-/// ... and the time over which calls that want the worker are counted for that.
-const WANTS_SPAN: Time = 6_000 * MS;
 /// Time over which sends are counted to learn what a warm worker takes.
 const RATE_SPAN: Time = 4_000 * MS;
 /// The most of the placed copies replaced in a round (the paper's cap).
@@ -116,34 +113,6 @@
     }
 }
 
-/// One front end.
-#[derive(Debug, Default)]
-pub struct FrontEnd {
-    s: Settings,
-    now: Time,
-    seed: u64,
-    nodes: BTreeMap<Worker, Node>,
-    programs: BTreeMap<Function, Program>,
-    open: BTreeMap<RequestId, Open>,
-    /// Mean run time of each class.
-    class_run: Vec<Option<f64>>,
-    /// Seen load time over the told one, and the mean load where none is told.
-    load_stretch: f64,
-    load_mean: Option<f64>,
-    load_heard: Time,
-    /// Arrivals and orders within the ration's window.
-    arrivals: VecDeque<Time>,
-    orders: VecDeque<Time>,
-    next_round: Time,
-    allowance: f64,
-    /// Calls of mean work that a warm worker serves this front end, for each unit of time.
-    warm_rate: f64,
-    /// Mean of what workers told to hold, and of how far runs were stretched there.
-    held_seen: (f64, f64),
-    /// Calls that may now be sent on a guess.
-    guesses: f64,
-}
-
 impl FrontEnd {
     /// A front end that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -177,7 +146,7 @@
             Event::Arrived(call) => self.arrived(call, actions),
             Event::Finished(end) => {
                 if end.load != Load::default() {
-                    self.told(&end.worker, end.load, actions);
+                    self.told(&end.worker, Some(end.load), actions);
                 }
                 let ran = self.attempt_over(&end);
                 self.outcome(&end, ran, actions);
@@ -193,14 +162,11 @@
             Event::Ordered(reply) => self.ordered(&reply, actions),
             Event::Timer { token: CHORES_TOKEN } => self.chores(actions),
             Event::Probed { worker, answered, load } => {
-                let silent = Load { busy: Some(1.0), ..Load::default() };
-                self.told(&worker, if answered { load } else { silent }, actions);
+                self.told(&worker, Some(load).filter(|_| answered), actions);
             }
             Event::Timer { token } if token & ASK_TOKEN > 0 => {
-                let asks = self.open.get_mut(&(token & !ASK_TOKEN)).and_then(|o| o.asks.take());
-                if let Some(worker) = asks {
-                    self.told(&worker, Load { busy: Some(1.0), ..Load::default() }, actions);
-                    self.place(token & !ASK_TOKEN, actions);
+                if let Some(worker) = self.open.get(&(token & !ASK_TOKEN)).and_then(|o| o.asks.clone()) {
+                    self.told(&worker, None, actions);
                 }
             }
             Event::Timer { token } => self.time_up(token, actions),
@@ -330,7 +296,8 @@
                     return ran;
                 }
                 let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
-                if let Some(held) = node.told.1.held.filter(|h| *h > 2.0 && node.told.0 + FRESH > sent.at) {
+                let (at, held) = node.told;
+                if held > 2.0 && held.is_finite() && at + FRESH > sent.at {
                     let (mean, ratios) = &mut self.held_seen;
                     *mean += RUN_GAIN * (held - *mean);
                     *ratios += RUN_GAIN * (ratio.max(1.0) - *ratios);
@@ -409,10 +376,12 @@
         }
     }
 
-    /// Notes what a worker tells of its load; calls that waited to hear it are placed.
-    fn told(&mut self, worker: &Worker, load: Load, actions: &mut Vec<Action>) {
-        let Some(node) = self.nodes.get_mut(worker) else { return };
-        node.told = (self.now, load);
+    /// Notes what a worker tells of its load, the worst where it keeps silent; calls that waited to hear it
+    /// are placed.
+    fn told(&mut self, worker: &Worker, load: Option<Load>, actions: &mut Vec<Action>) {
+        if let Some(node) = self.nodes.get_mut(worker) {
+            node.told = (self.now, load.map_or(f64::INFINITY, |l| l.held.unwrap_or(0.0)));
+        }
         let asks = |o: &Open| o.asks.as_ref() == Some(worker);
         let waiting: Vec<RequestId> = self.open.iter().filter(|(_, o)| asks(o)).map(|(id, _)| *id).collect();
         for id in waiting {
@@ -433,17 +402,13 @@
 
     /// What fresh word of a worker's load says of a run there: how far it is stretched.
     fn told_stretch(&self, node: &Node) -> f64 {
-        let (at, load) = &node.told;
+        let (at, held) = node.told;
         // An own answer since tells more: pace and replay rest on it.
-        if self.now > *at + FRESH || node.heard >= *at || !self.blind() {
+        if self.now > at + FRESH || node.heard >= at || !self.blind() {
             return 1.0;
         }
-        load.held.map_or(1.0, |h| (h + 1.0) / self.at_once())
-    }
-
-    /// Calls that a worker runs at once without stretching them, as answers show.
-    fn at_once(&self) -> f64 {
-        (self.held_seen.0 / self.held_seen.1.max(0.1)).max(1.0)
+        let at_once = (self.held_seen.0 / self.held_seen.1.max(0.1)).max(1.0);
+        (held + 1.0) / at_once
     }
 
     // ---- replay and admission ----
@@ -509,7 +474,7 @@
             Some(at) => begin(at, run * PAD).0,
             None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
         };
-        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish, over: false }
+        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish }
     }
 
     /// Loads that this front end believes under way, and whether one is of this function.
@@ -538,12 +503,6 @@
         node.entry.memory_mb <= 0.0 || held + memory(&function) <= node.entry.memory_mb * MEMORY_FILL
     }
 
-    /// The most loads that this front end has under way: one for each of its part of the workers.
-    fn loads_most(&self) -> usize {
-        let live = self.nodes.values().filter(|n| n.entry.state == State::Live).count();
-        live.div_ceil(self.s.front_ends as usize).max(2)
-    }
-
     /// Whether the request may have an attempt at this worker at all.
     fn allowed(&self, open: &Open, node: &Node) -> bool {
         let class = &self.s.classes[open.call.class];
@@ -562,7 +521,7 @@
         repeat_ok
             && self.healthy(node, open.call.class)
             && (node.out.len() as f64) < node.room
-            && self.cold_budget_left(node, open.call.id, open.call.class)
+            && self.cold_budget_left(node, open.call.class)
     }
 
     /// A worker in trouble is left alone; once that time is over one send at a time tries it.
@@ -595,10 +554,11 @@
         // A slow store must not be asked for more: loads under way are bounded, and one that is under
         // way for this function is waited for, not begun again elsewhere.
         let (loads, loading) = self.loads_under_way(function);
-        let may_add = loads < self.loads_most();
+        // The most: one for each of this front end's part of the workers.
+        let may_add = loads < order.len().div_ceil(self.s.front_ends as usize).max(2);
         let may_load = may_add && !loading;
         let mut presume = !located && open.attempts == 0;
-        let (mut choice, mut late, mut want, mut soft, mut ask) = (None, None, None, None, None);
+        let (mut choice, mut late, mut want, mut ask) = (None, None, None, None);
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
             let node = &self.nodes[worker];
             if !self.allowed(open, node) {
@@ -617,18 +577,13 @@
                 ask = Some(worker.clone());
                 break;
             }
-            if seen.over {
-                let warm = Some(worker.clone()).filter(|_| !seen.cold && soft.is_none());
-                soft = warm.map(|w| (w, Foreseen { goal, ..seen })).or(soft);
-                continue;
-            }
             if seen.finish <= goal && (!seen.cold || may_load) && (!seen.adds || may_add) {
                 choice = Some((worker.clone(), Foreseen { goal, ..seen }));
                 break;
             }
             // Only a load stands in the way.
             if seen.cold && want.is_none() {
-                want = Some(worker.clone());
+                want = Some((worker.clone(), seen));
             }
             let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
             // A function that stands elsewhere is loaded here only where that should evict nothing.
@@ -648,25 +603,23 @@
             return;
         }
         let spare = open.aim.saturating_sub(now) as f64;
-        if let Some(worker) = &want {
+        if let Some((worker, _)) = &want {
             self.missed(worker, id, spare);
             if choice.is_some() {
                 self.hold_after_miss(worker, function, actions);
             }
         }
         let mut choice = choice.or(late);
-        // The others follow the same order: what moved on here moved on there, and has likely loaded it. A
-        // wrong guess must still be served, so a call with little time goes where a copy stands, or not at all.
-        if let Some(worker) = want.filter(|_| choice.is_none() && self.guesses >= 1.0) {
-            let (node, open) = (&self.nodes[&worker], &self.open[&id]);
-            let loaded = self.replay(node, &open.call, false).finish;
-            if self.s.loading.call_loads && loaded <= open.deadline {
+        // The others follow the same order: what moved on here did there, and has likely loaded it. A wrong
+        // guess must still be served: a call with little time goes where a copy stands, or not at all.
+        if let Some((worker, seen)) = want.filter(|_| choice.is_none() && self.guesses >= 1.0) {
+            let goal = self.open[&id].deadline;
+            if self.s.loading.call_loads && seen.finish <= goal {
                 self.guesses -= 1.0;
-                let seen = self.replay(node, &open.call, true);
-                choice = Some((worker, Foreseen { goal: open.deadline, ..seen }));
+                choice = Some((worker, Foreseen { goal, cold: false, finish: seen.warm_finish, ..seen }));
             }
         }
-        match choice.or(soft) {
+        match choice {
             Some((worker, seen)) if seen.cold && !self.s.loading.call_loads => {
                 // Only an order brings the function in: the call waits here, unsent, for its reply.
                 if !self.hold(&worker, function, actions) {
@@ -702,19 +655,7 @@
         let after = budget.saturating_sub(2 * self.s.tick);
         actions.push(Action::Timer { after, token: call.id });
         let id = call.id;
-        let open = Open {
-            call,
-            aim,
-            deadline,
-            attempts: 0,
-            outstanding: false,
-            may_have_run: None,
-            tried: Vec::new(),
-            streaming: false,
-            parked: false,
-            asks: None,
-            asked: 0,
-        };
+        let open = Open { call, aim, deadline, ..Open::default() };
         self.open.insert(id, open);
         self.place(id, actions);
     }
@@ -975,7 +916,7 @@
     /// as those turned away would swell it. Where that part is under one send a span, a send each would add
     /// up over a large tier: then a draw lets through so many of the calls that want it as fit the part. It
     /// hurts where wants are few and far between: a cold worker is then used less than it could be.
-    fn cold_budget_left(&self, node: &Node, id: RequestId, class: usize) -> bool {
+    fn cold_budget_left(&self, node: &Node, class: usize) -> bool {
         let (rules, now) = (&self.s.rules, self.now);
         let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
         if rules.fall_span == 0 || rules.fall_multiple <= 0.0 {
@@ -994,15 +935,7 @@
         let part = COLD_SHARE * rate;
         let first = (mix(self.seed ^ node.hash ^ started) >> 11) as f64 / (1u64 << 53) as f64;
         let (since, needed) = if node.sent > started { (node.sent, weight) } else { (started, first) };
-        if (now - since.min(now)) as f64 * part < needed {
-            return false;
-        }
-        let (last, wants) = node.wants.get();
-        let wants = 1.0 + wants * (-(now.saturating_sub(last) as f64) / WANTS_SPAN as f64).exp();
-        node.wants.set((now, wants));
-        let wanted = (wants / WANTS_SPAN as f64).max(self.warm_rate) * weight.max(1.0);
-        let draw = mix(self.seed ^ node.hash ^ mix(id)) >> 11;
-        (draw as f64) < part / wanted * (1u64 << 53) as f64
+        (now - since.min(now)) as f64 * part >= needed
     }
 
     /// What a warm worker serves this front end, in calls of mean work for each unit of time. Where none is
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,36 @@
 //! What a front end remembers, as plain data. What is made of it stands in `src/decide.rs`.
 
 use crate::api::*;
-use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 
+/// One front end.
+#[derive(Debug, Default)]
+pub struct FrontEnd {
+    pub(crate) s: Settings,
+    pub(crate) now: Time,
+    pub(crate) seed: u64,
+    pub(crate) nodes: BTreeMap<Worker, Node>,
+    pub(crate) programs: BTreeMap<Function, Program>,
+    pub(crate) open: BTreeMap<RequestId, Open>,
+    /// Mean run time of each class.
+    pub(crate) class_run: Vec<Option<f64>>,
+    /// Seen load time over the told one, and the mean load where none is told.
+    pub(crate) load_stretch: f64,
+    pub(crate) load_mean: Option<f64>,
+    pub(crate) load_heard: Time,
+    /// Arrivals and orders within the ration's window.
+    pub(crate) arrivals: VecDeque<Time>,
+    pub(crate) orders: VecDeque<Time>,
+    pub(crate) next_round: Time,
+    pub(crate) allowance: f64,
+    /// Calls of mean work that a warm worker serves this front end, for each unit of time.
+    pub(crate) warm_rate: f64,
+    /// Mean of what workers told to hold, and of how far runs were stretched there.
+    pub(crate) held_seen: (f64, f64),
+    /// Calls that may now be sent on a guess.
+    pub(crate) guesses: f64,
+}
+
 /// A send that has no outcome yet.
 #[derive(Debug)]
 pub(crate) struct Sent {
@@ -78,13 +105,11 @@
     pub(crate) health: Vec<Health>,
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
-    /// What it told of its load last, when, and when it was last asked.
-    pub(crate) told: (Time, Load),
+    /// When it last told how many calls it held, how many, and when it was last asked.
+    pub(crate) told: (Time, f64),
     pub(crate) asked: Time,
     /// When it was last sent a call.
     pub(crate) sent: Time,
-    /// Calls that wanted it while it was cold, fading, and when that was last counted.
-    pub(crate) wants: Cell<(Time, f64)>,
     /// Sends within the last rate span, with their class.
     pub(crate) sends: VecDeque<(Time, usize)>,
     /// Answers served within it, likewise.
@@ -109,10 +134,9 @@
             heard: 0,
             health: vec![Health::default(); classes],
             strikes: 0,
-            told: (0, Load::default()),
+            told: (0, 0.0),
             asked: 0,
             sent: 0,
-            wants: Cell::default(),
             sends: VecDeque::new(),
             served: VecDeque::new(),
         }
@@ -132,7 +156,7 @@
 }
 
 /// A request that has no final answer yet.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Open {
     pub(crate) call: Request,
     pub(crate) aim: Time,
@@ -156,8 +180,6 @@
     pub(crate) cold: bool,
     /// All lanes are taken: the worker may well start a further copy for it.
     pub(crate) adds: bool,
-    /// The worker tells that its cores are busy.
-    pub(crate) over: bool,
     /// Every queued deadline still holds.
     pub(crate) others_hold: bool,
     /// When it would be served if a copy stood, and with any load counted.
