--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,6 +37,8 @@
 const OWN_VIEW: u32 = 8;
 /// Word of a worker's load, or an answer from it, is fresh for so long.
 const FRESH: Time = 700 * MS;
+/// A worker whose cores are told to be busier than this has a queue: it is second choice.
+const BUSY: f64 = 0.95;
 /// Calls that may be sent on a guess that others hold a copy, for each call taken, and the most saved up.
 const GUESS_SHARE: f64 = 0.5;
 const GUESSES_MOST: f64 = 8.0;
@@ -70,7 +72,7 @@
 /// ... which doubles at most so often: the bounded way back.
 const SHUT_STEPS: u32 = 3;
 /// The share of its estimated part of a cold worker's budget that this front end spends.
-const COLD_SAFETY: f64 = 0.85;
+const COLD_SAFETY: f64 = 0.75;
 /// The share that it spends where that part is under one send, so that chance does not overdraw the sum.
 const COLD_SHARE: f64 = 0.5;
 /// Time over which sends are counted to learn what a warm worker takes.
@@ -152,13 +154,9 @@
                 self.outcome(&end, ran, actions);
             }
             Event::Streaming { request } => {
-                if let Some(open) = self.open.get_mut(&request) {
-                    open.streaming = true;
-                }
-            }
-            Event::Left { request } => {
-                self.open.remove(&request);
+                self.open.entry(request).and_modify(|o| o.streaming = true);
             }
+            Event::Left { request } => drop(self.open.remove(&request)),
             Event::Ordered(reply) => self.ordered(&reply, actions),
             Event::Timer { token: CHORES_TOKEN } => self.chores(actions),
             Event::Probed { worker, answered, load } => {
@@ -296,7 +294,7 @@
                     return ran;
                 }
                 let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
-                let (at, held) = node.told;
+                let (at, held, _) = node.told;
                 if held > 2.0 && held.is_finite() && at + FRESH > sent.at {
                     let (mean, ratios) = &mut self.held_seen;
                     *mean += RUN_GAIN * (held - *mean);
@@ -380,7 +378,8 @@
     /// are placed.
     fn told(&mut self, worker: &Worker, load: Option<Load>, actions: &mut Vec<Action>) {
         if let Some(node) = self.nodes.get_mut(worker) {
-            node.told = (self.now, load.map_or(f64::INFINITY, |l| l.held.unwrap_or(0.0)));
+            let load = load.unwrap_or(Load { held: Some(f64::INFINITY), ..Load::default() });
+            node.told = (self.now, load.held.unwrap_or(0.0), load.busy.unwrap_or(0.0));
         }
         let asks = |o: &Open| o.asks.as_ref() == Some(worker);
         let waiting: Vec<RequestId> = self.open.iter().filter(|(_, o)| asks(o)).map(|(id, _)| *id).collect();
@@ -402,7 +401,7 @@
 
     /// What fresh word of a worker's load says of a run there: how far it is stretched.
     fn told_stretch(&self, node: &Node) -> f64 {
-        let (at, held) = node.told;
+        let (at, held, _) = node.told;
         // An own answer since tells more: pace and replay rest on it.
         if self.now > at + FRESH || node.heard >= at || !self.blind() {
             return 1.0;
@@ -521,7 +520,7 @@
         repeat_ok
             && self.healthy(node, open.call.class)
             && (node.out.len() as f64) < node.room
-            && self.cold_budget_left(node, open.call.class)
+            && self.cold_budget_left(node)
     }
 
     /// A worker in trouble is left alone; once that time is over one send at a time tries it.
@@ -558,7 +557,7 @@
         let may_add = loads < order.len().div_ceil(self.s.front_ends as usize).max(2);
         let may_load = may_add && !loading;
         let mut presume = !located && open.attempts == 0;
-        let (mut choice, mut late, mut want, mut ask) = (None, None, None, None);
+        let (mut choice, mut late, mut want, mut soft, mut ask) = (None, None, None, None, None);
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
             let node = &self.nodes[worker];
             if !self.allowed(open, node) {
@@ -573,6 +572,10 @@
             if !seen.others_hold || seen.warm_finish > goal || crowded {
                 continue;
             }
+            if self.blind() && now < node.told.0 + FRESH && node.told.2 > BUSY {
+                soft = soft.or_else(|| (!seen.cold).then(|| (worker.clone(), Foreseen { goal, ..seen })));
+                continue;
+            }
             if self.unheard(node) && open.asked < ASKS_MOST {
                 ask = Some(worker.clone());
                 break;
@@ -602,12 +605,8 @@
             self.open.entry(id).and_modify(|o| (o.asks, o.asked) = (Some(worker), o.asked + 1));
             return;
         }
-        let spare = open.aim.saturating_sub(now) as f64;
         if let Some((worker, _)) = &want {
-            self.missed(worker, id, spare);
-            if choice.is_some() {
-                self.hold_after_miss(worker, function, actions);
-            }
+            self.missed(worker, id, choice.is_some(), actions);
         }
         let mut choice = choice.or(late);
         // The others follow the same order: what moved on here did there, and has likely loaded it. A wrong
@@ -619,7 +618,7 @@
                 choice = Some((worker, Foreseen { goal, cold: false, finish: seen.warm_finish, ..seen }));
             }
         }
-        match choice {
+        match choice.or(soft) {
             Some((worker, seen)) if seen.cold && !self.s.loading.call_loads => {
                 // Only an order brings the function in: the call waits here, unsent, for its reply.
                 if !self.hold(&worker, function, actions) {
@@ -683,7 +682,7 @@
             aim: open.aim,
             crowd,
         });
-        node.sends.push_back((now, class));
+        node.sends.push_back(now);
         node.sent = now;
         let copies = node.copies.entry(function).or_default();
         if copies.ready == 0 || seen.cold {
@@ -750,11 +749,8 @@
         let mut recalled = Vec::new();
         for node in self.nodes.values_mut() {
             let keep = RATE_SPAN.max(self.s.rules.fall_span) + CHORES;
-            for past in [&mut node.sends, &mut node.served] {
-                while past.front().is_some_and(|(t, _)| t + keep < now) {
-                    past.pop_front();
-                }
-            }
+            node.sends.retain(|t| t + keep >= now);
+            node.served.retain(|(t, _)| t + keep >= now);
             for class in 0..node.health.len() {
                 let overdue = |s: &&Sent| {
                     let foreseen = s.due.saturating_sub(s.at) as f64;
@@ -781,11 +777,8 @@
         }
         self.learn_warm_rate();
         let window = self.s.loading.ration.as_ref().map_or(0, |r| r.window).max(RATE_SPAN) + CHORES;
-        for past in [&mut self.orders, &mut self.arrivals] {
-            while past.front().is_some_and(|t| t + window < now) {
-                past.pop_front();
-            }
-        }
+        self.orders.retain(|t| t + window >= now);
+        self.arrivals.retain(|t| t + window >= now);
         if now >= self.next_round {
             self.next_round = now + self.interval();
             self.replace(actions);
@@ -798,25 +791,24 @@
         self.s.loading.keep_alive.clamp(1_000 * MS, INTERVAL_MOST)
     }
 
-    /// Notes run time that moved on because no copy stood at the worker.
-    fn missed(&mut self, worker: &Worker, id: RequestId, spare: f64) {
-        let Some(call) = self.open.get(&id).map(|o| o.call.clone()) else { return };
-        let run = self.run_of(call.function, call.class);
+    /// Notes run time that moved on because no copy stood at the worker. Where it was sent elsewhere after
+    /// such misses, one hold loads the function here: one at a time, so that a slow store is not asked again
+    /// and again for what it has not brought yet.
+    fn missed(&mut self, worker: &Worker, id: RequestId, sent: bool, actions: &mut Vec<Action>) {
+        let Some((function, class, aim)) = self.open.get(&id).map(|o| (o.call.function, o.call.class, o.aim))
+        else {
+            return;
+        };
+        let run = self.run_of(function, class);
         let Some(node) = self.nodes.get_mut(worker) else { return };
-        let copies = node.copies.entry(call.function).or_default();
-        let adequate = (spare - run).max(0.0);
+        let copies = node.copies.entry(function).or_default();
+        let adequate = (aim.saturating_sub(self.now) as f64 - run).max(0.0);
         copies.adequate = if copies.misses == 0 { adequate } else { copies.adequate.min(adequate) };
         copies.misses += 1;
         copies.missed_work += run;
-    }
-
-    /// After a miss, one hold loads the function there: one at a time, so that a slow store is not
-    /// asked again and again for what it has not brought yet.
-    fn hold_after_miss(&mut self, worker: &Worker, function: Function, actions: &mut Vec<Action>) {
+        let enough = sent && copies.misses >= MISSES_TO_SPREAD;
         let loading = |n: &Node| n.copies.get(&function).is_some_and(|c| c.ordered);
-        let Some(node) = self.nodes.get(worker) else { return };
-        let enough = node.copies.get(&function).is_some_and(|c| c.misses >= MISSES_TO_SPREAD);
-        if enough && self.has_room(node, function) && !self.nodes.values().any(loading) {
+        if enough && self.has_room(&self.nodes[worker], function) && !self.nodes.values().any(loading) {
             self.hold(worker, function, actions);
         }
     }
@@ -901,22 +893,12 @@
         true
     }
 
-    /// The mean work of a class beside that of all calls.
-    fn class_weight(&self, class: usize) -> f64 {
-        let known: Vec<f64> = self.class_run.iter().flatten().copied().collect();
-        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
-        match self.class_run[class] {
-            Some(run) if mean > 0.0 => run / mean,
-            _ => 1.0,
-        }
-    }
-
     /// Whether a worker that has just started can take this send. Its capacity is told nowhere: it is judged
     /// by what warm workers serve this front end, which is also this one's part of it; sends would not do,
     /// as those turned away would swell it. Where that part is under one send a span, a send each would add
     /// up over a large tier: then a draw lets through so many of the calls that want it as fit the part. It
     /// hurts where wants are few and far between: a cold worker is then used less than it could be.
-    fn cold_budget_left(&self, node: &Node, class: usize) -> bool {
+    fn cold_budget_left(&self, node: &Node) -> bool {
         let (rules, now) = (&self.s.rules, self.now);
         let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
         if rules.fall_span == 0 || rules.fall_multiple <= 0.0 {
@@ -925,35 +907,29 @@
         let age = now.saturating_sub(started) as f64 / rules.ramp.max(1) as f64;
         let part = rules.cold_from + (1.0 - rules.cold_from) * age;
         let rate = rules.fall_multiple * part * self.warm_rate;
-        let weight = self.class_weight(class);
         let budget = COLD_SAFETY * rate * rules.fall_span as f64;
         if budget >= 1.0 {
-            let sent = node.sends.iter().filter(|(t, _)| t + rules.fall_span > now);
-            return sent.map(|(_, c)| self.class_weight(*c)).sum::<f64>() + weight <= budget;
+            let sent = node.sends.iter().filter(|t| **t + rules.fall_span > now).count();
+            return sent as f64 + 1.0 <= budget;
         }
         // Besides, its own sends there are spaced by its part, the first by a draw: however great the wish.
         let part = COLD_SHARE * rate;
         let first = (mix(self.seed ^ node.hash ^ started) >> 11) as f64 / (1u64 << 53) as f64;
-        let (since, needed) = if node.sent > started { (node.sent, weight) } else { (started, first) };
+        let (since, needed) = if node.sent > started { (node.sent, 1.0) } else { (started, first) };
         (now - since.min(now)) as f64 * part >= needed
     }
 
-    /// What a warm worker serves this front end, in calls of mean work for each unit of time. Where none is
-    /// warm the last figure stands; it is never held to be under half this front end's part of the calls.
+    /// What a warm worker serves this front end, in calls for each unit of time. Where none is warm the last
+    /// figure stands; it is never held to be under half this front end's part of the calls.
     fn learn_warm_rate(&mut self) {
         let (now, ramp) = (self.now, self.s.rules.ramp);
         let live = || self.nodes.values().filter(|n| n.entry.state == State::Live);
         let warm = || live().filter(|n| n.entry.started.is_none_or(|t| now >= t + ramp));
-        let within = |n: &Node| -> f64 {
-            let served = n.served.iter().filter(|(t, _)| t + RATE_SPAN > now);
-            served.map(|(_, c)| self.class_weight(*c)).sum()
-        };
-        let mean = |total: f64, count: usize| total / count.max(1) as f64 / RATE_SPAN as f64;
-        let came = self.arrivals.iter().filter(|t| **t + RATE_SPAN > now).count() as f64;
-        let rate = match warm().count() {
-            0 => self.warm_rate,
-            count => mean(warm().map(within).sum(), count),
-        };
+        let within = |n: &Node| n.served.iter().filter(|(t, _)| t + RATE_SPAN > now).count();
+        let mean = |total: usize, count: usize| total as f64 / count.max(1) as f64 / RATE_SPAN as f64;
+        let came = self.arrivals.iter().filter(|t| **t + RATE_SPAN > now).count();
+        let rate = mean(warm().map(within).sum(), warm().count());
+        let rate = if warm().count() > 0 { rate } else { self.warm_rate };
         self.warm_rate = rate.max(mean(came, live().count()) / 2.0);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,14 +105,14 @@
     pub(crate) health: Vec<Health>,
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
-    /// When it last told how many calls it held, how many, and when it was last asked.
-    pub(crate) told: (Time, f64),
+    /// When it last told of its load, the calls it held and how busy its cores were; and when it was last asked.
+    pub(crate) told: (Time, f64, f64),
     pub(crate) asked: Time,
     /// When it was last sent a call.
     pub(crate) sent: Time,
-    /// Sends within the last rate span, with their class.
-    pub(crate) sends: VecDeque<(Time, usize)>,
-    /// Answers served within it, likewise.
+    /// Sends within the last rate span.
+    pub(crate) sends: VecDeque<Time>,
+    /// Answers served within it, with their class.
     pub(crate) served: VecDeque<(Time, usize)>,
 }
 
@@ -134,7 +134,7 @@
             heard: 0,
             health: vec![Health::default(); classes],
             strikes: 0,
-            told: (0, 0.0),
+            told: (0, 0.0, 0.0),
             asked: 0,
             sent: 0,
             sends: VecDeque::new(),
