--- a/src/decide.rs
+++ b/src/decide.rs
@@ -246,7 +246,7 @@
 
     /// Takes an ended attempt out of the worker's queue and learns from it; tells when it was sent and where.
     fn attempt_over(&mut self, end: &Finished) -> Option<(Time, String, u64)> {
-        let now = self.now;
+        let (now, blind) = (self.now, self.blind());
         let node = self.nodes.get_mut(&end.worker)?;
         let at = node.out.iter().position(|s| s.request == end.request && s.attempt == end.attempt)?;
         let sent = node.out.remove(at);
@@ -307,11 +307,7 @@
                 let held = end.load.held.unwrap_or(0.0);
                 let gain = RUN_GAIN * (2.0 / sent.crowd.max(held / 2.0)).min(1.0).powi(2);
                 // Where that is not told, a long answer is rather the queue of the others than a long run.
-                let rise = if end.load.held.is_some() || self.s.front_ends <= OWN_VIEW {
-                    1.0
-                } else {
-                    (2.0 / f64::from(self.s.front_ends)).clamp(DOUBT, 1.0)
-                };
+                let rise = if blind && end.load.held.is_none() { DOUBT } else { 1.0 };
                 let learn = |mean: &mut f64| {
                     let sample = took.min(*mean * SAMPLE_CAP);
                     *mean += gain * (sample - *mean) * if sample > *mean { rise } else { 1.0 };
@@ -338,7 +334,11 @@
             Outcome::Full if same_process => {
                 // Its queue is full, whoever filled it: hold fewer there until answers show room.
                 node.room = (sent.crowd * ROOM_CUT).max(1.0);
-                node.heard = now;
+                if blind {
+                    node.told = (now, f64::INFINITY, 1.0);
+                } else {
+                    node.heard = now;
+                }
             }
             _ => {}
         }
