--- a/src/decide.rs
+++ b/src/decide.rs
@@ -334,11 +334,7 @@
             Outcome::Full if same_process => {
                 // Its queue is full, whoever filled it: hold fewer there until answers show room.
                 node.room = (sent.crowd * ROOM_CUT).max(1.0);
-                if blind {
-                    node.told = (now, f64::INFINITY, 1.0);
-                } else {
-                    node.heard = now;
-                }
+                node.heard = now;
             }
             _ => {}
         }
@@ -444,6 +440,8 @@
             Some(copies) => all - copies.others,
             None => all / f64::from(self.s.front_ends),
         };
+        // In a large tier those who found no lane either stand in line before the newcomer.
+        let line = if self.blind() { (1.0 - lanes).max(0.0) / all } else { 0.0 };
         let lanes = lanes.ceil().clamp(1.0, 64.0) as usize;
         let adds = self.s.loading.tells_alike
             && node.out.iter().filter(|s| s.function == call.function).count() >= lanes;
@@ -467,10 +465,10 @@
             }
             (free.into_iter().min().unwrap_or(ready) + run_newcomer as Time, hold)
         };
-        let (warm_finish, others_hold) = begin(now, run * PAD);
+        let (warm_finish, others_hold) = begin(now, run * (PAD + line));
         let finish = match ready {
             Some(at) if at <= now => warm_finish,
-            Some(at) => begin(at, run * PAD).0,
+            Some(at) => begin(at, run * (PAD + line)).0,
             None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
         };
         Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish }
