--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,8 +9,6 @@
 use crate::state::*;
 use std::collections::BTreeSet;
 
-// ---- constants ----
-
 /// Nanoseconds in a millisecond.
 const MS: Time = 1_000_000;
 /// No length of time told or seen counts as longer, so that no sum overflows.
@@ -23,13 +21,13 @@
 const FIRST_RUN: f64 = 0.15;
 /// Load time, as a multiple of the aim, believed before any load was seen or told.
 const FIRST_LOAD: f64 = 1.0;
-/// Weight of a new sample in a function's run time: about its last twenty answers.
+/// Weight of a new sample in a function's run time: about its last twenty answers; and, in a large tier, of
+/// one above the mean beside one below it.
 const RUN_GAIN: f64 = 0.05;
-/// The least weight that a sample above the mean has beside one below it, in a large tier.
 const DOUBT: f64 = 0.2;
 /// A function's run time counts for no more than this multiple of its class's.
 const RUN_MOST: f64 = 3.0;
-/// Marks the timers of calls that wait for a probe; how long they wait; and how often for each call.
+/// Marks the timers of calls that wait for a probe; how long they wait; how often for each call.
 const ASK_TOKEN: u64 = 1 << 61;
 const ASK_WAIT: Time = 30 * MS;
 const ASKS_MOST: u32 = 3;
@@ -50,30 +48,25 @@
 const PAD: f64 = 1.6;
 /// A pace that no answer refreshes goes half the way back to the usual in this time.
 const PACE_AGE: Time = 3_000 * MS;
-/// A send is overdue when it has been out for this multiple of what was foreseen. A worker is silent when
-/// more of a class's sends are overdue than it has answered since the first of them ...
+/// A send is overdue at this multiple of what was foreseen; a worker is silent when more of a class's sends
+/// are than it has answered since the first of them, and at least so many.
 const SILENCE_STRETCH: f64 = 3.0;
-/// ... and at least so many are.
 const SILENT_SENDS: usize = 3;
-/// A worker that turns a call away is held to this share of the own sends it had ...
+/// A worker that turns a call away is held to this share of its own sends; each answer gives back so much.
 const ROOM_CUT: f64 = 0.7;
-/// ... and each answer it serves gives back so much.
 const ROOM_RISE: f64 = 0.1;
-/// The most late calls to have waiting at one worker for a load: they must not fill its queue.
+/// The most late calls to wait at one worker for a load: they must not fill its queue.
 const LATE_MOST: usize = 8;
-/// The share of a worker's memory that copies may be believed to fill before a further one evicts
-/// others: the rest is for running calls and for copies that this front end does not know of.
+/// The share of a worker's memory that believed copies fill before a further one evicts: others run too.
 const MEMORY_FILL: f64 = 0.5;
-/// Failed or broken connections, with no answer between, before a worker is left alone; at one more its
-/// copies are taken as lost.
+/// Connections failed, with no answer between, before a worker is left alone; one more: its copies are lost.
 const STRIKES: u32 = 2;
-/// First time that a worker is left alone after a failed connection or silence ...
+/// First time that a worker in trouble is left alone, and how often it doubles at most: the way back.
 const SHUT_FIRST: Time = 500 * MS;
-/// ... which doubles at most so often: the bounded way back.
 const SHUT_STEPS: u32 = 3;
-/// The share of its estimated part of a cold worker's budget that this front end spends.
+/// The share of its part of a cold worker's budget that this front end spends; and where that part is under
+/// one send, so that chance does not overdraw the sum.
 const COLD_SAFETY: f64 = 0.75;
-/// The share that it spends where that part is under one send, so that chance does not overdraw the sum.
 const COLD_SHARE: f64 = 0.5;
 /// Time over which sends are counted to learn what a warm worker takes.
 const RATE_SPAN: Time = 4_000 * MS;
@@ -136,7 +129,6 @@
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now.min(Time::MAX >> 2));
         if self.next_round == 0 {
-            // The rounds of the front ends are spread, so that they do not all order at once.
             self.next_round = self.now + self.interval() / 2 + mix(self.seed) % (self.interval() / 2);
             actions.push(Action::Timer { after: CHORES, token: CHORES_TOKEN });
             if self.s.list_on_request {
@@ -167,7 +159,13 @@
                     self.told(&worker, None, actions);
                 }
             }
-            Event::Timer { token } => self.time_up(token, actions),
+            Event::Timer { token } => {
+                // The client's time may be all but over.
+                let over = |o: &Open| !o.streaming && self.now + 3 * self.s.tick >= o.deadline;
+                if self.open.get(&token).is_some_and(over) {
+                    self.end(token, actions);
+                }
+            }
             Event::Peer { .. } => {}
         }
     }
@@ -265,10 +263,7 @@
                 node.room += ROOM_RISE;
                 node.served.push_back((now, sent.class));
                 let copies = node.copies.entry(sent.function).or_default();
-                let proven = copies.proven;
-                if !proven {
-                    copies.ready = now;
-                }
+                copies.ready = if copies.proven { copies.ready } else { now };
                 (copies.count, copies.proven, copies.used) = (copies.count.max(1), true, now);
                 if let Some(alike) = end.alike.filter(|_| self.s.loading.tells_alike) {
                     // What others had there, beside our own; and copies enough for all of them at once.
@@ -302,8 +297,7 @@
                 }
                 node.pace += PACE_GAIN * (ratio - node.pace);
                 node.crowd += PACE_GAIN * (sent.crowd - node.crowd);
-                // Answers from an uncrowded worker tell the run itself; the rest is its pace. What the
-                // worker tells to hold counts too: with many front ends the own part says little.
+                // Answers from an uncrowded worker, also as told, tell the run itself; the rest is its pace.
                 let held = end.load.held.unwrap_or(0.0);
                 let gain = RUN_GAIN * (2.0 / sent.crowd.max(held / 2.0)).min(1.0).powi(2);
                 // Where that is not told, a long answer is rather the queue of the others than a long run.
@@ -318,8 +312,8 @@
                 }
             }
             Outcome::Unreachable | Outcome::Broken if same_process => {
-                // One broken connection is no dead process: acting on it would throw away warm copies and
-                // spread its calls, and where every worker resets a few, bring all down by itself.
+                // One broken connection is no dead process: where every worker resets a few, acting on it
+                // would bring all down by itself.
                 node.strikes += 1;
                 if node.strikes >= STRIKES {
                     node.health.iter_mut().filter(|h| now >= h.shut_until).for_each(|h| h.shut(now));
@@ -328,11 +322,8 @@
                     node.copies.clear();
                 }
             }
-            Outcome::Absent if same_process => {
-                node.copies.remove(&sent.function);
-            }
+            Outcome::Absent if same_process => drop(node.copies.remove(&sent.function)),
             Outcome::Full if same_process => {
-                // Its queue is full, whoever filled it: hold fewer there until answers show room.
                 node.room = (sent.crowd * ROOM_CUT).max(1.0);
                 node.heard = now;
             }
@@ -390,15 +381,9 @@
         self.s.front_ends > OWN_VIEW
     }
 
-    /// Whether a worker is worth asking for its load before a call goes there.
-    fn unheard(&self, node: &Node) -> bool {
-        self.blind() && self.s.limits.probes && self.now > FRESH + node.told.0.max(node.heard)
-    }
-
-    /// What fresh word of a worker's load says of a run there: how far it is stretched.
+    /// How far fresh word of a worker's load stretches a run there; an own answer since tells more.
     fn told_stretch(&self, node: &Node) -> f64 {
         let (at, held, _) = node.told;
-        // An own answer since tells more: pace and replay rest on it.
         if self.now > at + FRESH || node.heard >= at || !self.blind() {
             return 1.0;
         }
@@ -440,8 +425,6 @@
             Some(copies) => all - copies.others,
             None => all / f64::from(self.s.front_ends),
         };
-        // In a large tier those who found no lane either stand in line before the newcomer.
-        let line = if self.blind() { (1.0 - lanes).max(0.0) / all } else { 0.0 };
         let lanes = lanes.ceil().clamp(1.0, 64.0) as usize;
         let adds = self.s.loading.tells_alike
             && node.out.iter().filter(|s| s.function == call.function).count() >= lanes;
@@ -465,10 +448,10 @@
             }
             (free.into_iter().min().unwrap_or(ready) + run_newcomer as Time, hold)
         };
-        let (warm_finish, others_hold) = begin(now, run * (PAD + line));
+        let (warm_finish, others_hold) = begin(now, run * PAD);
         let finish = match ready {
             Some(at) if at <= now => warm_finish,
-            Some(at) => begin(at, run * (PAD + line)).0,
+            Some(at) => begin(at, run * PAD).0,
             None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
         };
         Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish }
@@ -491,8 +474,7 @@
         (count, same)
     }
 
-    /// Whether a copy more should fit beside those believed at the worker: the shared order brings the
-    /// other front ends' calls of the same functions there, so own beliefs tell most of it.
+    /// Whether a copy more should fit beside those believed there: in a shared order own beliefs tell most.
     fn has_room(&self, node: &Node, function: Function) -> bool {
         let memory = |f: &Function| self.programs.get(f).map_or(0.0, |p| p.memory_mb);
         let stands = node.copies.iter().filter(|(f, _)| self.ready_at(node, **f).is_some());
@@ -507,27 +489,21 @@
             (None, _) | (_, Effect::Safe) => true,
             (_, Effect::Unsafe) => false,
             (Some((at, zone, cell)), Effect::Keyed) => {
-                let in_group = match class.group {
-                    Group::All => true,
-                    Group::Zone => *zone == node.entry.zone,
-                    Group::Cell => *cell == node.entry.cell,
-                };
+                let (same_zone, same_cell) = (*zone == node.entry.zone, *cell == node.entry.cell);
+                let in_group = [(Group::All, true), (Group::Zone, same_zone), (Group::Cell, same_cell)]
+                    .contains(&(class.group, true));
                 in_group && self.now + 4 * self.s.tick.max(MS) < at + class.dedup_window
             }
         };
+        // A worker in trouble is left alone; once that time is over one send at a time tries it.
+        let health = &node.health[open.call.class];
+        let idle = || node.out.iter().all(|s| s.class != open.call.class || s.at < health.shut_until);
         repeat_ok
-            && self.healthy(node, open.call.class)
+            && (health.bad == 0 || self.now >= health.shut_until && idle())
             && (node.out.len() as f64) < node.room
             && self.cold_budget_left(node)
     }
 
-    /// A worker in trouble is left alone; once that time is over one send at a time tries it.
-    fn healthy(&self, node: &Node, class: usize) -> bool {
-        let health = &node.health[class];
-        let idle = || node.out.iter().all(|s| s.class != class || s.at < health.shut_until);
-        health.bad == 0 || self.now >= health.shut_until && idle()
-    }
-
     /// Sends the request where the design says, or ends it.
     fn place(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -548,8 +524,7 @@
         }
         let order = self.order(function);
         let located = order.iter().any(|w| self.ready_at(&self.nodes[w], function).is_some());
-        // A slow store must not be asked for more: loads under way are bounded, and one that is under
-        // way for this function is waited for, not begun again elsewhere.
+        // A slow store must not be asked for more: loads are bounded, and one of this function is awaited.
         let (loads, loading) = self.loads_under_way(function);
         // The most: one for each of this front end's part of the workers.
         let may_add = loads < order.len().div_ceil(self.s.front_ends as usize).max(2);
@@ -561,8 +536,7 @@
             if !self.allowed(open, node) {
                 continue;
             }
-            // A function found nowhere is presumed at its home: a front end that knows nothing must
-            // neither refuse all nor spread loads.
+            // Found nowhere, it is presumed at its home: who knows nothing must neither refuse nor spread.
             let seen = self.replay(node, &open.call, presume);
             presume = false;
             let run = self.run_of(function, open.call.class) * PAD;
@@ -574,7 +548,8 @@
                 soft = soft.or_else(|| (!seen.cold).then(|| (worker.clone(), Foreseen { goal, ..seen })));
                 continue;
             }
-            if self.unheard(node) && open.asked < ASKS_MOST {
+            let unheard = self.blind() && now > FRESH + node.told.0.max(node.heard);
+            if unheard && self.s.limits.probes && open.asked < ASKS_MOST {
                 ask = Some(worker.clone());
                 break;
             }
@@ -595,10 +570,7 @@
             }
         }
         if let Some(worker) = ask {
-            if self.nodes.get_mut(&worker).is_some_and(|n| n.asked + FRESH < now) {
-                actions.push(Action::Probe { worker: worker.clone() });
-                self.nodes.entry(worker.clone()).and_modify(|n| n.asked = now);
-            }
+            actions.push(Action::Probe { worker: worker.clone() });
             actions.push(Action::Timer { after: ASK_WAIT, token: id | ASK_TOKEN });
             self.open.entry(id).and_modify(|o| (o.asks, o.asked) = (Some(worker), o.asked + 1));
             return;
@@ -632,8 +604,6 @@
         }
     }
 
-    // ---- attempts and answers ----
-
     fn arrived(&mut self, mut call: Request, actions: &mut Vec<Action>) {
         let now = self.now;
         call.class = call.class.min(self.s.classes.len() - 1);
@@ -722,28 +692,19 @@
         let any = class.effect == Effect::Safe || class.effect == Effect::Keyed && class.group == Group::All;
         let harmless = any || open.may_have_run.is_none() && !open.outstanding;
         if harmless {
-            let limits = &self.s.limits;
-            let retry_after = Some(limits.max_retry_after).filter(|t| limits.retry_after && *t > 0);
+            let may = |t: &Time| self.s.limits.retry_after && *t > 0;
+            let retry_after = Some(self.s.limits.max_retry_after).filter(may);
             actions.push(Action::Refuse { request: id, retry_after });
         } else {
             actions.push(Action::Fail { request: id });
         }
     }
 
-    /// The client's time is all but over.
-    fn time_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(open) = self.open.get(&id) else { return };
-        if open.streaming || self.now + 3 * self.s.tick < open.deadline {
-            return;
-        }
-        self.end(id, actions);
-    }
-
     fn chores(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         actions.push(Action::Timer { after: CHORES, token: CHORES_TOKEN });
-        // No outcome is a symptom too. Counted a class, so that a fault behind the workers which swallows
-        // most calls of one class is seen though others are answered; slow loads may look alike.
+        // No outcome is a symptom too, counted a class: a fault behind the workers may swallow the calls of
+        // one though others are answered; slow loads may look alike.
         let mut recalled = Vec::new();
         for node in self.nodes.values_mut() {
             let keep = RATE_SPAN.max(self.s.rules.fall_span) + CHORES;
@@ -783,20 +744,15 @@
         }
     }
 
-    // ---- provisioning ----
-
     fn interval(&self) -> Time {
         self.s.loading.keep_alive.clamp(1_000 * MS, INTERVAL_MOST)
     }
 
-    /// Notes run time that moved on because no copy stood at the worker. Where it was sent elsewhere after
-    /// such misses, one hold loads the function here: one at a time, so that a slow store is not asked again
-    /// and again for what it has not brought yet.
+    /// Notes run time that moved on because no copy stood at the worker. After such misses one hold loads the
+    /// function here: one at a time, as a slow store must not be asked again for what it has not brought yet.
     fn missed(&mut self, worker: &Worker, id: RequestId, sent: bool, actions: &mut Vec<Action>) {
-        let Some((function, class, aim)) = self.open.get(&id).map(|o| (o.call.function, o.call.class, o.aim))
-        else {
-            return;
-        };
+        let Some(open) = self.open.get(&id) else { return };
+        let (function, class, aim) = (open.call.function, open.call.class, open.aim);
         let run = self.run_of(function, class);
         let Some(node) = self.nodes.get_mut(worker) else { return };
         let copies = node.copies.entry(function).or_default();
@@ -891,11 +847,10 @@
         true
     }
 
-    /// Whether a worker that has just started can take this send. Its capacity is told nowhere: it is judged
-    /// by what warm workers serve this front end, which is also this one's part of it; sends would not do,
-    /// as those turned away would swell it. Where that part is under one send a span, a send each would add
-    /// up over a large tier: then a draw lets through so many of the calls that want it as fit the part. It
-    /// hurts where wants are few and far between: a cold worker is then used less than it could be.
+    /// Whether a worker that has just started can take a send. Its capacity is told nowhere: it is judged by
+    /// what warm workers serve this front end, also its part of it; sends would swell it.
+    /// Where the part is under one send a span, one each would add up over a large tier: then own sends are
+    /// spaced by the part, the first by a draw. It hurts where few want the worker: it is used too little.
     fn cold_budget_left(&self, node: &Node) -> bool {
         let (rules, now) = (&self.s.rules, self.now);
         let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
@@ -910,7 +865,6 @@
             let sent = node.sends.iter().filter(|t| **t + rules.fall_span > now).count();
             return sent as f64 + 1.0 <= budget;
         }
-        // Besides, its own sends there are spaced by its part, the first by a draw: however great the wish.
         let part = COLD_SHARE * rate;
         let first = (mix(self.seed ^ node.hash ^ started) >> 11) as f64 / (1u64 << 53) as f64;
         let (since, needed) = if node.sent > started { (node.sent, 1.0) } else { (started, first) };
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,9 +105,8 @@
     pub(crate) health: Vec<Health>,
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
-    /// When it last told of its load, the calls it held and how busy its cores were; and when it was last asked.
+    /// When it last told of its load, the calls it held and how busy its cores were.
     pub(crate) told: (Time, f64, f64),
-    pub(crate) asked: Time,
     /// When it was last sent a call.
     pub(crate) sent: Time,
     /// Sends within the last rate span.
@@ -135,7 +134,6 @@
             health: vec![Health::default(); classes],
             strikes: 0,
             told: (0, 0.0, 0.0),
-            asked: 0,
             sent: 0,
             sends: VecDeque::new(),
             served: VecDeque::new(),
