--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -292,3 +292,117 @@
     }
     assert!(at_home > 95, "{at_home} of 100 at home");
 }
+
+/// Settings of a tier so large that own sends tell nothing of the queues.
+fn large_tier() -> Settings {
+    let mut s = settings(Effect::Safe);
+    s.front_ends = 100;
+    s.limits.probes = true;
+    s
+}
+
+fn probed(actions: &[Action]) -> Option<Worker> {
+    actions.iter().find_map(|a| match a {
+        Action::Probe { worker } => Some(worker.clone()),
+        _ => None,
+    })
+}
+
+fn report(worker: &Worker, held: Option<f64>, busy: Option<f64>) -> Event {
+    let load = Load { held, busy, ..Load::default() };
+    Event::Probed { worker: worker.clone(), answered: true, load }
+}
+
+#[test]
+fn in_a_large_tier_a_worker_that_tells_a_long_queue_is_passed_over() {
+    let mut b = Bench::new(large_tier(), &THREE);
+    let (_, actions) = b.call(1);
+    assert!(sent_to(&actions).is_none(), "the call waits to hear of its home");
+    let home = probed(&actions).expect("the home is asked for its load");
+    let after = b.event(report(&home, Some(1.0), None));
+    assert_eq!(sent_to(&after), Some(home.clone()), "a short queue is taken");
+    b.pass(2_000 * MS);
+    let (_, actions) = b.call(1);
+    assert_eq!(probed(&actions), Some(home.clone()), "old word is not trusted");
+    let after = b.event(report(&home, Some(200.0), None));
+    assert_ne!(sent_to(&after), Some(home.clone()), "a long queue stands before the newcomer");
+    assert_ne!(probed(&after), Some(home), "the next worker is asked");
+}
+
+#[test]
+fn a_lost_probe_holds_no_call_for_long() {
+    let mut b = Bench::new(large_tier(), &THREE);
+    let (id, actions) = b.call(1);
+    let home = probed(&actions).expect("the home is asked");
+    let mut after = b.pass(40 * MS);
+    let next = probed(&after).expect("silence is the worst word: the next worker is asked");
+    assert_ne!(next, home);
+    after.extend(b.pass(200 * MS));
+    let ends = sent_to(&after).is_some() || refused(&after) || failed(&after);
+    assert!(ends, "call {id} is sent or refused within a quarter second");
+}
+
+#[test]
+fn in_a_large_tier_busy_cores_make_a_worker_second_choice() {
+    let mut b = Bench::new(large_tier(), &["w1"]);
+    let (_, actions) = b.call(1);
+    let home = probed(&actions).expect("asked");
+    b.event(report(&home, None, Some(0.2)));
+    b.pass(2_000 * MS);
+    let (_, actions) = b.call(1);
+    assert!(probed(&actions).is_some());
+    let after = b.event(report(&home, None, Some(1.0)));
+    assert_eq!(sent_to(&after), Some(home), "with no other worker it still gets the call");
+}
+
+#[test]
+fn a_call_with_little_time_begins_no_load_on_a_guess() {
+    for (budget, guessed) in [(4_000 * MS, true), (700 * MS, false)] {
+        let mut s = large_tier();
+        s.limits.probes = false;
+        s.loading.orders = false;
+        let mut b = Bench::new(s, &THREE);
+        let home = b.warm(1);
+        // The home turns calls away: the others have moved on to the next worker and loaded it there.
+        let call = Request {
+            function: Function(1),
+            lanes: 4,
+            load_time: Some(2_000 * MS),
+            budget: Some(budget),
+            ..Request::default()
+        };
+        let mut sent = 0;
+        for _ in 0..20 {
+            let (id, actions) = b.call_with(call.clone());
+            let Some(worker) = sent_to(&actions) else { continue };
+            let after =
+                b.finish(id, 0, &worker, if worker == home { Outcome::Full } else { Outcome::Served });
+            if let Some(next) = sent_to(&after) {
+                sent += 1;
+                b.finish(id, 1, &next, Outcome::Served);
+                break;
+            }
+        }
+        assert_eq!(sent > 0, guessed, "with {} ms left", budget / MS);
+    }
+}
+
+#[test]
+fn a_run_learnt_from_the_queues_of_others_shuts_no_function_out() {
+    let mut s = large_tier();
+    s.limits.probes = false;
+    let mut b = Bench::new(s, &THREE);
+    b.warm(1);
+    // One function's answers come late for a while; it must be sent again once that is over.
+    for _ in 0..60 {
+        let (id, actions) = b.call(2);
+        if let Some(worker) = sent_to(&actions) {
+            b.finish_noted(id, 0, &worker, Outcome::Served, 900 * MS, Some(CopyNote::Warm));
+        }
+        b.pass(500 * MS);
+        b.warm(1);
+    }
+    b.pass(10_000 * MS);
+    let (_, actions) = b.call(2);
+    assert!(sent_to(&actions).is_some(), "a function refused for ever is never learnt again");
+}
