--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -316,11 +316,13 @@
 #[test]
 fn in_a_large_tier_a_worker_that_tells_a_long_queue_is_passed_over() {
     let mut b = Bench::new(large_tier(), &THREE);
-    let (_, actions) = b.call(1);
+    let (id, actions) = b.call(1);
     assert!(sent_to(&actions).is_none(), "the call waits to hear of its home");
     let home = probed(&actions).expect("the home is asked for its load");
     let after = b.event(report(&home, Some(1.0), None));
     assert_eq!(sent_to(&after), Some(home.clone()), "a short queue is taken");
+    b.pass(50 * MS);
+    b.finish(id, 0, &home, Outcome::Served);
     b.pass(2_000 * MS);
     let (_, actions) = b.call(1);
     assert_eq!(probed(&actions), Some(home.clone()), "old word is not trusted");
