--- a/src/decide.rs
+++ b/src/decide.rs
@@ -872,7 +872,7 @@
     }
 
     /// What a warm worker serves this front end, in calls for each unit of time. Where none is warm the last
-    /// figure stands; it is never held to be under half this front end's part of the calls.
+    /// figure stands; it is never held to be under a quarter of this front end's part of the calls.
     fn learn_warm_rate(&mut self) {
         let (now, ramp) = (self.now, self.s.rules.ramp);
         let live = || self.nodes.values().filter(|n| n.entry.state == State::Live);
@@ -882,6 +882,6 @@
         let came = self.arrivals.iter().filter(|t| **t + RATE_SPAN > now).count();
         let rate = mean(warm().map(within).sum(), warm().count());
         let rate = if warm().count() > 0 { rate } else { self.warm_rate };
-        self.warm_rate = rate.max(mean(came, live().count()) / 2.0);
+        self.warm_rate = rate.max(mean(came, live().count()) / 4.0);
     }
 }
