Clean-up of the module, equal decisions: one fading, one search for waiting calls, told loads by name

- pace and load stretch fade by one function; calls waiting for a probe or an order are found by one.
- The candidate loop works out the run and the size of the tier once, and looks at waiting calls and believed memory only where a late send can still come of it.
- The deadline rides beside what is foreseen; it was a placeholder in it.
The replay's pad is no parameter.
- What a worker told is a struct, the floor of the cold budget a named constant, the group test a match.
- The warm workers are walked once for their rate; stale comments on it are mended.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -70,6 +70,8 @@
 const COLD_SHARE: f64 = 0.5;
 /// Time over which sends are counted to learn what a warm worker takes.
 const RATE_SPAN: Time = 4_000 * MS;
+/// The least that it is held to take, as a share of the arrivals for each live worker: repeats swell those.
+const RATE_FLOOR: f64 = 0.25;
 /// The most of the placed copies replaced in a round (the paper's cap).
 const REPLACED_SHARE: f64 = 1.0 / 15.0;
 /// The paper's replacement interval; the told keep-alive shortens it.
@@ -89,17 +91,17 @@
     }
 }
 
-impl Node {
-    /// Its pace now: old knowledge fades to the usual, so no bad spell is believed for ever.
-    fn pace_at(&self, now: Time) -> f64 {
-        let age = now.saturating_sub(self.heard) as f64 / PACE_AGE as f64;
-        1.0 + (self.pace - 1.0) * 0.5f64.powf(age)
-    }
+/// A stretch last heard of some time ago: it fades to the usual, so no bad spell is believed for ever.
+fn faded(stretch: f64, age: Time) -> f64 {
+    1.0 + (stretch - 1.0) * 0.5f64.powf(age as f64 / PACE_AGE as f64)
+}
 
+impl Node {
     /// What a run is stretched by with so many own sends there: the usual when empty, the pace seen at
     /// the queue it was seen with, and beyond that in proportion. An emptied worker is soon trusted.
     fn stretch(&self, now: Time, sends: usize) -> f64 {
-        let (pace, part) = (self.pace_at(now), sends as f64 / self.crowd.max(2.0));
+        let pace = faded(self.pace, now.saturating_sub(self.heard));
+        let part = sends as f64 / self.crowd.max(2.0);
         if part > 1.0 {
             pace * part
         } else {
@@ -219,8 +221,7 @@
     /// What a load takes: the told time at the store's present pace, else the longest seen.
     fn load_of(&self, function: Function, class: usize) -> f64 {
         let program = self.programs.get(&function);
-        let age = self.now.saturating_sub(self.load_heard) as f64 / PACE_AGE as f64;
-        let stretch = 1.0 + (self.load_stretch - 1.0) * 0.5f64.powf(age);
+        let stretch = faded(self.load_stretch, self.now.saturating_sub(self.load_heard));
         if let Some(told) = program.and_then(|p| p.told_load) {
             return told as f64 * stretch;
         }
@@ -289,7 +290,7 @@
                     return ran;
                 }
                 let ratio = (took / sent.run.max(1.0)).clamp(0.1, SAMPLE_CAP);
-                let (at, held, _) = node.told;
+                let Told { at, held, .. } = node.told;
                 if held > 2.0 && held.is_finite() && at + FRESH > sent.at {
                     let (mean, ratios) = &mut self.held_seen;
                     *mean += RUN_GAIN * (held - *mean);
@@ -339,8 +340,7 @@
         let run = self.run_of(function, 0);
         if let Some(copies) = self.nodes.get_mut(worker).and_then(|n| n.copies.get_mut(&function)) {
             if std::mem::take(&mut copies.ordered) {
-                let stands = reply.outcome == Outcome::Served && count > 0;
-                if stands {
+                if reply.outcome == Outcome::Served && count > 0 {
                     (copies.count, copies.proven, copies.placed) = (count, true, true);
                     (copies.ready, copies.used) = (copies.ready.min(self.now), self.now);
                     if took as f64 > run {
@@ -351,9 +351,7 @@
                 }
             }
         }
-        let waits = |o: &Open| o.parked && o.call.function == function;
-        let waiting: Vec<RequestId> = self.open.iter().filter(|(_, o)| waits(o)).map(|(id, _)| *id).collect();
-        for id in waiting {
+        for id in self.waiting(|o| o.parked && o.call.function == function) {
             if let Some(open) = self.open.get_mut(&id).filter(|_| reply.outcome == Outcome::Served) {
                 open.tried.pop();
             }
@@ -361,16 +359,20 @@
         }
     }
 
+    /// The requests of which this holds.
+    fn waiting(&self, holds: impl Fn(&Open) -> bool) -> Vec<RequestId> {
+        self.open.iter().filter(|(_, open)| holds(open)).map(|(id, _)| *id).collect()
+    }
+
     /// Notes what a worker tells of its load, the worst where it keeps silent; calls that waited to hear it
     /// are placed.
     fn told(&mut self, worker: &Worker, load: Option<Load>, actions: &mut Vec<Action>) {
         if let Some(node) = self.nodes.get_mut(worker) {
             let load = load.unwrap_or(Load { held: Some(f64::INFINITY), ..Load::default() });
-            node.told = (self.now, load.held.unwrap_or(0.0), load.busy.unwrap_or(0.0));
+            let (held, busy) = (load.held.unwrap_or(0.0), load.busy.unwrap_or(0.0));
+            node.told = Told { at: self.now, held, busy };
         }
-        let asks = |o: &Open| o.asks.as_ref() == Some(worker);
-        let waiting: Vec<RequestId> = self.open.iter().filter(|(_, o)| asks(o)).map(|(id, _)| *id).collect();
-        for id in waiting {
+        for id in self.waiting(|o| o.asks.as_ref() == Some(worker)) {
             self.open.entry(id).and_modify(|o| o.asks = None);
             self.place(id, actions);
         }
@@ -383,7 +385,7 @@
 
     /// How far fresh word of a worker's load stretches a run there; an own answer since tells more.
     fn told_stretch(&self, node: &Node) -> f64 {
-        let (at, held, _) = node.told;
+        let Told { at, held, .. } = node.told;
         if self.now > at + FRESH || node.heard >= at || !self.blind() {
             return 1.0;
         }
@@ -430,7 +432,7 @@
             && node.out.iter().filter(|s| s.function == call.function).count() >= lanes;
         let (before, pace) = (node.stretch(now, node.out.len()), node.stretch(now, node.out.len() + 1));
         let run = self.run_of(call.function, call.class) * pace;
-        let begin = |ready: Time, run_newcomer: f64| -> (Time, bool) {
+        let begin = |ready: Time| -> (Time, bool) {
             let mut free = vec![ready; lanes];
             let mut hold = true;
             for sent in node.out.iter() {
@@ -446,15 +448,12 @@
                 let lost = sent.cold || start + (sent.run * before) as Time > sent.goal;
                 hold &= end <= sent.goal || lost;
             }
-            (free.into_iter().min().unwrap_or(ready) + run_newcomer as Time, hold)
-        };
-        let (warm_finish, others_hold) = begin(now, run * PAD);
-        let finish = match ready {
-            Some(at) if at <= now => warm_finish,
-            Some(at) => begin(at, run * PAD).0,
-            None => begin(now + self.load_of(call.function, call.class) as Time, run * PAD).0,
+            (free.into_iter().min().unwrap_or(ready) + (run * PAD) as Time, hold)
         };
-        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish, goal: finish }
+        let (warm_finish, others_hold) = begin(now);
+        let stands = ready.unwrap_or_else(|| now + self.load_of(call.function, call.class) as Time);
+        let finish = if stands <= now { warm_finish } else { begin(stands).0 };
+        Foreseen { cold: ready.is_none(), adds, others_hold, warm_finish, finish }
     }
 
     /// Loads that this front end believes under way, and whether one is of this function.
@@ -489,9 +488,11 @@
             (None, _) | (_, Effect::Safe) => true,
             (_, Effect::Unsafe) => false,
             (Some((at, zone, cell)), Effect::Keyed) => {
-                let (same_zone, same_cell) = (*zone == node.entry.zone, *cell == node.entry.cell);
-                let in_group = [(Group::All, true), (Group::Zone, same_zone), (Group::Cell, same_cell)]
-                    .contains(&(class.group, true));
+                let in_group = match class.group {
+                    Group::All => true,
+                    Group::Zone => *zone == node.entry.zone,
+                    Group::Cell => *cell == node.entry.cell,
+                };
                 in_group && self.now + 4 * self.s.tick.max(MS) < at + class.dedup_window
             }
         };
@@ -529,6 +530,7 @@
         // The most: one for each of this front end's part of the workers.
         let may_add = loads < order.len().div_ceil(self.s.front_ends as usize).max(2);
         let may_load = may_add && !loading;
+        let (blind, run) = (self.blind(), self.run_of(function, open.call.class) * PAD);
         let mut presume = !located && open.attempts == 0;
         let (mut choice, mut late, mut want, mut soft, mut ask) = (None, None, None, None, None);
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
@@ -539,34 +541,35 @@
             // Found nowhere, it is presumed at its home: who knows nothing must neither refuse nor spread.
             let seen = self.replay(node, &open.call, presume);
             presume = false;
-            let run = self.run_of(function, open.call.class) * PAD;
             let crowded = run * self.told_stretch(node) > (goal - now) as f64;
             if !seen.others_hold || seen.warm_finish > goal || crowded {
                 continue;
             }
-            if self.blind() && now < node.told.0 + FRESH && node.told.2 > BUSY {
-                soft = soft.or_else(|| (!seen.cold).then(|| (worker.clone(), Foreseen { goal, ..seen })));
+            if blind && now < node.told.at + FRESH && node.told.busy > BUSY {
+                soft = soft.or_else(|| (!seen.cold).then(|| (worker.clone(), seen, goal)));
                 continue;
             }
-            let unheard = self.blind() && now > FRESH + node.told.0.max(node.heard);
+            let unheard = blind && now > FRESH + node.told.at.max(node.heard);
             if unheard && self.s.limits.probes && open.asked < ASKS_MOST {
                 ask = Some(worker.clone());
                 break;
             }
             if seen.finish <= goal && (!seen.cold || may_load) && (!seen.adds || may_add) {
-                choice = Some((worker.clone(), Foreseen { goal, ..seen }));
+                choice = Some((worker.clone(), seen, goal));
                 break;
             }
             // Only a load stands in the way.
             if seen.cold && want.is_none() {
                 want = Some((worker.clone(), seen));
             }
+            if late.is_some() || class.late_worth <= 0.0 || seen.finish > open.deadline {
+                continue;
+            }
             let waiting = node.out.iter().filter(|s| s.goal > s.aim).count();
             // A function that stands elsewhere is loaded here only where that should evict nothing.
-            let worthwhile = may_load && (!located || self.has_room(node, function));
-            let room = waiting < LATE_MOST && (!seen.cold || worthwhile) && (!seen.adds || may_add);
-            if late.is_none() && room && seen.finish <= open.deadline && class.late_worth > 0.0 {
-                late = Some((worker.clone(), Foreseen { goal: open.deadline, ..seen }));
+            let worthwhile = || may_load && (!located || self.has_room(node, function));
+            if waiting < LATE_MOST && (!seen.cold || worthwhile()) && (!seen.adds || may_add) {
+                late = Some((worker.clone(), seen, open.deadline));
             }
         }
         if let Some(worker) = ask {
@@ -585,11 +588,12 @@
             let goal = self.open[&id].deadline;
             if self.s.loading.call_loads && seen.finish <= goal {
                 self.guesses -= 1.0;
-                choice = Some((worker, Foreseen { goal, cold: false, finish: seen.warm_finish, ..seen }));
+                let seen = Foreseen { cold: false, finish: seen.warm_finish, ..seen };
+                choice = Some((worker, seen, goal));
             }
         }
         match choice.or(soft) {
-            Some((worker, seen)) if seen.cold && !self.s.loading.call_loads => {
+            Some((worker, seen, _)) if seen.cold && !self.s.loading.call_loads => {
                 // Only an order brings the function in: the call waits here, unsent, for its reply.
                 if !self.hold(&worker, function, actions) {
                     return self.end(id, actions);
@@ -599,7 +603,7 @@
                     open.tried.push(worker);
                 }
             }
-            Some((worker, seen)) => self.send(id, &worker, seen, actions),
+            Some(chosen) => self.send(id, chosen, actions),
             None => self.end(id, actions),
         }
     }
@@ -613,26 +617,27 @@
         let deadline = now + budget;
         let aim = (now + class.aim + stretch as Time).min(deadline);
         self.arrivals.push_back(now);
-        let guesses = GUESS_SHARE * f64::from(u8::from(self.blind()));
-        self.guesses = (self.guesses + guesses).min(GUESSES_MOST);
+        if self.blind() {
+            self.guesses = (self.guesses + GUESS_SHARE).min(GUESSES_MOST);
+        }
         let program = self.programs.entry(call.function).or_default();
         (program.lanes, program.memory_mb, program.called) = (call.lanes, call.memory_mb.max(0.0), now);
         program.told_load = call.load_time.filter(|t| *t > 0).map(|t| t.min(LONGEST)).or(program.told_load);
         // Two ticks early: the answer must be out before the client's time is up.
-        let after = budget.saturating_sub(2 * self.s.tick);
-        actions.push(Action::Timer { after, token: call.id });
-        let id = call.id;
-        let open = Open { call, aim, deadline, ..Open::default() };
-        self.open.insert(id, open);
+        let (id, after) = (call.id, budget.saturating_sub(2 * self.s.tick));
+        actions.push(Action::Timer { after, token: id });
+        self.open.insert(id, Open { call, aim, deadline, ..Open::default() });
         self.place(id, actions);
     }
 
-    fn send(&mut self, id: RequestId, worker: &Worker, seen: Foreseen, actions: &mut Vec<Action>) {
-        let now = self.now;
-        let Some(open) = self.open.get(&id) else { return };
-        let (function, class) = (open.call.function, open.call.class);
+    /// Sends to a worker, with what was foreseen there and the deadline that the send is held to.
+    fn send(&mut self, id: RequestId, chosen: (Worker, Foreseen, Time), actions: &mut Vec<Action>) {
+        let (now, (worker, seen, goal)) = (self.now, chosen);
+        let Some((function, class)) = self.open.get(&id).map(|o| (o.call.function, o.call.class)) else {
+            return;
+        };
         let run = self.run_of(function, class);
-        let (Some(node), Some(open)) = (self.nodes.get_mut(worker), self.open.get_mut(&id)) else { return };
+        let (Some(node), Some(open)) = (self.nodes.get_mut(&worker), self.open.get_mut(&id)) else { return };
         let crowd = node.out.len() as f64 + 1.0;
         node.out.push(Sent {
             request: id,
@@ -641,7 +646,7 @@
             class,
             at: now,
             due: seen.finish,
-            goal: seen.goal,
+            goal,
             run,
             cold: seen.cold || seen.finish > seen.warm_finish,
             adds: seen.adds,
@@ -664,7 +669,7 @@
         open.attempts += 1;
         open.outstanding = true;
         open.tried.push(worker.clone());
-        actions.push(Action::Send { request: id, worker: worker.clone(), timeout: None });
+        actions.push(Action::Send { request: id, worker, timeout: None });
     }
 
     fn outcome(&mut self, end: &Finished, ran: Option<(Time, String, u64)>, actions: &mut Vec<Action>) {
@@ -784,8 +789,7 @@
                 copies.count = copies.count.saturating_sub(1).max(1);
             }
         }
-        let least = |a: &(f64, Worker, Function), b: &(f64, Worker, Function)| a.0.total_cmp(&b.0);
-        placed.sort_by(|a, b| least(a, b).then_with(|| (&a.1, a.2).cmp(&(&b.1, b.2))));
+        placed.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (&a.1, a.2).cmp(&(&b.1, b.2))));
         wanted.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (&a.2, a.3).cmp(&(&b.2, b.3))));
         self.allowance = (self.allowance + placed.len() as f64 * REPLACED_SHARE).min(2.0);
         let mut placed = placed.into_iter();
@@ -832,11 +836,8 @@
             }
         }
         let live = self.nodes.get_mut(worker).filter(|n| n.entry.state == State::Live);
-        let Some(node) = live else { return false };
-        let copies = node.copies.entry(function).or_default();
-        if copies.ordered {
-            return false;
-        }
+        let copies = live.map(|n| n.copies.entry(function).or_default());
+        let Some(copies) = copies.filter(|c| !c.ordered) else { return false };
         copies.ordered = true;
         if !copies.proven {
             copies.ready = Time::MAX >> 1;
@@ -848,7 +849,7 @@
     }
 
     /// Whether a worker that has just started can take a send. Its capacity is told nowhere: it is judged by
-    /// what warm workers serve this front end, also its part of it; sends would swell it.
+    /// what warm workers serve this front end, also its part of it; sends turned away would swell it.
     /// Where the part is under one send a span, one each would add up over a large tier: then own sends are
     /// spaced by the part, the first by a draw. It hurts where few want the worker: it is used too little.
     fn cold_budget_left(&self, node: &Node) -> bool {
@@ -876,12 +877,12 @@
     fn learn_warm_rate(&mut self) {
         let (now, ramp) = (self.now, self.s.rules.ramp);
         let live = || self.nodes.values().filter(|n| n.entry.state == State::Live);
-        let warm = || live().filter(|n| n.entry.started.is_none_or(|t| now >= t + ramp));
+        let warm = live().filter(|n| n.entry.started.is_none_or(|t| now >= t + ramp));
         let within = |n: &Node| n.served.iter().filter(|(t, _)| t + RATE_SPAN > now).count();
         let mean = |total: usize, count: usize| total as f64 / count.max(1) as f64 / RATE_SPAN as f64;
         let came = self.arrivals.iter().filter(|t| **t + RATE_SPAN > now).count();
-        let rate = mean(warm().map(within).sum(), warm().count());
-        let rate = if warm().count() > 0 { rate } else { self.warm_rate };
-        self.warm_rate = rate.max(mean(came, live().count()) / 4.0);
+        let served: Vec<usize> = warm.map(within).collect();
+        let rate = if served.is_empty() { self.warm_rate } else { mean(served.iter().sum(), served.len()) };
+        self.warm_rate = rate.max(mean(came, live().count()) * RATE_FLOOR);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,12 +18,12 @@
     pub(crate) load_stretch: f64,
     pub(crate) load_mean: Option<f64>,
     pub(crate) load_heard: Time,
-    /// Arrivals and orders within the ration's window.
+    /// Arrivals and orders within the ration's window, arrivals within the rate span at least.
     pub(crate) arrivals: VecDeque<Time>,
     pub(crate) orders: VecDeque<Time>,
     pub(crate) next_round: Time,
     pub(crate) allowance: f64,
-    /// Calls of mean work that a warm worker serves this front end, for each unit of time.
+    /// Calls that a warm worker serves this front end, for each unit of time.
     pub(crate) warm_rate: f64,
     /// Mean of what workers told to hold, and of how far runs were stretched there.
     pub(crate) held_seen: (f64, f64),
@@ -89,6 +89,14 @@
     pub(crate) shut_until: Time,
 }
 
+/// What a worker last told of its load: when, the calls it held and how busy its cores were.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Told {
+    pub(crate) at: Time,
+    pub(crate) held: f64,
+    pub(crate) busy: f64,
+}
+
 #[derive(Debug)]
 pub(crate) struct Node {
     pub(crate) entry: Entry,
@@ -105,8 +113,7 @@
     pub(crate) health: Vec<Health>,
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
-    /// When it last told of its load, the calls it held and how busy its cores were.
-    pub(crate) told: (Time, f64, f64),
+    pub(crate) told: Told,
     /// When it was last sent a call.
     pub(crate) sent: Time,
     /// Sends within the last rate span.
@@ -133,7 +140,7 @@
             heard: 0,
             health: vec![Health::default(); classes],
             strikes: 0,
-            told: (0, 0.0, 0.0),
+            told: Told::default(),
             sent: 0,
             sends: VecDeque::new(),
             served: VecDeque::new(),
@@ -183,8 +190,6 @@
     /// When it would be served if a copy stood, and with any load counted.
     pub(crate) warm_finish: Time,
     pub(crate) finish: Time,
-    /// The deadline that it is held to.
-    pub(crate) goal: Time,
 }
 
 pub(crate) fn mix(mut x: u64) -> u64 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -228,8 +228,8 @@
     let mut tier: Vec<Bench> = (0..100).map(|seed| Bench::seeded(s.clone(), &names, seed)).collect();
     // A call a second at each front end, by 16 functions.
     let home = sent_to(&tier[0].call(1).1).unwrap();
+    tier[0].finish(1, 0, &home, Outcome::Served);
     for b in &mut tier {
-        b.finish(1, 0, &home, Outcome::Served);
         for i in 0..20 {
             let (id, actions) = b.call(10 + (i * 7 + b.now / MS) % 16);
             b.pass(50 * MS);
