--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,9 +65,10 @@
 const SHUT_FIRST: Time = 500 * MS;
 const SHUT_STEPS: u32 = 3;
 /// The share of its part of a cold worker's budget that this front end spends; and where that part is under
-/// one send, so that chance does not overdraw the sum.
+/// one send, so that chance does not overdraw the sum, drawn so many times a span.
 const COLD_SAFETY: f64 = 0.75;
-const COLD_SHARE: f64 = 0.5;
+const COLD_SHARE: f64 = 0.35;
+const COLD_SLOTS: Time = 2;
 /// Time over which sends are counted to learn what a warm worker takes.
 const RATE_SPAN: Time = 4_000 * MS;
 /// The least that it is held to take, as a share of the arrivals for each live worker: repeats swell those.
@@ -880,8 +881,9 @@
 
     /// Whether a worker that has just started can take a send. Its capacity is told nowhere: it is judged by
     /// what warm workers serve this front end, also its part of it; sends turned away would swell it.
-    /// Where the part is under one send a span, one each would add up over a large tier: then own sends are
-    /// spaced by the part, the first by a draw. It hurts where few want the worker: it is used too little.
+    /// Where the part is under one send a span, one each would add up over a large tier: then each slot of time
+    /// is drawn anew. A right to send must not be saved up: when all turn to a worker that stood idle, all would
+    /// use theirs at once. It hurts where few want the worker: it is used too little.
     fn cold_budget_left(&self, node: &Node) -> bool {
         let (rules, now) = (&self.s.rules, self.now);
         let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
@@ -896,10 +898,10 @@
             let sent = node.sends.iter().filter(|t| **t + rules.fall_span > now).count();
             return sent as f64 + 1.0 <= budget;
         }
-        let part = COLD_SHARE * rate;
-        let first = (mix(self.seed ^ node.hash ^ started) >> 11) as f64 / (1u64 << 53) as f64;
-        let (since, needed) = if node.sent > started { (node.sent, 1.0) } else { (started, first) };
-        (now - since.min(now)) as f64 * part >= needed
+        let slot = (rules.fall_span / COLD_SLOTS).max(1);
+        let draw =
+            (mix(self.seed ^ node.hash ^ mix(started ^ now / slot)) >> 11) as f64 / (1u64 << 53) as f64;
+        node.sent < now - now % slot && draw < COLD_SHARE * rate * slot as f64
     }
 
     /// What a warm worker serves this front end, in calls for each unit of time. Where none is warm the last
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -264,3 +264,49 @@
         assert!(within <= most, "{within} sends, {most:.1} allowed at {} ms", t / MS);
     }
 }
+
+/// A hundred front ends turn at once to a worker, cold since `idle`. Before that each takes `calls` a second,
+/// of which one in two seconds is served; what a worker can do at the full is fifty a second.
+fn herd_on_a_cold_home(calls: u64, idle: Time) {
+    let mut s = settings(Effect::Safe);
+    (s.front_ends, s.rules.fall_multiple, s.rules.fall_span) = (100, 2.0, 1_000 * MS);
+    let mut sends = Vec::new();
+    for seed in 0..100 {
+        let mut b = Bench::seeded(s.clone(), &["w1", "w2"], seed);
+        let home = b.warm(1);
+        b.pass(5_000 * MS);
+        let started = b.now;
+        b.changes(vec![Entry { started: Some(started), ..entry(&home.0) }]);
+        for i in 0..idle / (1_000 * MS) * calls + 8 {
+            let herd = b.now >= started + idle;
+            let (id, actions) = b.call(if herd { 1 } else { 10 + i % 16 });
+            if let Some(worker) = sent_to(&actions) {
+                sends.extend((worker == home).then(|| b.now - started));
+                b.event(Event::Left { request: id });
+                let outcome =
+                    if !herd && i % (2 * calls) == 0 { Outcome::Served } else { Outcome::Cancelled };
+                b.finish(id, 0, &worker, outcome);
+            }
+            b.pass(if herd { 250 * MS } else { 1_000 * MS / calls });
+        }
+    }
+    assert!(sends.len() > 20, "a cold worker is not shut out: {}", sends.len());
+    for &t in &sends {
+        let within = sends.iter().filter(|&&u| u <= t && u + s.rules.fall_span > t).count() as f64;
+        let part = s.rules.cold_from + (1.0 - s.rules.cold_from) * (t as f64 / s.rules.ramp as f64).min(1.0);
+        let most = s.rules.fall_multiple * part * 50.0 * s.rules.fall_span as f64 / 1e9;
+        assert!(within <= most, "{within} sends, {most:.1} allowed at {} ms", t / MS);
+    }
+}
+
+/// Rights to send that were saved up while a worker stood idle would all be used at once.
+#[test]
+fn a_cold_worker_that_stood_idle_is_not_pushed_over_when_all_turn_to_it() {
+    herd_on_a_cold_home(1, 6_000 * MS);
+}
+
+/// Day h75f524: repeats of refused calls swell the arrivals; they are no measure of what a worker takes.
+#[test]
+fn repeats_do_not_raise_what_a_cold_worker_is_sent() {
+    herd_on_a_cold_home(7, 4_000 * MS);
+}
