--- a/src/decide.rs
+++ b/src/decide.rs
@@ -881,9 +881,9 @@
 
     /// Whether a worker that has just started can take a send. Its capacity is told nowhere: it is judged by
     /// what warm workers serve this front end, also its part of it; sends turned away would swell it.
-    /// Where the part is under one send a span, one each would add up over a large tier: then each slot of time
-    /// is drawn anew. A right to send must not be saved up: when all turn to a worker that stood idle, all would
-    /// use theirs at once. It hurts where few want the worker: it is used too little.
+    /// Where the part is under one send a span, one each would add up over a large tier: then each slot is drawn
+    /// anew. A right to send must not be saved up: when all turn to a worker that stood idle, all would use
+    /// theirs at once. It hurts where few want the worker: it is used too little.
     fn cold_budget_left(&self, node: &Node) -> bool {
         let (rules, now) = (&self.s.rules, self.now);
         let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
