--- a/src/decide.rs
+++ b/src/decide.rs
@@ -881,9 +881,9 @@
 
     /// Whether a worker that has just started can take a send. Its capacity is told nowhere: it is judged by
     /// what warm workers serve this front end, also its part of it; sends turned away would swell it.
-    /// Where the part is under one send a span, one each would add up over a large tier: then each slot is drawn
-    /// anew. A right to send must not be saved up: when all turn to a worker that stood idle, all would use
-    /// theirs at once. It hurts where few want the worker: it is used too little.
+    /// Where the part is under one send a span, one each would add up over a large tier: then each slot is
+    /// drawn anew. A right to send must not be saved up: when all turn to a worker that stood idle, all would
+    /// use theirs at once. It hurts where few want the worker: it is used too little.
     fn cold_budget_left(&self, node: &Node) -> bool {
         let (rules, now) = (&self.s.rules, self.now);
         let Some(started) = node.entry.started.filter(|t| now < t + rules.ramp) else { return true };
@@ -899,8 +899,8 @@
             return sent as f64 + 1.0 <= budget;
         }
         let slot = (rules.fall_span / COLD_SLOTS).max(1);
-        let draw =
-            (mix(self.seed ^ node.hash ^ mix(started ^ now / slot)) >> 11) as f64 / (1u64 << 53) as f64;
+        let ticket = mix(self.seed ^ node.hash ^ mix(started ^ (now / slot)));
+        let draw = (ticket >> 11) as f64 / (1u64 << 53) as f64;
         node.sent < now - now % slot && draw < COLD_SHARE * rate * slot as f64
     }
 
