--- a/src/decide.rs
+++ b/src/decide.rs
@@ -248,9 +248,25 @@
         *seen = if took > *seen { took.min(*seen * 2.0) } else { *seen + 0.3 * (took - *seen) };
     }
 
+    /// Notes a load that was done or failed. Where loads fail, each further one, a repeat of the same call
+    /// above all, keeps the store in trouble: none is begun for a while, longer each time. It holds for a
+    /// store that turns fetches away, stops or has lost a program; one failure means nothing. Harm: what is
+    /// asked for seldom is refused meanwhile, though a load might have come through.
+    fn store_heard(&mut self, failed: bool) {
+        self.failed_loads = if failed { self.failed_loads + 1 } else { 0 };
+        self.store.bad -= u32::from(!failed && self.store.bad > 0);
+        if self.failed_loads >= STRIKES && self.now >= self.store.shut_until {
+            self.store.shut(self.now);
+        }
+    }
+
     /// Takes an ended attempt out of the worker's queue and learns from it; tells when it was sent and where.
     fn attempt_over(&mut self, end: &Finished) -> Option<(Time, String, u64)> {
         let (now, blind) = (self.now, self.blind());
+        let failed = end.note == Some(CopyNote::Failed);
+        if failed || end.note == Some(CopyNote::Began) {
+            self.store_heard(failed);
+        }
         let node = self.nodes.get_mut(&end.worker)?;
         let at = node.out.iter().position(|s| s.request == end.request && s.attempt == end.attempt)?;
         // Withdrawn work may go on unseen: the replay holds it until its foreseen end.
@@ -339,7 +355,12 @@
                     node.heard = now;
                 }
             }
-            Outcome::Absent if same_process => drop(node.copies.remove(&sent.function)),
+            // What failed to load does not stand: believed, it would draw the next call.
+            Outcome::Absent | Outcome::Error
+                if same_process && (failed || end.outcome == Outcome::Absent) =>
+            {
+                node.copies.remove(&sent.function);
+            }
             Outcome::Full if same_process => {
                 node.room = (sent.crowd * ROOM_CUT).max(1.0);
                 node.heard = now;
@@ -354,6 +375,9 @@
         let (worker, function, took, count) =
             (&reply.worker, reply.function, reply.took.min(LONGEST), reply.copies.min(64));
         let run = self.run_of(function, 0);
+        if reply.outcome == Outcome::Error {
+            self.store_heard(true);
+        }
         if let Some(copies) = self.nodes.get_mut(worker).and_then(|n| n.copies.get_mut(&function)) {
             if std::mem::take(&mut copies.ordered) {
                 if reply.outcome == Outcome::Served && count > 0 {
@@ -545,7 +569,8 @@
         // A slow store must not be asked for more: loads are bounded, and one of this function is awaited.
         let (loads, loading) = self.loads_under_way(function);
         // The most: one for each of this front end's part of the workers.
-        let may_add = loads < order.len().div_ceil(self.s.front_ends as usize).max(2);
+        let may_add =
+            now >= self.store.shut_until && loads < order.len().div_ceil(self.s.front_ends as usize).max(2);
         let may_load = may_add && !loading;
         let (blind, run) = (self.blind(), self.run_of(function, open.call.class) * PAD);
         let mut presume = !located && open.attempts == 0;
@@ -601,7 +626,9 @@
         let mut choice = choice.or(late);
         // The others follow the same order: what moved on here did there, and has likely loaded it. A wrong
         // guess must still be served: a call with little time goes where a copy stands, or not at all.
-        if let Some((worker, seen)) = want.filter(|_| choice.is_none() && self.guesses >= 1.0) {
+        if let Some((worker, seen)) =
+            want.filter(|_| choice.is_none() && self.guesses >= 1.0 && now >= self.store.shut_until)
+        {
             let goal = self.open[&id].deadline;
             if self.s.loading.call_loads && seen.finish <= goal {
                 self.guesses -= 1.0;
@@ -855,7 +882,7 @@
     /// The only place that orders loads: drained and gone workers get none, and the ration holds.
     fn hold(&mut self, worker: &Worker, function: Function, actions: &mut Vec<Action>) -> bool {
         let now = self.now;
-        if !self.s.loading.orders || !self.programs.contains_key(&function) {
+        if !self.s.loading.orders || !self.programs.contains_key(&function) || now < self.store.shut_until {
             return false;
         }
         if let Some(ration) = &self.s.loading.ration {
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,9 @@
     pub(crate) load_stretch: f64,
     pub(crate) load_mean: Option<f64>,
     pub(crate) load_heard: Time,
+    /// Health of what loads come from, and loads that failed since the last that was done.
+    pub(crate) store: Health,
+    pub(crate) failed_loads: u32,
     /// Arrivals and orders within the ration's window, arrivals within the rate span at least.
     pub(crate) arrivals: VecDeque<Time>,
     pub(crate) orders: VecDeque<Time>,
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -444,3 +444,50 @@
     b.pass(8_000 * MS);
     assert!(!burst(&mut b).is_empty(), "it is not held for ever");
 }
+
+/// A store that turns fetches away: each call went on to the next worker, and began the next load there.
+#[test]
+fn loads_that_fail_are_not_begun_again_for_a_while() {
+    for outcome in [Outcome::Error, Outcome::Absent] {
+        let names: Vec<String> = (0..20).map(|i| format!("w{i}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut b = Bench::new(Settings { front_ends: 20, ..settings(Effect::Safe) }, &names);
+        let home = b.warm(1);
+        let sends = |b: &mut Bench, calls: u64, works: bool| {
+            let mut sends = 0;
+            for function in 0..calls {
+                let (id, mut actions) = b.call(100 + b.now / MS + function);
+                let mut attempt = 0;
+                while let Some(worker) = sent_to(&actions) {
+                    sends += 1;
+                    let (request, took) = (id, 40 * MS);
+                    let (outcome, note) = match works {
+                        true => (Outcome::Served, CopyNote::Began),
+                        false => (outcome, CopyNote::Failed),
+                    };
+                    let (settled, note) = (works, Some(note));
+                    let end = Finished {
+                        request,
+                        attempt,
+                        worker,
+                        outcome,
+                        took,
+                        settled,
+                        note,
+                        alike: None,
+                        load: Load::default(),
+                    };
+                    actions = b.event(Event::Finished(end));
+                    attempt += 1;
+                }
+            }
+            sends
+        };
+        assert!(sends(&mut b, 20, false) < 30, "{outcome:?}: loads are asked of a store that fails");
+        let (id, actions) = b.call(1);
+        assert_eq!(sent_to(&actions).as_ref(), Some(&home), "a warm copy goes on serving");
+        b.finish(id, 0, &home, Outcome::Served);
+        b.pass(5_000 * MS);
+        assert!(sends(&mut b, 5, true) >= 5, "{outcome:?}: loads are begun again");
+    }
+}
