--- a/src/decide.rs
+++ b/src/decide.rs
@@ -620,8 +620,10 @@
             self.open.entry(id).and_modify(|o| (o.asks, o.asked) = (Some(worker), o.asked + 1));
             return;
         }
-        if let Some((worker, _)) = &want {
-            self.missed(worker, id, choice.is_some(), actions);
+        if let Some((worker, seen)) = &want {
+            // A load longer than clients wait is begun by no call: only an order spreads such a function.
+            let spread = choice.is_some() || seen.finish > self.open[&id].deadline;
+            self.missed(worker, id, spread, actions);
         }
         let mut choice = choice.or(late);
         // The others follow the same order: what moved on here did there, and has likely loaded it. A wrong
@@ -813,7 +815,7 @@
 
     /// Notes run time that moved on because no copy stood at the worker. After such misses one hold loads the
     /// function here: one at a time, as a slow store must not be asked again for what it has not brought yet.
-    fn missed(&mut self, worker: &Worker, id: RequestId, sent: bool, actions: &mut Vec<Action>) {
+    fn missed(&mut self, worker: &Worker, id: RequestId, spread: bool, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
         let (function, class, aim) = (open.call.function, open.call.class, open.aim);
         let run = self.run_of(function, class);
@@ -823,7 +825,7 @@
         copies.adequate = if copies.misses == 0 { adequate } else { copies.adequate.min(adequate) };
         copies.misses += 1;
         copies.missed_work += run;
-        let enough = sent && copies.misses >= MISSES_TO_SPREAD;
+        let enough = spread && copies.misses >= MISSES_TO_SPREAD;
         let loading = |n: &Node| n.copies.get(&function).is_some_and(|c| c.ordered);
         if enough && self.has_room(&self.nodes[worker], function) && !self.nodes.values().any(loading) {
             self.hold(worker, function, actions);
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -491,3 +491,26 @@
         assert!(sends(&mut b, 5, true) >= 5, "{outcome:?}: loads are begun again");
     }
 }
+
+/// A load longer than any client waits: no call may begin it, so only an order takes the function further.
+#[test]
+fn a_function_too_slow_to_load_for_its_calls_is_spread_by_order() {
+    let mut b = Bench::new(settings(Effect::Safe), &["w1", "w2"]);
+    let home = b.warm(1);
+    let mut orders = Vec::new();
+    for _ in 0..60 {
+        let (_, actions) = b.call_with(Request {
+            function: Function(1),
+            lanes: 4,
+            memory_mb: 100.0,
+            load_time: Some(6_000 * MS),
+            budget: Some(4_000 * MS),
+            ..Request::default()
+        });
+        let sent = sent_to(&actions);
+        assert!(sent.is_none_or(|w| w == home), "a call is sent into a load that it cannot outlast");
+        orders.extend(held(&actions));
+    }
+    assert_eq!(orders.len(), 1, "one order, for the other worker: {orders:?}");
+    assert_ne!(orders[0], home);
+}
