--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -514,3 +514,23 @@
     assert_eq!(orders.len(), 1, "one order, for the other worker: {orders:?}");
     assert_ne!(orders[0], home);
 }
+
+/// Clients that leave take the slow answers with them: the quick ones alone would show a sound worker.
+#[test]
+fn withdrawn_attempts_teach_how_long_they_took() {
+    let mut b = Bench::new(settings(Effect::Safe), &["w1"]);
+    let mut taken = 0;
+    for i in 0..60 {
+        let (id, actions) = b.call(7);
+        let Some(worker) = sent_to(&actions) else { continue };
+        taken += usize::from(i >= 40);
+        let (leaves, took) = if i < 20 { (false, 400 * MS) } else { (true, 1_500 * MS) };
+        b.pass(took);
+        if leaves {
+            b.event(Event::Left { request: id });
+        }
+        let outcome = if leaves { Outcome::Cancelled } else { Outcome::Served };
+        b.finish_noted(id, 0, &worker, outcome, took, Some(CopyNote::Warm));
+    }
+    assert!(taken < 20, "a worker is trusted that clients leave unanswered");
+}
