--- a/src/bin/pipithub-adapter/main.rs
+++ b/crates/pipithub-adapter/src/main.rs
@@ -8,8 +8,8 @@
 use std::io::{self, BufRead, BufReader, BufWriter, Write};
 use std::process::ExitCode;
 
-use pipithub::api::{Action, Event};
-use pipithub::decide::FrontEnd;
+use pipithub_policy::api::{Action, Event};
+use pipithub_policy::decide::FrontEnd;
 use wire::{Input, Names};
 
 /// One hosted front end, with the names that its lines use.
--- a/src/bin/pipithub-adapter/settings.rs
+++ b/crates/pipithub-adapter/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings that a front end is given at its start.
 
-use pipithub::api::{Class, Effect, Group, Limits, Loading, Ration, Rules, Settings};
+use pipithub_policy::api::{Class, Effect, Group, Limits, Loading, Ration, Rules, Settings};
 use serde_json::Value;
 
 use crate::wire::Names;
--- a/src/bin/pipithub-adapter/wire.rs
+++ b/crates/pipithub-adapter/src/wire.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::str::FromStr;
 
-use pipithub::api::{
+use pipithub_policy::api::{
     Action, CopyNote, Entry, Event, Finished, Function, ListKind, Load, Ordered, Outcome, Request, State,
     Time, Worker,
 };
--- a/src/lib.rs
+++ b/crates/pipithub-policy/src/lib.rs
@@ -6,8 +6,8 @@
 //! [`api`] holds the plain types that go in and out, [`decide`] the state machine that decides.
 //!
 //! ```
-//! use pipithub::api::{Action, Entry, Event, Function, ListKind, Request, Settings, State, Worker};
-//! use pipithub::decide::FrontEnd;
+//! use pipithub_policy::api::{Action, Entry, Event, Function, ListKind, Request, Settings, State, Worker};
+//! use pipithub_policy::decide::FrontEnd;
 //!
 //! let mut front = FrontEnd::new(Settings::default(), 7);
 //! let mut actions = Vec::new();
--- a/tests/common/mod.rs
+++ b/crates/pipithub-policy/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeSet;
 
-use pipithub::api::*;
-use pipithub::decide::FrontEnd;
+use pipithub_policy::api::*;
+use pipithub_policy::decide::FrontEnd;
 
 /// Nanoseconds in a millisecond.
 pub const MS: u64 = 1_000_000;
--- a/tests/random.rs
+++ b/crates/pipithub-policy/tests/random.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::{settings, MS};
-use pipithub::api::*;
-use pipithub::decide::FrontEnd;
+use pipithub_policy::api::*;
+use pipithub_policy::decide::FrontEnd;
 
 /// A small generator of our own, so that the sequences never change.
 struct Dice(u64);
--- a/tests/rules.rs
+++ b/crates/pipithub-policy/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{entry, failed, held, refused, sent_to, settings, Bench, MS};
-use pipithub::api::*;
+use pipithub_policy::api::*;
 
 #[test]
 fn a_silent_worker_does_not_cost_the_final_answer() {
--- a/tests/trouble.rs
+++ b/crates/pipithub-policy/tests/trouble.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use pipithub::api::*;
+use pipithub_policy::api::*;
 
 /// Calls a function at 20 a second; `answer` says how a worker answers. Tells how many were served.
 fn play(
