Engine without I/O: triggers in, the module's decisions out, one final answer to each message

Need: one core that sockets, the emulator and replay can drive. The engine owns the module's front end, turns triggers, worker outcomes, lists and time into its events, and keeps what the module does not see: which message came again and whether it may run (memory.rs), bounds on requests, bytes, names and repeats, orphans of a lost source.

Measured: 15 scripted tests; 96 random worlds of two engines, a broker and workers with kills, lost connections, lost commit replies, broken and silent attempts: one answer each, no unsafe or keyed effect twice, none late.

--- /dev/null
+++ b/crates/pipithub-engine/src/engine.rs
@@ -0,0 +1,578 @@
+//! The engine: the module's front end, the open requests, and the one final answer of each.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use pipithub_policy::api::{
+    Action, Event, Finished, Function, ListKind, Ordered, Outcome, Request, RequestId, Settings, State, Time,
+    Worker,
+};
+use pipithub_policy::decide::FrontEnd;
+
+use crate::memory::{Again, Memory, unknown_earlier};
+use crate::model::{
+    AttemptEnd, AttemptId, Call, Cause, Input, Output, Reply, Served, SourceId, Ticket, Trigger, Verdict,
+    function_id,
+};
+use crate::timers::Timers;
+
+/// What an engine is given at its start, beside the module's own settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSettings {
+    /// The module's settings.
+    pub policy: Settings,
+    /// Requests held at a time, answered but not yet settled ones included.
+    pub max_open: usize,
+    /// Bytes of bodies held at a time, calls' and answers'.
+    pub max_bytes: usize,
+    /// Answers leave this long before the client's time is up, for their own way back.
+    pub answer_margin: Time,
+    /// Settled messages remembered against repeats.
+    pub remember: usize,
+    /// For how long.
+    pub remember_for: Time,
+    /// A message that came more often than this is failed: it may be what brings front ends down.
+    pub max_deliveries: u32,
+    /// Function names kept for orders.
+    pub max_names: usize,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        EngineSettings {
+            policy: Settings::default(),
+            max_open: 4096,
+            max_bytes: 256 << 20,
+            answer_margin: 5_000_000,
+            remember: 65_536,
+            remember_for: 600_000_000_000,
+            max_deliveries: 20,
+            max_names: 16_384,
+        }
+    }
+}
+
+/// What an engine has done so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Triggers taken.
+    pub taken: u64,
+    /// Of these, ones that came again.
+    pub again: u64,
+    /// Of these, joined to a request that was open here.
+    pub joined: u64,
+    /// Attempts started.
+    pub sends: u64,
+    /// Attempts withdrawn.
+    pub cancels: u64,
+    /// Orders to hold copies.
+    pub holds: u64,
+    /// Probes.
+    pub probes: u64,
+    /// Final answers served.
+    pub served: u64,
+    /// Final answers refused.
+    pub refused: u64,
+    /// Final answers failed.
+    pub failed: u64,
+}
+
+/// A request that is not settled.
+#[derive(Debug)]
+struct Open {
+    /// `None`: its source is gone; the answer waits for the message to come again.
+    ticket: Option<Ticket>,
+    identity: Option<Arc<str>>,
+    call: Arc<Call>,
+    deadline: Time,
+    attempts: u32,
+    last: Option<(Outcome, Worker)>,
+    /// The final answer, not yet known to be safe.
+    reply: Option<Arc<Reply>>,
+    /// Bytes that it is charged with.
+    bytes: usize,
+}
+
+/// One front end.
+#[derive(Debug)]
+pub struct Engine {
+    settings: EngineSettings,
+    front: FrontEnd,
+    timers: Timers,
+    open: BTreeMap<RequestId, Open>,
+    tickets: BTreeMap<Ticket, RequestId>,
+    /// Attempts that have no outcome yet; they outlive their request, for the module must hear of every end.
+    out: BTreeMap<AttemptId, Worker>,
+    memory: Memory,
+    names: BTreeMap<Function, (Arc<str>, Time)>,
+    next_request: RequestId,
+    bytes: usize,
+    draining: bool,
+    /// Live workers, as last told.
+    live: BTreeMap<Worker, State>,
+    stats: Stats,
+    actions: Vec<Action>,
+    events: VecDeque<Event>,
+}
+
+impl Engine {
+    /// An engine that knows nothing but its settings; the seed is its only chance.
+    pub fn new(settings: EngineSettings, seed: u64) -> Self {
+        let mut policy = settings.policy.clone();
+        if policy.classes.is_empty() {
+            policy.classes.push(Default::default());
+        }
+        let settings = EngineSettings { policy, ..settings };
+        Engine {
+            front: FrontEnd::new(settings.policy.clone(), seed),
+            memory: Memory::new(settings.remember, settings.remember_for),
+            settings,
+            timers: Timers::default(),
+            open: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            out: BTreeMap::new(),
+            names: BTreeMap::new(),
+            next_request: 1,
+            bytes: 0,
+            draining: false,
+            live: BTreeMap::new(),
+            stats: Stats::default(),
+            actions: Vec::new(),
+            events: VecDeque::new(),
+        }
+    }
+
+    /// When [`Input::Tick`] is due next.
+    pub fn next_due(&self) -> Option<Time> {
+        self.timers.next()
+    }
+
+    /// How many more triggers may be handed in now. Sources that can be held back should be.
+    pub fn room(&self) -> usize {
+        if self.draining || self.bytes >= self.settings.max_bytes {
+            return 0;
+        }
+        self.settings.max_open.saturating_sub(self.open.len())
+    }
+
+    /// Requests that are not settled.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Attempts that have no outcome yet.
+    pub fn attempts_out(&self) -> usize {
+        self.out.len()
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn unanswered(&self) -> usize {
+        self.open.values().filter(|o| o.reply.is_none()).count()
+    }
+
+    /// Bytes of bodies held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Workers that may be sent work, as last told.
+    pub fn live_workers(&self) -> usize {
+        self.live.values().filter(|s| **s == State::Live).count()
+    }
+
+    /// What was done so far.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Takes one input and appends what to do about it.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        while let Some(token) = self.timers.take_due(now) {
+            self.decide(now, Event::Timer { token }, out);
+        }
+        match input {
+            Input::Tick => {}
+            Input::Trigger(trigger) => self.trigger(now, trigger, out),
+            Input::SourceLost(source) => self.source_lost(now, source, out),
+            Input::Settled(ticket) => self.settled(now, ticket),
+            Input::Left(ticket) => {
+                if let Some(request) = self.tickets.get(&ticket).copied() {
+                    self.abandon(now, request, out);
+                }
+            }
+            Input::Attempt(end) => self.attempt(now, end, out),
+            Input::Probe(p) => {
+                let event = Event::Probed { worker: p.worker, answered: p.answered, load: p.load };
+                self.decide(now, event, out);
+            }
+            Input::Order(o) => {
+                let (worker, function, outcome) = (o.worker, o.function, o.outcome);
+                let order = Ordered { worker, function, outcome, took: o.took, copies: o.copies };
+                self.decide(now, Event::Ordered(order), out);
+            }
+            Input::Workers { kind, entries } => {
+                if matches!(kind, ListKind::Complete | ListKind::Remembered) {
+                    self.live.clear();
+                }
+                for entry in &entries {
+                    match entry.state {
+                        State::Gone => self.live.remove(&entry.worker),
+                        state => self.live.insert(entry.worker.clone(), state),
+                    };
+                }
+                self.decide(now, Event::List { kind, entries }, out);
+            }
+            Input::Drain => self.draining = true,
+        }
+    }
+
+    // ---- triggers ----
+
+    fn trigger(&mut self, now: Time, trigger: Trigger, out: &mut Vec<Output>) {
+        self.stats.taken += 1;
+        let Trigger { ticket, identity, redelivered, deliveries, mut call } = trigger;
+        call.class = call.class.min(self.settings.policy.classes.len() - 1);
+        let mut budget = call.budget;
+        if redelivered {
+            self.stats.again += 1;
+            let class = &self.settings.policy.classes[call.class];
+            let margin = self.settings.answer_margin + 4 * self.settings.policy.tick;
+            let again = self
+                .memory
+                .again(identity.as_ref(), now)
+                .unwrap_or_else(|| unknown_earlier(class, call.age, call.key.is_some(), margin));
+            match again {
+                Again::Join(request) => return self.join(request, ticket, out),
+                Again::Forget => return out.push(Output::Forget(ticket)),
+                Again::Run(_) if deliveries > self.settings.max_deliveries => {
+                    // A safe message that comes again and again may be what brings front ends down.
+                    return self.at_once(now, ticket, identity, Verdict::Failed, Cause::TooOften, out);
+                }
+                Again::Run(None) => {}
+                Again::Run(Some(left)) => {
+                    budget = Some(budget.unwrap_or(class.give_up).min(left));
+                }
+                Again::Fail => {
+                    return self.at_once(
+                        now,
+                        ticket,
+                        identity,
+                        Verdict::Failed,
+                        Cause::MayHaveRunBefore,
+                        out,
+                    );
+                }
+            }
+        } else if let Some(request) = identity.as_ref().and_then(|i| self.memory.open(i)) {
+            // Not a repeat by its source's word, yet of the name of one that is open: a client that sent twice.
+            // The earlier one keeps its answer and loses its name.
+            if let Some(open) = self.open.get_mut(&request) {
+                open.identity = None;
+            }
+        }
+        let bytes = call.body.len();
+        if self.draining {
+            return self.at_once(now, ticket, identity, Verdict::Refused, Cause::Draining, out);
+        }
+        if self.open.len() >= self.settings.max_open || self.bytes + bytes > self.settings.max_bytes {
+            return self.at_once(now, ticket, identity, Verdict::Refused, Cause::NoRoom, out);
+        }
+        let class = &self.settings.policy.classes[call.class];
+        let budget = budget.unwrap_or(class.give_up).min(class.give_up);
+        let Some(left) = budget.checked_sub(self.settings.answer_margin).filter(|left| *left > 0) else {
+            return self.at_once(now, ticket, identity, Verdict::Refused, Cause::TooLate, out);
+        };
+        let function = function_id(&call.function);
+        self.name(now, function, &call.function);
+        let request = Request {
+            id: self.next_request,
+            expected: call.expected,
+            memory_mb: call.memory_mb,
+            lanes: call.lanes,
+            class: call.class,
+            load_time: call.load_time,
+            function,
+            budget: Some(left),
+        };
+        self.insert(now + left, ticket, identity, call);
+        self.decide(now, Event::Arrived(request), out);
+    }
+
+    /// Notes a new request under the next number.
+    fn insert(
+        &mut self,
+        deadline: Time,
+        ticket: Ticket,
+        identity: Option<Arc<str>>,
+        call: Call,
+    ) -> RequestId {
+        let request = self.next_request;
+        self.next_request += 1;
+        if let Some(identity) = &identity {
+            self.memory.begin(identity, request);
+        }
+        let bytes = call.body.len();
+        self.bytes += bytes;
+        self.tickets.insert(ticket, request);
+        let open = Open {
+            ticket: Some(ticket),
+            identity,
+            call: Arc::new(call),
+            deadline,
+            attempts: 0,
+            last: None,
+            reply: None,
+            bytes,
+        };
+        self.open.insert(request, open);
+        request
+    }
+
+    /// Gives a final answer to a trigger that the module never sees.
+    fn at_once(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        identity: Option<Arc<str>>,
+        verdict: Verdict,
+        cause: Cause,
+        out: &mut Vec<Output>,
+    ) {
+        // The body is let go at once: what is refused for want of room must not take any.
+        let request = self.insert(now, ticket, identity, Call::default());
+        self.answer(request, verdict, cause, None, None, out);
+    }
+
+    /// A delivery takes the place of an earlier one of the same message.
+    fn join(&mut self, request: RequestId, ticket: Ticket, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        self.stats.joined += 1;
+        if let Some(old) = open.ticket.replace(ticket) {
+            self.tickets.remove(&old);
+        }
+        self.tickets.insert(ticket, request);
+        if let Some(reply) = &open.reply {
+            out.push(Output::Answer { ticket, reply: reply.clone() });
+        }
+    }
+
+    /// Tickets of the source are void. A request that can be told again goes on, for its message may come back
+    /// here; one that cannot is withdrawn, for nobody could be told of its end.
+    fn source_lost(&mut self, now: Time, source: SourceId, out: &mut Vec<Output>) {
+        let of = |t: &Ticket| t.source == source;
+        let lost: Vec<_> = self.tickets.iter().filter(|(t, _)| of(t)).map(|(t, r)| (*t, *r)).collect();
+        for (ticket, request) in lost {
+            self.tickets.remove(&ticket);
+            let Some(open) = self.open.get_mut(&request) else { continue };
+            open.ticket = None;
+            if open.identity.is_none() {
+                self.abandon(now, request, out);
+            } else {
+                self.timers.set(open.deadline.max(now), request);
+            }
+        }
+    }
+
+    fn settled(&mut self, now: Time, ticket: Ticket) {
+        let Some(request) = self.tickets.remove(&ticket) else { return };
+        let Some(open) = self.open.remove(&request) else { return };
+        self.bytes -= open.bytes;
+        if let Some(identity) = &open.identity {
+            self.memory.settle(identity, request, now);
+        }
+    }
+
+    /// Ends a request to which no answer is owed any more.
+    fn abandon(&mut self, now: Time, request: RequestId, out: &mut Vec<Output>) {
+        let Some(open) = self.open.remove(&request) else { return };
+        self.bytes -= open.bytes;
+        if let Some(ticket) = open.ticket {
+            self.tickets.remove(&ticket);
+        }
+        if let Some(identity) = &open.identity {
+            self.memory.abandon(identity, request);
+        }
+        if open.reply.is_none() {
+            self.decide(now, Event::Left { request }, out);
+        }
+    }
+
+    // ---- attempts ----
+
+    fn attempt(&mut self, now: Time, end: AttemptEnd, out: &mut Vec<Output>) {
+        let AttemptEnd { id, outcome, took, note, alike, load, served } = end;
+        let mut settled = true;
+        // An outcome that nothing was sent for, or a second one, is none.
+        let Some(worker) = self.out.remove(&id) else { return };
+        if let Some(open) = self.open.get_mut(&id.request) {
+            open.last = Some((outcome, worker.clone()));
+            settled = open.reply.is_some();
+            if !settled && outcome == Outcome::Served {
+                settled = true;
+                self.answer(id.request, Verdict::Served, Cause::Answered, None, served, out);
+            }
+        }
+        let finished = Finished {
+            request: id.request,
+            attempt: id.number,
+            worker,
+            outcome,
+            took,
+            settled,
+            note,
+            alike,
+            load,
+        };
+        self.decide(now, Event::Finished(finished), out);
+    }
+
+    /// Gives the final answer of a request: the first is the only one.
+    fn answer(
+        &mut self,
+        request: RequestId,
+        verdict: Verdict,
+        cause: Cause,
+        retry_after: Option<Time>,
+        served: Option<Served>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(open) = self.open.get_mut(&request).filter(|o| o.reply.is_none()) else { return };
+        let counter = match verdict {
+            Verdict::Served => &mut self.stats.served,
+            Verdict::Refused => &mut self.stats.refused,
+            Verdict::Failed => &mut self.stats.failed,
+        };
+        *counter += 1;
+        let (last, worker) = open.last.clone().unzip();
+        let reply = Reply { verdict, cause, retry_after, attempts: open.attempts, last, worker, served };
+        let reply = Arc::new(reply);
+        // The call's body is not needed any more, the answer's is.
+        let bytes = reply.served.as_ref().map_or(0, |s| s.body.len());
+        self.bytes = self.bytes - open.bytes + bytes;
+        open.bytes = bytes;
+        let kept = Call { body: Default::default(), ..(*open.call).clone() };
+        open.call = Arc::new(kept);
+        open.reply = Some(reply.clone());
+        if let Some(ticket) = open.ticket {
+            out.push(Output::Answer { ticket, reply });
+        }
+    }
+
+    /// Lets go of an answered request whose message did not come back in its time: it went elsewhere.
+    fn retire(&mut self, now: Time, request: RequestId) {
+        let Some(open) = self.open.get(&request) else { return };
+        if open.ticket.is_none() && open.reply.is_some() && now >= open.deadline {
+            self.bytes -= open.bytes;
+            if let Some(identity) = &open.identity {
+                self.memory.abandon(identity, request);
+            }
+            self.open.remove(&request);
+        }
+    }
+
+    // ---- the module ----
+
+    fn decide(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let timer = match &event {
+                Event::Timer { token } => Some(*token),
+                _ => None,
+            };
+            let mut actions = std::mem::take(&mut self.actions);
+            self.front.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+            self.actions = actions;
+            // A request's own timer is due just before its end; chores' and others' tokens name no request.
+            if let Some(request) = timer {
+                self.overdue(now, request, out);
+            }
+        }
+    }
+
+    /// At its own timer a request has either been answered or has come to its end here too.
+    fn overdue(&mut self, now: Time, request: RequestId, out: &mut Vec<Output>) {
+        let Some(open) = self.open.get(&request) else { return };
+        if open.reply.is_none() && now + 2 * self.settings.policy.tick >= open.deadline {
+            // The module ends what it knows; what it does not know any more must not wait for ever.
+            self.answer(request, Verdict::Failed, Cause::AttemptsEnded, None, None, out);
+        }
+        self.retire(now, request);
+    }
+
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::Send { request, worker, timeout } => {
+                let Some(open) = self.open.get_mut(&request).filter(|o| o.reply.is_none()) else { return };
+                let id = AttemptId { request, number: open.attempts };
+                open.attempts += 1;
+                self.out.insert(id, worker.clone());
+                self.stats.sends += 1;
+                let deadline = timeout.map_or(open.deadline, |t| open.deadline.min(now + t));
+                out.push(Output::Send { id, worker, call: open.call.clone(), deadline });
+            }
+            Action::Cancel { request, attempt } => {
+                self.stats.cancels += 1;
+                out.push(Output::Cancel(AttemptId { request, number: attempt }));
+            }
+            Action::Refuse { request, retry_after } => {
+                let cause = self.cause(request);
+                self.answer(request, Verdict::Refused, cause, retry_after, None, out);
+            }
+            Action::Fail { request } => {
+                let cause = self.cause(request);
+                self.answer(request, Verdict::Failed, cause, None, None, out);
+            }
+            Action::Hold { worker, function, copies } => match self.names.get(&function) {
+                Some((name, _)) => {
+                    self.stats.holds += 1;
+                    out.push(Output::Hold { worker, function, name: name.clone(), copies });
+                }
+                // Forgotten here: the module is told that nothing came of it.
+                None => self.events.push_back(Event::Ordered(Ordered {
+                    worker,
+                    function,
+                    outcome: Outcome::NotSent,
+                    took: 0,
+                    copies: 0,
+                })),
+            },
+            Action::Drop { worker, function } => {
+                if let Some((name, _)) = self.names.get(&function) {
+                    out.push(Output::Drop { worker, name: name.clone() });
+                }
+            }
+            Action::Probe { worker } => {
+                self.stats.probes += 1;
+                out.push(Output::Probe(worker));
+            }
+            Action::Timer { after, token } => self.timers.set(now.saturating_add(after), token),
+            Action::FollowList => out.push(Output::FollowList),
+        }
+    }
+
+    fn cause(&self, request: RequestId) -> Cause {
+        match self.open.get(&request) {
+            Some(open) if open.attempts > 0 => Cause::AttemptsEnded,
+            _ => Cause::NoWorkerInTime,
+        }
+    }
+
+    /// Keeps the name of a function for orders; when there are too many, those not called for longest go.
+    fn name(&mut self, now: Time, function: Function, name: &Arc<str>) {
+        if let Some((_, called)) = self.names.get_mut(&function) {
+            *called = now;
+            return;
+        }
+        if self.names.len() >= self.settings.max_names {
+            let mut times: Vec<Time> = self.names.values().map(|(_, called)| *called).collect();
+            times.sort_unstable();
+            // A half goes at a time, so that one-off functions do not make each call pay for this.
+            let middle = times[times.len() / 2];
+            self.names.retain(|_, (_, called)| *called > middle);
+        }
+        self.names.insert(function, (name.clone(), now));
+    }
+}
--- /dev/null
+++ b/crates/pipithub-engine/tests/engine.rs
@@ -0,0 +1,331 @@
+//! The engine against scripted sources and workers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pipithub_engine::memory::{Again, unknown_earlier};
+use pipithub_engine::policy::{
+    Class, Effect, Entry, Group, Limits, ListKind, Load, Outcome, Settings, State, Worker,
+};
+use pipithub_engine::{
+    AttemptEnd, AttemptId, Call, Cause, Engine, EngineSettings, Input, Output, Reply, Served, SourceId,
+    Ticket, Time, Trigger, Verdict,
+};
+
+const MS: Time = 1_000_000;
+const SAFE: usize = 0;
+const KEYED: usize = 1;
+const UNSAFE: usize = 2;
+
+fn class(effect: Effect) -> Class {
+    Class { effect, give_up: 4_000 * MS, dedup_window: 3_000 * MS, late_worth: 0.3, ..Class::default() }
+}
+
+fn settings() -> EngineSettings {
+    EngineSettings {
+        policy: Settings {
+            tick: MS,
+            classes: vec![class(Effect::Safe), class(Effect::Keyed), class(Effect::Unsafe)],
+            limits: Limits { cancel: true, ..Limits::default() },
+            ..Settings::default()
+        },
+        ..EngineSettings::default()
+    }
+}
+
+struct Bed {
+    engine: Engine,
+    now: Time,
+    out: Vec<Output>,
+    tickets: u64,
+}
+
+impl Bed {
+    fn new(settings: EngineSettings) -> Self {
+        let mut bed = Bed { engine: Engine::new(settings, 7), now: 0, out: Vec::new(), tickets: 0 };
+        let entry = |n: u32| Entry { worker: Worker::new(&format!("w{n}")), ..Entry::default() };
+        bed.input(Input::Workers { kind: ListKind::Complete, entries: (0..3).map(entry).collect() });
+        bed
+    }
+
+    fn input(&mut self, input: Input) -> Vec<Output> {
+        self.engine.handle(self.now, input, &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+
+    fn trigger(&mut self, class: usize, change: impl FnOnce(&mut Trigger)) -> (Ticket, Vec<Output>) {
+        self.tickets += 1;
+        let ticket = Ticket { source: SourceId(1), number: self.tickets };
+        let call = Call {
+            function: "f".into(),
+            class,
+            lanes: 4,
+            key: Some("k".into()),
+            body: Bytes::from_static(b"body"),
+            ..Call::default()
+        };
+        let mut trigger =
+            Trigger { ticket, identity: Some("m".into()), redelivered: false, deliveries: 0, call };
+        change(&mut trigger);
+        (ticket, self.input(Input::Trigger(trigger)))
+    }
+
+    fn end(&mut self, id: AttemptId, outcome: Outcome) -> Vec<Output> {
+        let served = (outcome == Outcome::Served).then(|| Served {
+            status: 200,
+            content_type: None,
+            body: Bytes::from_static(b"yes"),
+        });
+        let load = Load::default();
+        let end = AttemptEnd { id, outcome, took: 10 * MS, note: None, alike: None, load, served };
+        self.input(Input::Attempt(end))
+    }
+
+    /// Lets time pass, doing what falls due.
+    fn pass(&mut self, length: Time) -> Vec<Output> {
+        let until = self.now + length;
+        let mut all = Vec::new();
+        while let Some(due) = self.engine.next_due().filter(|due| *due <= until) {
+            self.now = due.max(self.now);
+            all.extend(self.input(Input::Tick));
+        }
+        self.now = until;
+        all
+    }
+}
+
+fn sends(out: &[Output]) -> Vec<AttemptId> {
+    out.iter().filter_map(|o| if let Output::Send { id, .. } = o { Some(*id) } else { None }).collect()
+}
+
+fn answers(out: &[Output]) -> Vec<(Ticket, Arc<Reply>)> {
+    let of = |o: &Output| match o {
+        Output::Answer { ticket, reply } => Some((*ticket, reply.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(of).collect()
+}
+
+fn only_answer(out: &[Output]) -> (Ticket, Arc<Reply>) {
+    let mut all = answers(out);
+    assert_eq!(all.len(), 1, "{out:?}");
+    all.remove(0)
+}
+
+#[test]
+fn a_call_is_sent_and_its_answer_comes_back() {
+    let mut bed = Bed::new(settings());
+    let (ticket, out) = bed.trigger(UNSAFE, |_| {});
+    let out = bed.end(sends(&out)[0], Outcome::Served);
+    let (to, reply) = only_answer(&out);
+    assert_eq!((to, reply.verdict, reply.attempts), (ticket, Verdict::Served, 1));
+    assert_eq!(reply.served.as_ref().map(|s| &s.body[..]), Some(&b"yes"[..]));
+    assert_eq!(bed.engine.open(), 1);
+    bed.input(Input::Settled(ticket));
+    assert_eq!((bed.engine.open(), bed.engine.bytes()), (0, 0));
+}
+
+#[test]
+fn a_call_with_almost_no_time_is_answered_at_once_and_never_sent() {
+    let mut bed = Bed::new(settings());
+    for budget in [0, 1, 5 * MS, 20 * MS] {
+        // Nobody knows the function, so only a load of a second could serve it: 20 ms cannot be met.
+        let (_, out) = bed.trigger(UNSAFE, |t| t.call.budget = Some(budget));
+        assert_eq!(sends(&out), []);
+        assert_eq!(only_answer(&out).1.verdict, Verdict::Refused, "{budget}");
+    }
+}
+
+#[test]
+fn an_unsafe_call_that_may_have_run_fails_and_one_that_did_not_goes_on() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(UNSAFE, |_| {});
+    let out = bed.end(sends(&out)[0], Outcome::Unreachable);
+    let second = sends(&out)[0];
+    assert_eq!(second.number, 1);
+    let out = bed.end(second, Outcome::Broken);
+    assert_eq!(only_answer(&out).1.verdict, Verdict::Failed);
+    assert_eq!(sends(&out), []);
+}
+
+#[test]
+fn a_repeat_of_an_open_call_joins_it() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(UNSAFE, |_| {});
+    let attempt = sends(&out)[0];
+    bed.input(Input::SourceLost(SourceId(1)));
+    let (again, out) = bed.trigger(UNSAFE, |t| t.redelivered = true);
+    assert_eq!(out, [], "it is running already");
+    let out = bed.end(attempt, Outcome::Served);
+    assert_eq!(only_answer(&out).0, again);
+}
+
+#[test]
+fn a_repeat_of_an_answered_call_gets_the_same_answer() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(UNSAFE, |_| {});
+    bed.input(Input::SourceLost(SourceId(1)));
+    assert_eq!(bed.end(sends(&out)[0], Outcome::Served), [], "nobody can be told now");
+    let (again, out) = bed.trigger(UNSAFE, |t| t.redelivered = true);
+    let (to, reply) = only_answer(&out);
+    assert_eq!((to, reply.verdict), (again, Verdict::Served));
+    bed.input(Input::Settled(again));
+    // A broker without transactions may lose the ack of an answer that is safe: no second answer then.
+    let (third, out) = bed.trigger(UNSAFE, |t| t.redelivered = true);
+    assert_eq!(out, [Output::Forget(third)]);
+}
+
+/// A client that uses a name anew must not have its call settled by the answer of an earlier one.
+#[test]
+fn a_name_used_anew_is_a_new_message() {
+    let mut bed = Bed::new(settings());
+    let (first, out) = bed.trigger(UNSAFE, |_| {});
+    bed.end(sends(&out)[0], Outcome::Served);
+    bed.input(Input::Settled(first));
+    let (_, out) = bed.trigger(UNSAFE, |_| {});
+    let attempt = sends(&out)[0];
+    bed.input(Input::SourceLost(SourceId(1)));
+    let (again, out) = bed.trigger(UNSAFE, |t| t.redelivered = true);
+    assert_eq!(out, []);
+    assert_eq!(only_answer(&bed.end(attempt, Outcome::Served)).0, again);
+    // Twice at a time: both are answered.
+    let (a, out_a) = bed.trigger(SAFE, |_| {});
+    let (b, out_b) = bed.trigger(SAFE, |_| {});
+    assert_eq!(only_answer(&bed.end(sends(&out_a)[0], Outcome::Served)).0, a);
+    assert_eq!(only_answer(&bed.end(sends(&out_b)[0], Outcome::Served)).0, b);
+}
+
+#[test]
+fn a_message_that_another_front_end_had_is_run_only_where_that_is_harmless() {
+    let fate = |class: usize, age: Option<Time>| {
+        let (_, out) = Bed::new(settings()).trigger(class, |t| {
+            t.redelivered = true;
+            t.call.age = age;
+        });
+        answers(&out).first().map(|(_, r)| (r.verdict, r.cause))
+    };
+    let failed = Some((Verdict::Failed, Cause::MayHaveRunBefore));
+    assert_eq!(fate(SAFE, None), None);
+    assert_eq!(fate(UNSAFE, Some(0)), failed);
+    assert_eq!(fate(KEYED, None), failed, "its first send may be of any age");
+    assert_eq!(fate(KEYED, Some(500 * MS)), None);
+    assert_eq!(fate(KEYED, Some(2_999 * MS)), failed, "workers may forget it while it is sent");
+}
+
+#[test]
+fn the_table_of_repeats() {
+    let keyed = |group| Class { group, ..class(Effect::Keyed) };
+    let all = keyed(Group::All);
+    assert_eq!(unknown_earlier(&all, Some(MS), true, MS), Again::Run(Some(2_998 * MS)));
+    assert_eq!(unknown_earlier(&all, Some(MS), false, MS), Again::Fail, "no key, no dropping");
+    assert_eq!(unknown_earlier(&all, Some(2_999 * MS), true, MS), Again::Fail);
+    assert_eq!(unknown_earlier(&all, Some(Time::MAX), true, MS), Again::Fail);
+    assert_eq!(unknown_earlier(&keyed(Group::Zone), Some(MS), true, MS), Again::Fail, "which zone had it?");
+}
+
+#[test]
+fn a_message_that_comes_again_and_again_is_failed() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(SAFE, |t| {
+        t.redelivered = true;
+        t.deliveries = 21;
+    });
+    let (_, reply) = only_answer(&out);
+    assert_eq!((reply.verdict, reply.cause), (Verdict::Failed, Cause::TooOften));
+}
+
+#[test]
+fn what_nobody_can_be_told_of_is_withdrawn() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(SAFE, |t| t.identity = None);
+    let attempt = sends(&out)[0];
+    let out = bed.input(Input::SourceLost(SourceId(1)));
+    assert_eq!(out, [Output::Cancel(attempt)]);
+    assert_eq!((bed.engine.open(), bed.engine.bytes(), bed.engine.attempts_out()), (0, 0, 1));
+    bed.end(attempt, Outcome::Cancelled);
+    assert_eq!(bed.engine.attempts_out(), 0);
+}
+
+/// A message that went elsewhere after a lost connection must not be held for ever.
+#[test]
+fn an_orphan_is_let_go_at_its_deadline() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(SAFE, |_| {});
+    bed.input(Input::SourceLost(SourceId(1)));
+    bed.end(sends(&out)[0], Outcome::Served);
+    assert_eq!(bed.engine.open(), 1);
+    bed.pass(5_000 * MS);
+    assert_eq!((bed.engine.open(), bed.engine.bytes()), (0, 0));
+}
+
+#[test]
+fn a_silent_worker_does_not_keep_a_caller_waiting_beyond_the_time() {
+    let mut bed = Bed::new(settings());
+    for (class, verdict) in [(SAFE, Verdict::Refused), (UNSAFE, Verdict::Failed)] {
+        let began = bed.now;
+        let (ticket, out) = bed.trigger(class, |t| t.call.budget = Some(1_500 * MS));
+        let attempt = sends(&out)[0];
+        let out = bed.pass(1_500 * MS);
+        let (to, reply) = only_answer(&out);
+        assert_eq!((to, reply.verdict), (ticket, verdict));
+        assert!(out.contains(&Output::Cancel(attempt)));
+        bed.end(attempt, Outcome::Cancelled);
+        bed.input(Input::Settled(ticket));
+        assert!(bed.now <= began + 1_500 * MS);
+    }
+}
+
+#[test]
+fn every_bound_answers_at_once() {
+    let mut bed = Bed::new(EngineSettings { max_open: 2, ..settings() });
+    bed.trigger(SAFE, |t| t.identity = Some("a".into()));
+    bed.trigger(SAFE, |t| t.identity = Some("b".into()));
+    assert_eq!(bed.engine.room(), 0);
+    let (_, out) = bed.trigger(SAFE, |t| t.identity = Some("c".into()));
+    assert_eq!(only_answer(&out).1.cause, Cause::NoRoom);
+
+    let mut bed = Bed::new(EngineSettings { max_bytes: 5, ..settings() });
+    bed.trigger(SAFE, |t| t.identity = Some("a".into()));
+    let (_, out) = bed.trigger(SAFE, |t| t.identity = Some("b".into()));
+    assert_eq!(only_answer(&out).1.cause, Cause::NoRoom);
+
+    let mut bed = Bed::new(settings());
+    bed.input(Input::Drain);
+    let (_, out) = bed.trigger(SAFE, |_| {});
+    assert_eq!(only_answer(&out).1.cause, Cause::Draining);
+
+    let mut bed = Bed::new(EngineSettings { max_names: 10, ..settings() });
+    for n in 0..100 {
+        bed.now += MS;
+        bed.trigger(SAFE, |t| {
+            t.identity = None;
+            t.call.function = format!("one-off {n}").into();
+        });
+    }
+}
+
+#[test]
+fn without_workers_a_call_is_refused_and_after_their_return_served() {
+    let mut bed = Bed::new(settings());
+    let gone =
+        |n: u32| Entry { worker: Worker::new(&format!("w{n}")), state: State::Gone, ..Entry::default() };
+    bed.input(Input::Workers { kind: ListKind::Changes, entries: (0..3).map(gone).collect() });
+    assert_eq!(bed.engine.live_workers(), 0);
+    let (_, out) = bed.trigger(SAFE, |t| t.identity = None);
+    assert_eq!(only_answer(&out).1.verdict, Verdict::Refused);
+    let back = Entry { worker: Worker::new("w9"), ..Entry::default() };
+    bed.input(Input::Workers { kind: ListKind::Changes, entries: vec![back] });
+    let (_, out) = bed.trigger(SAFE, |t| t.identity = None);
+    assert_eq!(sends(&out).len(), 1);
+}
+
+#[test]
+fn an_outcome_that_nothing_was_sent_for_changes_nothing() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(UNSAFE, |_| {});
+    let id = sends(&out)[0];
+    assert_eq!(bed.end(AttemptId { number: 5, ..id }, Outcome::Served), []);
+    assert_eq!(bed.end(AttemptId { request: 99, number: 0 }, Outcome::Served), []);
+    assert_eq!(answers(&bed.end(id, Outcome::Served)).len(), 1);
+    assert_eq!(bed.end(id, Outcome::Served), [], "a second outcome of one attempt is none");
+}
--- /dev/null
+++ b/crates/pipithub-engine/tests/world.rs
@@ -0,0 +1,333 @@
+//! Two engines, a broker and workers in one small world with random troubles. Checked from outside: every message gets
+//! exactly one final answer, no unsafe call runs twice, a keyed one has one effect, all within the client's time.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use pipithub_engine::policy::{Class, Effect, Entry, Limits, ListKind, Load, Outcome, Settings, Worker};
+use pipithub_engine::{
+    AttemptEnd, AttemptId, Call, Engine, EngineSettings, Input, Output, Served, SourceId, Ticket, Time,
+    Trigger, Verdict,
+};
+use proptest::prelude::*;
+
+const MS: Time = 1_000_000;
+const WINDOW: Time = 2_500 * MS;
+const GIVE_UP: Time = 2_000 * MS;
+
+fn settings() -> EngineSettings {
+    let class = |effect| Class { effect, give_up: GIVE_UP, dedup_window: WINDOW, ..Class::default() };
+    EngineSettings {
+        policy: Settings {
+            front_ends: 2,
+            tick: MS,
+            classes: vec![class(Effect::Safe), class(Effect::Keyed), class(Effect::Unsafe)],
+            limits: Limits { cancel: true, max_attempts: 4, ..Limits::default() },
+            ..Settings::default()
+        },
+        max_open: 20,
+        ..EngineSettings::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Message {
+    class: usize,
+    published: Time,
+    redelivered: bool,
+    answers: Vec<(Verdict, Time)>,
+    /// When its effect took place.
+    effects: Vec<Time>,
+}
+
+#[derive(Debug)]
+enum Happening {
+    Publish(usize),
+    /// A worker begins a call; then how it ends.
+    Run(usize, u32, AttemptId, usize, Outcome),
+    End(usize, u32, AttemptId, Outcome),
+    /// A commit reaches the broker; the engine hears of it unless the word is lost.
+    Commit(usize, u32, Ticket, Verdict, bool),
+    Kill(usize),
+    Lose(usize),
+}
+
+struct World {
+    now: Time,
+    random: u64,
+    engines: Vec<Engine>,
+    /// How often each engine was started: what belongs to an earlier life is void.
+    life: Vec<u32>,
+    connection: Vec<u32>,
+    agenda: BTreeMap<(Time, u64), Happening>,
+    count: u64,
+    queue: VecDeque<usize>,
+    unacked: BTreeMap<Ticket, (usize, usize)>,
+    messages: Vec<Message>,
+    cancelled: Vec<(usize, u32, AttemptId)>,
+    ended: Vec<(usize, u32, AttemptId)>,
+    trouble: u64,
+}
+
+impl World {
+    fn new(seed: u64, trouble: u64) -> Self {
+        let mut world = World {
+            now: 0,
+            random: seed,
+            engines: Vec::new(),
+            life: vec![0, 0],
+            connection: vec![0, 0],
+            agenda: BTreeMap::new(),
+            count: 0,
+            queue: VecDeque::new(),
+            unacked: BTreeMap::new(),
+            messages: Vec::new(),
+            cancelled: Vec::new(),
+            ended: Vec::new(),
+            trouble,
+        };
+        for which in 0..2 {
+            let engine = world.engine(which);
+            world.engines.push(engine);
+        }
+        world
+    }
+
+    fn chance(&mut self, below: u64) -> u64 {
+        self.random =
+            self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.random >> 33) % below
+    }
+
+    fn engine(&mut self, which: usize) -> Engine {
+        let mut engine = Engine::new(settings(), which as u64 + 1);
+        let entry = |n: u32| Entry { worker: Worker::new(&format!("w{n}")), ..Entry::default() };
+        let entries = (0..4).map(entry).collect();
+        engine.handle(self.now, Input::Workers { kind: ListKind::Remembered, entries }, &mut Vec::new());
+        engine
+    }
+
+    fn plan(&mut self, after: Time, what: Happening) {
+        self.count += 1;
+        self.agenda.insert((self.now + after, self.count), what);
+    }
+
+    fn input(&mut self, which: usize, input: Input) {
+        let mut out = Vec::new();
+        self.engines[which].handle(self.now, input, &mut out);
+        for output in out {
+            self.output(which, output);
+        }
+    }
+
+    fn message_of(&self, call: &Call) -> usize {
+        call.key.as_deref().and_then(|k| k.parse().ok()).expect("every call here has its number as key")
+    }
+
+    fn output(&mut self, which: usize, output: Output) {
+        let life = self.life[which];
+        match output {
+            Output::Send { id, call, deadline, .. } => {
+                assert!(deadline > self.now, "sent after its time");
+                let message = self.message_of(&call);
+                let trouble = self.chance(100) < self.trouble;
+                let outcome = match (trouble, self.chance(5)) {
+                    (false, _) => Outcome::Served,
+                    (true, 0) => Outcome::Unreachable,
+                    (true, 1) => Outcome::Full,
+                    (true, 2) => Outcome::Error,
+                    (true, 3) => Outcome::Broken,
+                    (true, _) => Outcome::TimedOut,
+                };
+                let travel = self.chance(30) * MS;
+                self.plan(travel, Happening::Run(which, life, id, message, outcome));
+                if outcome == Outcome::TimedOut {
+                    let wait = deadline - self.now;
+                    self.plan(wait, Happening::End(which, life, id, outcome));
+                }
+            }
+            Output::Cancel(id) => {
+                // Withdrawn: what has reached the worker goes on there.
+                self.cancelled.push((which, life, id));
+                self.plan(0, Happening::End(which, life, id, Outcome::Cancelled));
+            }
+            Output::Answer { ticket, reply } => {
+                let after = self.chance(4) * MS;
+                let heard = self.chance(200) >= self.trouble;
+                let connection = self.connection[which];
+                self.plan(after, Happening::Commit(which, connection, ticket, reply.verdict, heard));
+            }
+            Output::Forget(ticket) => {
+                self.unacked.remove(&ticket);
+                self.input(which, Input::Settled(ticket));
+            }
+            Output::Probe(_) | Output::Hold { .. } | Output::Drop { .. } | Output::FollowList => {}
+        }
+    }
+
+    /// The connection of an engine is gone: what it held goes back to the head of the queue.
+    fn requeue(&mut self, which: usize) {
+        self.connection[which] += 1;
+        let back: Vec<_> =
+            self.unacked.iter().filter(|(_, (w, _))| *w == which).map(|(t, m)| (*t, m.1)).collect();
+        for (ticket, message) in back.into_iter().rev() {
+            self.unacked.remove(&ticket);
+            self.messages[message].redelivered = true;
+            self.queue.push_front(message);
+        }
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Publish(class) => {
+                self.queue.push_back(self.messages.len());
+                let (answers, effects) = (Vec::new(), Vec::new());
+                self.messages.push(Message {
+                    class,
+                    published: self.now,
+                    redelivered: false,
+                    answers,
+                    effects,
+                });
+            }
+            Happening::Run(which, life, id, message, outcome) => {
+                let runs = !outcome.never_ran() && (outcome != Outcome::Broken || self.chance(2) == 0);
+                if runs {
+                    let effects = &mut self.messages[message].effects;
+                    // Workers drop the repeats of a keyed call for a while.
+                    let dropped = effects.first().is_some_and(|t| self.now < t + WINDOW);
+                    if self.messages[message].class != 1 || !dropped {
+                        self.messages[message].effects.push(self.now);
+                    }
+                }
+                if outcome != Outcome::TimedOut {
+                    let after = self.chance(200) * MS;
+                    self.plan(after, Happening::End(which, life, id, outcome));
+                }
+            }
+            Happening::End(which, life, id, outcome) => {
+                if life != self.life[which] || self.ended.contains(&(which, life, id)) {
+                    return;
+                }
+                self.ended.push((which, life, id));
+                let served = (outcome == Outcome::Served).then(Served::default);
+                let load = Load::default();
+                let end = AttemptEnd { id, outcome, took: 50 * MS, note: None, alike: None, load, served };
+                self.input(which, Input::Attempt(end));
+            }
+            Happening::Commit(which, connection, ticket, verdict, heard) => {
+                if connection != self.connection[which] {
+                    return;
+                }
+                // Answer and ack take effect together.
+                let (_, message) = self.unacked.remove(&ticket).expect("a ticket is settled once");
+                self.messages[message].answers.push((verdict, self.now));
+                if heard {
+                    self.input(which, Input::Settled(ticket));
+                } else {
+                    self.requeue(which);
+                    self.input(which, Input::SourceLost(SourceId(0)));
+                }
+            }
+            Happening::Kill(which) => {
+                self.life[which] += 1;
+                self.requeue(which);
+                self.engines[which] = self.engine(which);
+            }
+            Happening::Lose(which) => {
+                self.requeue(which);
+                self.input(which, Input::SourceLost(SourceId(0)));
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while !self.queue.is_empty() {
+            let first = self.chance(2) as usize;
+            let free = [first, 1 - first].into_iter().find(|w| self.engines[*w].room() > 0);
+            let (Some(which), Some(message)) = (free, self.queue.pop_front()) else { return };
+            self.count += 1;
+            let ticket = Ticket { source: SourceId(0), number: self.count };
+            self.unacked.insert(ticket, (which, message));
+            let Message { class, published, redelivered, .. } = self.messages[message];
+            let age = self.now - published;
+            let call = Call {
+                function: format!("f{}", message % 3).into(),
+                class,
+                budget: Some(GIVE_UP.saturating_sub(age)),
+                age: Some(age),
+                lanes: 4,
+                key: Some(message.to_string().into()),
+                body: Bytes::from_static(b"x"),
+                ..Call::default()
+            };
+            let identity = Some(message.to_string().into());
+            let trigger = Trigger { ticket, identity, redelivered, deliveries: 0, call };
+            self.input(which, Input::Trigger(trigger));
+        }
+    }
+
+    fn run(mut self) -> Self {
+        for n in 0..60 {
+            let class = self.chance(3) as usize;
+            self.plan(n * 20 * MS, Happening::Publish(class));
+        }
+        for _ in 0..self.trouble / 5 {
+            let (at, which) = (self.chance(1_500) * MS, self.chance(2) as usize);
+            let what = if self.chance(2) == 0 { Happening::Kill(which) } else { Happening::Lose(which) };
+            self.plan(at, what);
+        }
+        let end = 20_000 * MS;
+        loop {
+            let planned = self.agenda.first_key_value().map(|((t, _), _)| *t);
+            let due = self.engines.iter().filter_map(Engine::next_due).min();
+            let next = planned.into_iter().chain(due).min().unwrap_or(end);
+            if next >= end {
+                return self;
+            }
+            self.now = self.now.max(next);
+            match self.agenda.first_entry().filter(|e| e.key().0 <= self.now) {
+                Some(entry) => {
+                    let what = entry.remove();
+                    self.happen(what);
+                }
+                None => (0..2).for_each(|which| self.input(which, Input::Tick)),
+            }
+            self.deliver();
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    #[test]
+    fn one_answer_each_and_no_effect_twice(seed in any::<u64>(), trouble in 0..60u64) {
+        let world = World::new(seed, trouble).run();
+        prop_assert_eq!(world.messages.len(), 60);
+        for (number, message) in world.messages.iter().enumerate() {
+            prop_assert_eq!(message.answers.len(), 1, "message {}: {:?}", number, message);
+            let (verdict, at) = message.answers[0];
+            if message.class > 0 {
+                prop_assert!(message.effects.len() <= 1, "message {} ran twice: {:?}", number, message);
+                // A refusal promises that another try is harmless.
+                let harmless = message.class == 1 || message.effects.is_empty();
+                prop_assert!(verdict != Verdict::Refused || harmless, "message {}: {:?}", number, message);
+            }
+            prop_assert!(verdict != Verdict::Served || !message.effects.is_empty());
+            // Lost connections may bring it back late, but then it is answered at once.
+            if !message.redelivered {
+                prop_assert!(at <= message.published + GIVE_UP, "message {} late: {:?}", number, message);
+            }
+        }
+        for engine in &world.engines {
+            prop_assert_eq!((engine.open(), engine.bytes(), engine.attempts_out()), (0, 0, 0));
+        }
+    }
+
+    #[test]
+    fn equal_inputs_give_equal_outputs(seed in any::<u64>()) {
+        let digest = |w: &World| format!("{:?}", w.messages);
+        prop_assert_eq!(digest(&World::new(seed, 30).run()), digest(&World::new(seed, 30).run()));
+    }
+}
