--- /dev/null
+++ b/crates/pipithub-endpoints/src/lib.rs
@@ -0,0 +1,279 @@
+//! The worker list from Kubernetes EndpointSlice objects (`discovery.k8s.io/v1`), without I/O.
+//!
+//! A [`Watcher`] takes the bodies of a list and the lines of a watch and tells what changed for the engine. It keeps the
+//! `resourceVersion` to watch from, notices a version that is too old (`410 Gone`), and can be written down and read
+//! back for a restart ([`Watcher::remembered`], [`recall`]).
+//!
+//! Two annotations on a slice tell what Kubernetes has no field for; both map an endpoint's `targetRef.uid` to a
+//! number: `pipithub.dev/started-ms` (Unix time of its start) and `pipithub.dev/memory-mb`. Without the first, an
+//! endpoint first seen in a watch counts as started then, one found in a list as started long ago.
+
+pub mod object;
+
+use std::collections::BTreeMap;
+
+use object::{Endpoint, EndpointSlice, EndpointSliceList, WatchEvent};
+use pipithub_engine::Time;
+use pipithub_engine::policy::{Entry, ListKind, State, Worker};
+use serde::{Deserialize, Serialize};
+
+/// The group, version and kind that a watch brings.
+pub const API: &str = "discovery.k8s.io/v1";
+/// Annotation: start times in Unix milliseconds, by uid.
+pub const STARTED: &str = "pipithub.dev/started-ms";
+/// Annotation: memory in MB, by uid.
+pub const MEMORY: &str = "pipithub.dev/memory-mb";
+/// More endpoints than this are refused: a broken list must not fill the memory.
+pub const MOST_ENDPOINTS: usize = 20_000;
+
+/// Why a body or line could not be taken; what was known stays.
+#[derive(Debug, thiserror::Error)]
+pub enum ListError {
+    /// It is not JSON of the expected shape.
+    #[error("cannot read the {what}: {source}")]
+    Json {
+        /// What it should have been.
+        what: &'static str,
+        /// Where and why.
+        source: serde_json::Error,
+    },
+    /// It holds more endpoints than are taken.
+    #[error("{0} endpoints are more than the {MOST_ENDPOINTS} taken")]
+    TooMany(usize),
+    /// The server answered with a status object.
+    #[error("the server answers {code}: {message}")]
+    Status {
+        /// Its code.
+        code: u16,
+        /// Its message.
+        message: String,
+    },
+}
+
+/// What a line of a watch brought.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Workers changed.
+    Changes(Vec<Entry>),
+    /// Nothing of note; the version to go on from moved.
+    Nothing,
+    /// The version is too old: list anew.
+    Expired,
+}
+
+/// One endpoint as it stands.
+#[derive(Clone, Debug, PartialEq)]
+struct Known {
+    state: State,
+    uid: String,
+    zone: String,
+    memory_mb: f64,
+    started: Option<Time>,
+}
+
+/// Follows the slices of one service.
+#[derive(Debug, Default)]
+pub struct Watcher {
+    port: Option<String>,
+    version: Option<String>,
+    slices: BTreeMap<String, EndpointSlice>,
+    known: BTreeMap<String, Known>,
+    listed: bool,
+}
+
+impl Watcher {
+    /// Follows the port of this name, or the first of each slice.
+    pub fn new(port: Option<String>) -> Self {
+        Watcher { port, ..Watcher::default() }
+    }
+
+    /// The version to watch from; `None`: list first.
+    pub fn version(&self) -> Option<&str> {
+        self.version.as_deref()
+    }
+
+    /// The version to watch from is not known any more: list anew.
+    pub fn forget_version(&mut self) {
+        self.version = None;
+    }
+
+    /// Takes the body of a list; all workers there are. `wall_ms` is the Unix time that `now` stands for.
+    pub fn list(&mut self, now: Time, wall_ms: u64, body: &[u8]) -> Result<Vec<Entry>, ListError> {
+        let json = |source| ListError::Json { what: "EndpointSliceList", source };
+        let list: EndpointSliceList = serde_json::from_slice(body).map_err(json)?;
+        let count = list.items.iter().map(|s| s.endpoints.len()).sum();
+        if count > MOST_ENDPOINTS {
+            return Err(ListError::TooMany(count));
+        }
+        self.slices = list.items.into_iter().map(|s| (s.metadata.name.clone(), s)).collect();
+        self.version = Some(list.metadata.resource_version).filter(|v| !v.is_empty());
+        self.refresh(now, wall_ms);
+        self.listed = true;
+        Ok(self.known.iter().map(|(address, k)| k.entry(address)).collect())
+    }
+
+    /// Takes one line of a watch.
+    pub fn line(&mut self, now: Time, wall_ms: u64, line: &[u8]) -> Result<Step, ListError> {
+        let json = |source| ListError::Json { what: "watch event", source };
+        let event: WatchEvent = serde_json::from_slice(line).map_err(json)?;
+        match event.kind.as_str() {
+            "ADDED" | "MODIFIED" | "DELETED" => {
+                let slice: EndpointSlice = serde_json::from_value(event.object).map_err(json)?;
+                let name = slice.metadata.name.clone();
+                if !slice.metadata.resource_version.is_empty() {
+                    self.version = Some(slice.metadata.resource_version.clone());
+                }
+                if event.kind == "DELETED" {
+                    self.slices.remove(&name);
+                } else {
+                    let others = self.slices.iter().filter(|(n, _)| **n != name);
+                    let count = others.map(|(_, s)| s.endpoints.len()).sum::<usize>() + slice.endpoints.len();
+                    if count > MOST_ENDPOINTS {
+                        return Err(ListError::TooMany(count));
+                    }
+                    self.slices.insert(name, slice);
+                }
+                let changes = self.refresh(now, wall_ms);
+                Ok(if changes.is_empty() { Step::Nothing } else { Step::Changes(changes) })
+            }
+            "BOOKMARK" => {
+                let version = event.object["metadata"]["resourceVersion"].as_str().unwrap_or_default();
+                if !version.is_empty() {
+                    self.version = Some(version.to_string());
+                }
+                Ok(Step::Nothing)
+            }
+            "ERROR" => {
+                let code = event.object["code"].as_u64().unwrap_or(0) as u16;
+                if code == 410 {
+                    self.version = None;
+                    return Ok(Step::Expired);
+                }
+                let message = event.object["message"].as_str().unwrap_or("no message").to_string();
+                Err(ListError::Status { code, message })
+            }
+            // A kind of event that later servers may send changes nothing here.
+            _ => Ok(Step::Nothing),
+        }
+    }
+
+    /// Works out the workers anew from all slices; what changed.
+    fn refresh(&mut self, now: Time, wall_ms: u64) -> Vec<Entry> {
+        let mut next: BTreeMap<String, Known> = BTreeMap::new();
+        for slice in self.slices.values() {
+            let Some(port) = slice.port(self.port.as_deref()) else { continue };
+            for endpoint in &slice.endpoints {
+                let Some(address) = endpoint.address(port) else { continue };
+                let found = self.known_of(slice, endpoint, &address, now, wall_ms);
+                // While an endpoint moves between slices it may stand in two; the careful word counts.
+                let careful = next.get(&address).is_some_and(|k| k.state == State::Draining);
+                if !careful {
+                    next.insert(address, found);
+                }
+            }
+        }
+        let mut changes = Vec::new();
+        for (address, old) in &self.known {
+            if !next.contains_key(address) {
+                changes.push(Known { state: State::Gone, ..old.clone() }.entry(address));
+            }
+        }
+        for (address, new) in &next {
+            if self.known.get(address) != Some(new) {
+                changes.push(new.entry(address));
+            }
+        }
+        self.known = next;
+        changes
+    }
+
+    fn known_of(&self, slice: &EndpointSlice, e: &Endpoint, address: &str, now: Time, wall: u64) -> Known {
+        let uid = e.target_ref.as_ref().map(|t| t.uid.clone()).unwrap_or_default();
+        let before = self.known.get(address).filter(|k| k.uid == uid);
+        let number = |name: &str| -> Option<f64> {
+            let text = slice.metadata.annotations.as_ref()?.get(name)?;
+            let by_uid: BTreeMap<String, f64> = serde_json::from_str(text).ok()?;
+            by_uid.get(&uid).copied().filter(|v| v.is_finite() && *v >= 0.0)
+        };
+        let told = number(STARTED).map(|ms| {
+            let age = (wall as f64 - ms).max(0.0) * 1e6;
+            now.saturating_sub(age as Time).max(1)
+        });
+        let started = match before {
+            // A start once known stays: clocks that drift must not look like restarts.
+            Some(known) => known.started,
+            None => told.or(self.listed.then_some(now.max(1))),
+        };
+        let memory_mb = number(MEMORY).unwrap_or(0.0);
+        Known { state: e.state(), uid, zone: e.zone.clone().unwrap_or_default(), memory_mb, started }
+    }
+
+    /// How many workers are live.
+    pub fn live(&self) -> usize {
+        self.known.values().filter(|k| k.state == State::Live).count()
+    }
+
+    /// The list as a text to keep for a restart.
+    pub fn remembered(&self, now: Time, wall_ms: u64) -> String {
+        let started_ms = |t: Time| wall_ms.saturating_sub(now.saturating_sub(t) / 1_000_000);
+        let workers = self.known.iter().filter(|(_, k)| k.state != State::Gone).map(|(address, k)| Kept {
+            address: address.clone(),
+            draining: k.state == State::Draining,
+            zone: k.zone.clone(),
+            memory_mb: k.memory_mb,
+            started_ms: k.started.map(started_ms),
+        });
+        let kept = KeptList { format: 1, wall_ms, workers: workers.collect() };
+        serde_json::to_string_pretty(&kept).unwrap_or_default()
+    }
+}
+
+impl Known {
+    fn entry(&self, address: &str) -> Entry {
+        Entry {
+            worker: Worker::new(address),
+            share: 0.0,
+            state: self.state,
+            zone: self.zone.clone(),
+            cell: 0,
+            memory_mb: self.memory_mb,
+            started: self.started,
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct KeptList {
+    format: u32,
+    wall_ms: u64,
+    workers: Vec<Kept>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Kept {
+    address: String,
+    draining: bool,
+    zone: String,
+    memory_mb: f64,
+    started_ms: Option<u64>,
+}
+
+/// Reads a remembered list; to be handed to the engine as [`ListKind::Remembered`].
+pub fn recall(text: &str, now: Time, wall_ms: u64) -> Result<(ListKind, Vec<Entry>), ListError> {
+    let json = |source| ListError::Json { what: "remembered list", source };
+    let kept: KeptList = serde_json::from_str(text).map_err(json)?;
+    if kept.workers.len() > MOST_ENDPOINTS {
+        return Err(ListError::TooMany(kept.workers.len()));
+    }
+    let entry = |k: Kept| Entry {
+        worker: Worker::new(&k.address),
+        share: 0.0,
+        state: if k.draining { State::Draining } else { State::Live },
+        zone: k.zone,
+        cell: 0,
+        memory_mb: k.memory_mb.max(0.0),
+        // A start in the future, by a clock that was set back, counts as now.
+        started: k.started_ms.map(|ms| now.saturating_sub(wall_ms.saturating_sub(ms) * 1_000_000).max(1)),
+    };
+    Ok((ListKind::Remembered, kept.workers.into_iter().map(entry).collect()))
+}
--- /dev/null
+++ b/crates/pipithub-endpoints/tests/watch.rs
@@ -0,0 +1,169 @@
+//! Lists and watches as an API server writes them.
+
+use pipithub_endpoints::{Step, Watcher, recall};
+use pipithub_engine::Time;
+use pipithub_engine::policy::{Entry, ListKind, State};
+use serde_json::{Value, json};
+
+const SECOND: Time = 1_000_000_000;
+const WALL: u64 = 1_800_000_000_000;
+
+fn endpoint(n: u8, uid: &str, conditions: Value) -> Value {
+    json!({"addresses": [format!("10.0.0.{n}")], "conditions": conditions, "zone": "a", "nodeName": "x",
+           "targetRef": {"kind": "Pod", "name": format!("w-{n}"), "uid": uid}})
+}
+
+fn slice(name: &str, version: &str, endpoints: Vec<Value>) -> Value {
+    json!({"kind": "EndpointSlice", "apiVersion": "discovery.k8s.io/v1", "addressType": "IPv4",
+           "metadata": {"name": name, "resourceVersion": version, "annotations": {
+               "pipithub.dev/memory-mb": "{\"a\": 8000, \"b\": 16000}"}},
+           "endpoints": endpoints, "ports": [{"name": "metrics", "port": 9}, {"name": "http", "port": 80}]})
+}
+
+fn list(version: &str, slices: Vec<Value>) -> Vec<u8> {
+    json!({"kind": "EndpointSliceList", "metadata": {"resourceVersion": version}, "items": slices})
+        .to_string()
+        .into_bytes()
+}
+
+fn event(kind: &str, object: Value) -> Vec<u8> {
+    json!({"type": kind, "object": object}).to_string().into_bytes()
+}
+
+fn watcher() -> Watcher {
+    Watcher::new(Some("http".into()))
+}
+
+fn short(entries: &[Entry]) -> Vec<(String, State)> {
+    entries.iter().map(|e| (e.worker.0.to_string(), e.state)).collect()
+}
+
+#[test]
+fn conditions_become_states() {
+    let ready = json!({"ready": true, "serving": true, "terminating": false});
+    let stopping = json!({"ready": false, "serving": true, "terminating": true});
+    let body = list(
+        "5",
+        vec![slice(
+            "s",
+            "4",
+            vec![
+                endpoint(1, "a", ready),
+                endpoint(2, "b", stopping),
+                endpoint(3, "c", json!({"ready": false})),
+                endpoint(4, "d", json!({})),
+                endpoint(5, "e", json!({"ready": null})),
+            ],
+        )],
+    );
+    let mut watcher = watcher();
+    let all = watcher.list(SECOND, WALL, &body).expect("a list");
+    let at = |n: u8| format!("10.0.0.{n}:80");
+    assert_eq!(
+        short(&all),
+        [
+            (at(1), State::Live),
+            (at(2), State::Draining),
+            (at(3), State::Draining),
+            (at(4), State::Live),
+            (at(5), State::Live)
+        ]
+    );
+    assert_eq!((all[0].memory_mb, all[0].zone.as_str(), all[0].started), (8000.0, "a", None));
+    assert_eq!((watcher.version(), watcher.live()), (Some("5"), 3));
+}
+
+#[test]
+fn a_watch_brings_only_what_changed() {
+    let up = || json!({"ready": true});
+    let mut watcher = watcher();
+    watcher.list(0, WALL, &list("5", vec![slice("s", "4", vec![endpoint(1, "a", up())])])).expect("a list");
+    let line = event("MODIFIED", slice("s", "6", vec![endpoint(1, "a", up()), endpoint(2, "b", up())]));
+    let Ok(Step::Changes(changes)) = watcher.line(3 * SECOND, WALL, &line) else { panic!("changes") };
+    assert_eq!(short(&changes), [("10.0.0.2:80".to_string(), State::Live)]);
+    assert_eq!(changes[0].started, Some(3 * SECOND), "first seen in a watch: started now");
+    assert_eq!(watcher.version(), Some("6"));
+    assert!(matches!(watcher.line(4 * SECOND, WALL, &line), Ok(Step::Nothing)));
+    let gone = event("DELETED", slice("s", "7", vec![]));
+    let Ok(Step::Changes(changes)) = watcher.line(5 * SECOND, WALL, &gone) else { panic!("changes") };
+    assert!(changes.iter().all(|e| e.state == State::Gone) && changes.len() == 2);
+}
+
+/// A pod that takes over the address of another is a new process: it holds nothing.
+#[test]
+fn another_uid_at_the_same_address_is_a_restart() {
+    let mut watcher = watcher();
+    let one = |uid: &str| slice("s", "4", vec![endpoint(1, uid, json!({"ready": true}))]);
+    watcher.list(0, WALL, &list("5", vec![one("a")])).expect("a list");
+    let Ok(Step::Changes(changes)) = watcher.line(9 * SECOND, WALL, &event("MODIFIED", one("b"))) else {
+        panic!("changes")
+    };
+    assert_eq!(changes[0].started, Some(9 * SECOND));
+    // A list after a break that still shows it changes nothing about its start.
+    let all = watcher.list(20 * SECOND, WALL, &list("9", vec![one("b")])).expect("a list");
+    assert_eq!(all[0].started, Some(9 * SECOND));
+}
+
+#[test]
+fn an_endpoint_in_two_slices_counts_as_the_careful_one_says() {
+    let mut watcher = watcher();
+    let a = slice("a", "4", vec![endpoint(1, "a", json!({"ready": false, "terminating": true}))]);
+    let b = slice("b", "4", vec![endpoint(1, "a", json!({"ready": true}))]);
+    let all = watcher.list(0, WALL, &list("5", vec![a, b])).expect("a list");
+    assert_eq!(short(&all), [("10.0.0.1:80".to_string(), State::Draining)]);
+}
+
+#[test]
+fn bookmarks_move_the_version_and_gone_asks_for_a_list() {
+    let mut watcher = watcher();
+    watcher.list(0, WALL, &list("5", vec![])).expect("a list");
+    let bookmark = event("BOOKMARK", json!({"metadata": {"resourceVersion": "77"}}));
+    assert!(matches!(watcher.line(0, WALL, &bookmark), Ok(Step::Nothing)));
+    assert_eq!(watcher.version(), Some("77"));
+    let gone =
+        event("ERROR", json!({"kind": "Status", "code": 410, "reason": "Expired", "message": "too old"}));
+    assert!(matches!(watcher.line(0, WALL, &gone), Ok(Step::Expired)));
+    assert_eq!(watcher.version(), None);
+    let other = event("ERROR", json!({"kind": "Status", "code": 500, "message": "etcd"}));
+    assert!(watcher.line(0, WALL, &other).expect_err("an error").to_string().contains("500: etcd"));
+}
+
+#[test]
+fn what_cannot_be_read_is_told_and_changes_nothing() {
+    let mut watcher = watcher();
+    let up = slice("s", "4", vec![endpoint(1, "a", json!({"ready": true}))]);
+    watcher.list(0, WALL, &list("5", vec![up])).expect("a list");
+    for bad in ["", "{", "[]", "{\"items\": 5}", "{\"items\": [{\"metadata\": {}, \"endpoints\": [{}]}]}"] {
+        assert!(watcher.list(0, WALL, bad.as_bytes()).is_err(), "{bad}");
+        assert!(watcher.line(0, WALL, bad.as_bytes()).is_err(), "{bad}");
+        assert_eq!((watcher.live(), watcher.version()), (1, Some("5")));
+    }
+    let many = vec![endpoint(1, "a", json!({})); pipithub_endpoints::MOST_ENDPOINTS + 1];
+    assert!(watcher.list(0, WALL, &list("6", vec![slice("s", "6", many)])).is_err());
+    // Null for an empty list is what an API server sends.
+    let null = json!({"metadata": {"name": "s"}, "endpoints": null, "ports": null});
+    assert_eq!(watcher.list(0, WALL, &list("7", vec![null])).expect("empty"), []);
+}
+
+#[test]
+fn a_remembered_list_comes_back_after_a_restart() {
+    let mut watcher = watcher();
+    let body = list(
+        "5",
+        vec![slice(
+            "s",
+            "4",
+            vec![endpoint(1, "a", json!({"ready": true})), endpoint(2, "b", json!({"terminating": true}))],
+        )],
+    );
+    watcher.list(0, WALL, &body).expect("a list");
+    let line = event("ADDED", slice("t", "6", vec![endpoint(3, "c", json!({"ready": true}))]));
+    watcher.line(10 * SECOND, WALL + 10_000, &line).expect("changes");
+    let text = watcher.remembered(20 * SECOND, WALL + 20_000);
+    // The new process counts its own time, 5 s on.
+    let (kind, entries) = recall(&text, 60 * SECOND, WALL + 25_000).expect("its own text");
+    assert_eq!(kind, ListKind::Remembered);
+    assert_eq!(short(&entries)[1].1, State::Draining);
+    assert_eq!(entries[2].started, Some(45 * SECOND), "started 15 s ago");
+    assert!(recall("nonsense", 0, 0).is_err());
+}
--- a/crates/pipithub-engine/src/model.rs
+++ b/crates/pipithub-engine/src/model.rs
@@ -48,6 +48,8 @@
     pub lanes: u32,
     /// The usual time of a load, where told.
     pub load_time: Option<Time>,
+    /// Names the call to workers and in logs; the message's own id, where it has one.
+    pub label: Option<Arc<str>>,
     /// Under which workers drop repeats.
     pub key: Option<Arc<str>>,
     /// MIME type of the body.
