AMQP consumer and broker stand-in without I/O; answer and ack in one transaction

Need: a queue's calls must each get exactly one final answer, whatever dies in between. pipithub-consumer turns deliveries into triggers and commits each answer's publish with its message's ack; pipithub-standin's broker core has queues, exchanges, prefetch, TTL, dead letters, tx and confirms, with a socket shell.

--- a/crates/pipithub-amqp/src/endpoint.rs
+++ b/crates/pipithub-amqp/src/endpoint.rs
@@ -209,6 +209,7 @@
     last_sent: Time,
     last_received: Time,
     peer_properties: FieldTable,
+    name: Option<String>,
 }
 
 impl Endpoint {
@@ -240,9 +241,16 @@
             last_sent: now,
             last_received: now,
             peer_properties: FieldTable::new(),
+            name: None,
         }
     }
 
+    /// Client: the name that the connection is told under.
+    pub fn named(mut self, name: &str) -> Self {
+        self.name = Some(name.to_string());
+        self
+    }
+
     /// The limits in force; those negotiated once the connection is open.
     pub fn tuning(&self) -> Tuning {
         self.tuning
@@ -595,6 +603,7 @@
                     .iter()
                     .fold(FieldTable::new(), |t, name| t.with(name, FieldValue::Bool(true)));
                 let client_properties = FieldTable::new()
+                    .with("connection_name", self.name.as_deref().unwrap_or("pipithub"))
                     .with("product", "pipithub")
                     .with("version", env!("CARGO_PKG_VERSION"))
                     .with("capabilities", FieldValue::Table(capabilities));
--- /dev/null
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -0,0 +1,588 @@
+//! The state machine of one queue at one broker.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pipithub_amqp::{
+    Code, Content, Endpoint, Event, Fault, FieldTable, Login, Method, Properties, ShortStr, Tuning,
+};
+use pipithub_engine::{Reply, SourceId, Ticket, Time, Trigger};
+
+use crate::backoff::Backoff;
+use crate::message::{self, Address, Route, Unreadable};
+
+const MS: Time = 1_000_000;
+/// Bytes that wait to be written before no further transaction is begun.
+const OUTPUT_MOST: usize = 4 << 20;
+/// Answers and acks in one transaction.
+const BATCH_MOST: usize = 128;
+/// The limit on deliveries is changed no more often: each change is a round trip.
+const QOS_GAP: Time = 50 * MS;
+
+/// How the limit on deliveries is told to the broker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Qos {
+    /// Over the channel (`global`), changed while consuming. Quorum queues of RabbitMQ refuse it.
+    #[default]
+    Channel,
+    /// For the consumer; to change it the consumer is cancelled and begun anew.
+    Consumer,
+}
+
+/// How a consumer is set up.
+#[derive(Clone, Debug)]
+pub struct ConsumerSettings {
+    /// Its number among the engine's sources.
+    pub source: SourceId,
+    /// The front end's name, told to the broker.
+    pub front_end: String,
+    /// What it logs in with.
+    pub login: Login,
+    /// Limits to negotiate.
+    pub tuning: Tuning,
+    /// The queue.
+    pub queue: String,
+    /// Declare the queue (durable) where it is missing.
+    pub declare: bool,
+    /// What holds for its messages.
+    pub route: Route,
+    /// Names of the classes, and whether a call of each needs a key.
+    pub classes: Vec<(String, bool)>,
+    /// Most deliveries held at a time.
+    pub prefetch: u16,
+    /// How the limit is told.
+    pub qos: Qos,
+    /// Where copies of unreadable messages go: exchange and routing key. Without it they are rejected, and the
+    /// queue's own dead-letter exchange gets them.
+    pub dead_letter: Option<(String, String)>,
+    /// Waits between tries to connect: the first and the longest.
+    pub retry: (Time, Time),
+}
+
+/// What happened, for the engine and the logs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// A call came in.
+    Trigger(Box<Trigger>),
+    /// Its answer is safe at the broker.
+    Settled(Ticket),
+    /// All open tickets are void.
+    Lost(String),
+    /// Deliveries may come from now on.
+    Consuming,
+    /// The broker ended the consumer, as when its queue is deleted; it is begun anew after a while.
+    Cancelled,
+    /// The broker takes no publishes, with its reason, or takes them again.
+    Blocked(Option<String>),
+    /// An answer could not be delivered: its queue is gone. Its message is settled all the same.
+    Returned {
+        /// The queue.
+        reply_to: String,
+        /// What ties the answer to its call.
+        correlation_id: Option<String>,
+    },
+    /// A message was no call.
+    Unreadable {
+        /// Its id.
+        message_id: Option<String>,
+        /// Why.
+        why: Unreadable,
+    },
+}
+
+/// Where the consumer stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// No transport; one is wanted at this time.
+    Idle(Time),
+    /// The transport is up, the connection not yet.
+    Connecting,
+    /// The channel is being set up.
+    Setup(u16),
+    /// Deliveries come.
+    Consuming(u16),
+    /// The channel is up, nothing is consumed: there is no room, or the queue is missing until then.
+    Paused(u16, Option<Time>),
+    /// Stopped for good.
+    Stopped,
+}
+
+#[derive(Debug)]
+enum Owed {
+    Answer(Arc<Reply>),
+    Unreadable(Unreadable, Box<Content>),
+    Nothing,
+}
+
+#[derive(Debug)]
+struct Held {
+    tag: u64,
+    address: Address,
+}
+
+/// One queue at one broker.
+#[derive(Debug)]
+pub struct Consumer {
+    settings: ConsumerSettings,
+    endpoint: Option<Endpoint>,
+    phase: Phase,
+    backoff: Backoff,
+    tag: ShortStr,
+    tags: u64,
+    next_ticket: u64,
+    held: BTreeMap<u64, Held>,
+    owed: VecDeque<(u64, Owed)>,
+    /// Tickets of the transaction that is under way.
+    committing: Vec<u64>,
+    blocked: bool,
+    room: usize,
+    /// The limit last told, and when.
+    told: (u16, Time),
+    stopping: bool,
+    /// The exchange for dead letters is not there: a message that cannot be read must not end the channel again and
+    /// again, so it is rejected instead.
+    no_dead_letters: bool,
+    notices: VecDeque<Notice>,
+    wall_ms: u64,
+    now: Time,
+}
+
+impl Consumer {
+    /// A consumer that wants a transport at once.
+    pub fn new(settings: ConsumerSettings, now: Time, seed: u64) -> Self {
+        let (first, most) = settings.retry;
+        Consumer {
+            backoff: Backoff::new(first, most, 10_000 * MS, seed),
+            tag: ShortStr::truncated(&settings.front_end),
+            room: usize::from(settings.prefetch),
+            settings,
+            endpoint: None,
+            phase: Phase::Idle(now),
+            tags: 0,
+            next_ticket: 1,
+            held: BTreeMap::new(),
+            owed: VecDeque::new(),
+            committing: Vec::new(),
+            blocked: false,
+            told: (0, 0),
+            stopping: false,
+            no_dead_letters: false,
+            notices: VecDeque::new(),
+            wall_ms: 0,
+            now,
+        }
+    }
+
+    /// Where it stands.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Deliveries that are not settled.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// The next notice.
+    pub fn poll(&mut self) -> Option<Notice> {
+        self.notices.pop_front()
+    }
+
+    /// A transport is up.
+    pub fn connected(&mut self, now: Time) {
+        if matches!(self.phase, Phase::Idle(_)) {
+            self.now = now;
+            let endpoint = Endpoint::client(self.settings.login.clone(), self.settings.tuning, now)
+                .named(&self.settings.front_end);
+            self.endpoint = Some(endpoint);
+            self.phase = Phase::Connecting;
+        }
+    }
+
+    /// No transport could be had, or the one there was is gone.
+    pub fn transport_lost(&mut self, now: Time, why: &str) {
+        self.now = now;
+        match self.phase {
+            Phase::Idle(_) => self.phase = Phase::Idle(now + self.backoff.down(now)),
+            Phase::Stopped => {}
+            _ => self.lost(why),
+        }
+    }
+
+    /// All is void; a transport is wanted after a while.
+    fn lost(&mut self, why: &str) {
+        self.endpoint = None;
+        self.void(why);
+        self.phase =
+            if self.stopping { Phase::Stopped } else { Phase::Idle(self.now + self.backoff.down(self.now)) };
+    }
+
+    /// Tickets are void: what they stand for will be delivered again, unless its transaction had been done.
+    fn void(&mut self, why: &str) {
+        self.held.clear();
+        self.owed.clear();
+        self.committing.clear();
+        self.blocked = false;
+        self.notices.push_back(Notice::Lost(why.to_string()));
+    }
+
+    /// Takes bytes as they came.
+    pub fn receive(&mut self, now: Time, wall_ms: u64, bytes: &[u8]) {
+        (self.now, self.wall_ms) = (now, wall_ms);
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.receive(now, bytes);
+        }
+        self.events();
+    }
+
+    /// When [`Consumer::on_time`] is due; while idle, when a transport is wanted.
+    pub fn next_timeout(&self) -> Option<Time> {
+        let own = match self.phase {
+            Phase::Paused(_, at) => at,
+            Phase::Consuming(_) if self.limit() != self.told.0 => Some(self.told.1 + QOS_GAP),
+            _ => None,
+        };
+        [own, self.endpoint.as_ref().and_then(Endpoint::next_timeout)].into_iter().flatten().min()
+    }
+
+    /// Does what is due.
+    pub fn on_time(&mut self, now: Time) {
+        self.now = now;
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.on_time(now);
+        }
+        self.events();
+        if let Phase::Paused(channel, Some(at)) = self.phase
+            && now >= at
+        {
+            self.phase = Phase::Paused(channel, None);
+        }
+        self.follow_room();
+    }
+
+    /// Takes the bytes to write.
+    pub fn take_output(&mut self, now: Time) -> Bytes {
+        let output = self.endpoint.as_mut().map(|e| e.take_output(now)).unwrap_or_default();
+        // What was held back for want of room to write may go on.
+        self.begin_commit();
+        output
+    }
+
+    /// Whether the transport may be closed.
+    pub fn is_over(&self) -> bool {
+        self.endpoint.as_ref().is_none_or(Endpoint::is_over)
+    }
+
+    /// How many more deliveries the engine has room for.
+    pub fn set_room(&mut self, now: Time, room: usize) {
+        (self.now, self.room) = (now, room);
+        self.follow_room();
+    }
+
+    /// Gives a trigger its final answer. Void tickets are passed over.
+    pub fn answer(&mut self, now: Time, ticket: Ticket, reply: Arc<Reply>) {
+        self.now = now;
+        self.owe(ticket.number, Owed::Answer(reply));
+    }
+
+    /// Settles a trigger without an answer.
+    pub fn forget(&mut self, now: Time, ticket: Ticket) {
+        self.now = now;
+        self.owe(ticket.number, Owed::Nothing);
+    }
+
+    /// Takes no more deliveries; once all are settled the connection is closed.
+    pub fn stop(&mut self, now: Time) {
+        self.now = now;
+        self.stopping = true;
+        match self.phase {
+            Phase::Idle(_) => self.phase = Phase::Stopped,
+            Phase::Consuming(channel) => self.pause(channel, None),
+            _ => {}
+        }
+        self.finish_stop();
+    }
+
+    fn finish_stop(&mut self) {
+        if self.stopping && self.held.is_empty() && !matches!(self.phase, Phase::Stopped) {
+            if let Some(endpoint) = &mut self.endpoint {
+                endpoint.close(Fault::new(Code::Success, "done"));
+            }
+            self.phase = Phase::Stopped;
+        }
+    }
+
+    fn owe(&mut self, ticket: u64, owed: Owed) {
+        if self.held.contains_key(&ticket) {
+            self.owed.push_back((ticket, owed));
+            self.begin_commit();
+        }
+    }
+
+    fn channel(&self) -> Option<u16> {
+        match self.phase {
+            Phase::Setup(channel) | Phase::Consuming(channel) | Phase::Paused(channel, _) => Some(channel),
+            _ => None,
+        }
+    }
+
+    fn send(&mut self, method: Method) {
+        let (Some(channel), Some(endpoint)) = (self.channel(), &mut self.endpoint) else { return };
+        if let Err(error) = endpoint.send(channel, method) {
+            let why = error.to_string();
+            endpoint.close(Fault::new(Code::InternalError, why));
+        }
+    }
+
+    // ---- the limit on deliveries ----
+
+    /// Deliveries to hold at most: those held, and as many more as there is room for.
+    fn limit(&self) -> u16 {
+        let most = usize::from(self.settings.prefetch.max(1));
+        (self.held.len() + self.room).clamp(1, most) as u16
+    }
+
+    fn follow_room(&mut self) {
+        match self.phase {
+            Phase::Consuming(channel) => {
+                if self.room == 0 {
+                    return self.pause(channel, None);
+                }
+                let limit = self.limit();
+                // Small steps up are not worth a round trip; each step down is.
+                let worth =
+                    limit < self.told.0 || limit == self.settings.prefetch || limit >= self.told.0 * 2;
+                if self.settings.qos == Qos::Channel
+                    && limit != self.told.0
+                    && worth
+                    && self.now >= self.told.1 + QOS_GAP
+                {
+                    self.tell_limit(limit);
+                }
+            }
+            // Begun again only with some room, or each message would begin and end a consumer.
+            Phase::Paused(channel, None) if !self.stopping => {
+                let enough = (usize::from(self.settings.prefetch) / 4).max(1);
+                if self.room >= enough || self.held.is_empty() && self.room > 0 {
+                    self.consume(channel);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn tell_limit(&mut self, limit: u16) {
+        self.told = (limit, self.now);
+        let global = self.settings.qos == Qos::Channel;
+        self.send(Method::BasicQos { prefetch_size: 0, prefetch_count: limit, global });
+    }
+
+    fn pause(&mut self, channel: u16, until: Option<Time>) {
+        let consumer_tag = self.tag.clone();
+        self.send(Method::BasicCancel { consumer_tag, no_wait: false });
+        self.phase = Phase::Paused(channel, until);
+    }
+
+    fn consume(&mut self, channel: u16) {
+        let limit = self.limit();
+        self.phase = Phase::Setup(channel);
+        self.tell_limit(limit);
+        // A new tag each time: a delivery for the last one may still be on its way.
+        self.tags += 1;
+        self.tag = ShortStr::truncated(&format!("{}-{}", self.settings.front_end, self.tags));
+        self.send(Method::BasicConsume {
+            queue: ShortStr::truncated(&self.settings.queue),
+            consumer_tag: self.tag.clone(),
+            no_local: false,
+            no_ack: false,
+            exclusive: false,
+            no_wait: false,
+            arguments: FieldTable::new(),
+        });
+    }
+
+    // ---- events ----
+
+    fn events(&mut self) {
+        while let Some(event) = self.endpoint.as_mut().and_then(Endpoint::poll_event) {
+            match event {
+                Event::Connected => {
+                    if let Some(Ok(channel)) = self.endpoint.as_mut().map(Endpoint::open_channel) {
+                        self.phase = Phase::Setup(channel);
+                    }
+                }
+                Event::ChannelOpened { .. } => {
+                    if self.settings.declare {
+                        self.send(Method::QueueDeclare {
+                            queue: ShortStr::truncated(&self.settings.queue),
+                            passive: false,
+                            durable: true,
+                            exclusive: false,
+                            auto_delete: false,
+                            no_wait: false,
+                            arguments: FieldTable::new(),
+                        });
+                    }
+                    self.send(Method::TxSelect {});
+                }
+                Event::Method { method, content, .. } => self.method(method, content),
+                Event::Blocked(reason) => {
+                    self.blocked = reason.is_some();
+                    self.notices.push_back(Notice::Blocked(reason));
+                    self.begin_commit();
+                }
+                Event::ChannelClosed { fault, .. } => {
+                    let missing = fault.code == Code::NotFound as u16 && fault.class_id == 60;
+                    self.no_dead_letters |= missing && fault.method_id == 40;
+                    // What goes wrong on this channel goes wrong on the next: the connection is begun anew, after a wait.
+                    if let Some(endpoint) = &mut self.endpoint {
+                        endpoint.close(fault);
+                    }
+                }
+                Event::Closed { fault, .. } => {
+                    if self.phase == Phase::Stopped {
+                        continue;
+                    }
+                    self.void(&fault.to_string());
+                    // The shell writes what is left and then tells that the transport is gone.
+                    let next = self.now + self.backoff.down(self.now);
+                    self.phase = if self.stopping { Phase::Stopped } else { Phase::Idle(next) };
+                }
+                Event::Login { .. } | Event::OpenRequested { .. } | Event::Flow { .. } => {}
+            }
+        }
+    }
+
+    fn method(&mut self, method: Method, content: Option<Box<Content>>) {
+        let Some(channel) = self.channel() else { return };
+        match (method, content) {
+            (Method::TxSelectOk {}, _) => {
+                if self.stopping {
+                    return self.finish_stop();
+                }
+                self.consume(channel);
+            }
+            (Method::BasicConsumeOk { .. }, _) if matches!(self.phase, Phase::Setup(_)) => {
+                self.phase = Phase::Consuming(channel);
+                self.backoff.up(self.now);
+                self.notices.push_back(Notice::Consuming);
+                if self.stopping || self.room == 0 {
+                    self.pause(channel, None);
+                }
+            }
+            (Method::BasicCancel { consumer_tag, .. }, _) if consumer_tag == self.tag => {
+                // Its queue is gone, or its node: what is held stays good. The queue may come back.
+                self.notices.push_back(Notice::Cancelled);
+                self.phase = Phase::Paused(channel, Some(self.now + self.backoff.down(self.now)));
+            }
+            (Method::BasicDeliver { delivery_tag, redelivered, .. }, Some(content)) => {
+                self.delivered(delivery_tag, redelivered, *content);
+            }
+            (Method::BasicReturn { routing_key, .. }, Some(content)) => {
+                let correlation_id = content.properties.correlation_id.as_deref().map(str::to_string);
+                self.notices
+                    .push_back(Notice::Returned { reply_to: routing_key.to_string(), correlation_id });
+            }
+            (Method::TxCommitOk {}, _) => {
+                for number in std::mem::take(&mut self.committing) {
+                    if self.held.remove(&number).is_some() {
+                        let ticket = Ticket { source: self.settings.source, number };
+                        self.notices.push_back(Notice::Settled(ticket));
+                    }
+                }
+                self.begin_commit();
+                self.follow_room();
+                self.finish_stop();
+            }
+            _ => {}
+        }
+    }
+
+    fn delivered(&mut self, tag: u64, redelivered: bool, content: Content) {
+        let number = self.next_ticket;
+        self.next_ticket += 1;
+        self.held.insert(number, Held { tag, address: Address::of(&content.properties) });
+        let ConsumerSettings { queue, route, classes, .. } = &self.settings;
+        match message::read(&content, queue, route, classes, self.wall_ms) {
+            Ok(read) => {
+                let ticket = Ticket { source: self.settings.source, number };
+                let trigger = Trigger {
+                    ticket,
+                    identity: read.identity,
+                    redelivered,
+                    deliveries: read.deliveries,
+                    call: read.call,
+                };
+                self.notices.push_back(Notice::Trigger(Box::new(trigger)));
+            }
+            Err(why) => {
+                let message_id = content.properties.message_id.as_deref().map(str::to_string);
+                self.notices.push_back(Notice::Unreadable { message_id, why: why.clone() });
+                self.owe(number, Owed::Unreadable(why, Box::new(content)));
+            }
+        }
+    }
+
+    // ---- answers ----
+
+    /// Publishes what is owed and acks its messages, in one transaction: done both or neither.
+    fn begin_commit(&mut self) {
+        let Some(channel) = self.channel() else { return };
+        let full = self.endpoint.as_ref().is_none_or(|e| e.output_len() > OUTPUT_MOST);
+        if self.blocked || !self.committing.is_empty() || self.owed.is_empty() || full {
+            return;
+        }
+        while self.committing.len() < BATCH_MOST {
+            let Some((ticket, owed)) = self.owed.pop_front() else { break };
+            let Some(Held { tag, address }) = self.held.get(&ticket) else { continue };
+            let (tag, address) = (*tag, address.clone());
+            let mut settle = Method::BasicAck { delivery_tag: tag, multiple: false };
+            match owed {
+                Owed::Nothing => {}
+                Owed::Answer(reply) => {
+                    let (properties, body) = message::answer(&address, &reply);
+                    self.publish_answer(channel, &address, properties, &body);
+                }
+                Owed::Unreadable(why, content) => {
+                    self.publish_answer(channel, &address, message::answer_unreadable(&address, &why), &[]);
+                    match self.settings.dead_letter.as_ref().filter(|_| !self.no_dead_letters) {
+                        Some((exchange, key)) => {
+                            let (exchange, key) = (exchange.clone(), key.clone());
+                            let queue = &self.settings.queue;
+                            let properties = message::dead_letter(&content.properties, queue, &why);
+                            self.publish(channel, &exchange, &key, properties, &content.body);
+                        }
+                        None => settle = Method::BasicReject { delivery_tag: tag, requeue: false },
+                    }
+                }
+            }
+            self.send(settle);
+            self.committing.push(ticket);
+        }
+        if !self.committing.is_empty() {
+            self.send(Method::TxCommit {});
+        }
+    }
+
+    fn publish_answer(&mut self, channel: u16, address: &Address, properties: Properties, body: &[u8]) {
+        if let Some(reply_to) = &address.reply_to {
+            self.publish(channel, "", reply_to, properties, body);
+        }
+    }
+
+    fn publish(&mut self, channel: u16, exchange: &str, key: &str, properties: Properties, body: &[u8]) {
+        let method = Method::BasicPublish {
+            exchange: ShortStr::truncated(exchange),
+            routing_key: ShortStr::truncated(key),
+            mandatory: true,
+            immediate: false,
+        };
+        if let Some(endpoint) = &mut self.endpoint
+            && let Err(error) = endpoint.send_content(channel, method, properties, body)
+        {
+            let why = error.to_string();
+            endpoint.close(Fault::new(Code::InternalError, why));
+        }
+    }
+}
--- /dev/null
+++ b/crates/pipithub-consumer/src/message.rs
@@ -0,0 +1,345 @@
+//! A message as a call, and a final answer as a message.
+//!
+//! | property or header | meaning |
+//! | --- | --- |
+//! | `reply_to`, `correlation_id` | where the answer goes, and what ties it to the call |
+//! | `message_id` | names the message; without it `reply_to` with `correlation_id` does, else nothing |
+//! | `type` or `pipithub-class` | the class |
+//! | `pipithub-function` | the function or model to run |
+//! | `pipithub-memory-mb`, `pipithub-lanes`, `pipithub-load-ms`, `pipithub-expected-ms` | what is known of it |
+//! | `pipithub-key` | the key under which workers drop repeats |
+//! | `expiration`, `pipithub-budget-ms` | milliseconds that the client waits; the lesser counts |
+//! | `timestamp`, `pipithub-sent-ms` | when it was sent: Unix seconds, or Unix milliseconds |
+//!
+//! The route that a queue belongs to may give all of them but the last two lines; a header goes before the route.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pipithub_amqp::{Content, FieldTable, FieldValue, Properties, ShortStr};
+use pipithub_engine::{Call, Reply, Time};
+
+const MS: Time = 1_000_000;
+/// No budget or age is taken for longer: a day.
+const LONGEST_MS: u64 = 86_400_000;
+/// A function's name has at most so many bytes.
+const LONGEST_NAME: usize = 200;
+
+/// What holds for the messages of a queue where they do not say otherwise.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Route {
+    /// The class.
+    pub class: Option<usize>,
+    /// The function.
+    pub function: Option<Arc<str>>,
+    /// Memory of one copy, in MB.
+    pub memory_mb: f64,
+    /// Calls that one copy runs at a time; 0 counts as 1.
+    pub lanes: u32,
+    /// The usual time of a load.
+    pub load_time: Option<Time>,
+    /// The work that a call is expected to take.
+    pub expected: Option<Time>,
+    /// How long clients wait.
+    pub budget: Option<Time>,
+}
+
+/// A message that is no call; it never ran.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct Unreadable(pub String);
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Read {
+    /// The call.
+    pub call: Call,
+    /// Names the message in each delivery.
+    pub identity: Option<Arc<str>>,
+    /// How often it was delivered before, where the broker counts.
+    pub deliveries: u32,
+}
+
+fn number(headers: Option<&FieldTable>, name: &str) -> Result<Option<f64>, Unreadable> {
+    let Some(value) = headers.and_then(|h| h.get(name)) else { return Ok(None) };
+    let number = value.as_f64().or_else(|| value.as_str().and_then(|s| s.trim().parse().ok()));
+    match number.filter(|n| n.is_finite() && *n >= 0.0) {
+        Some(number) => Ok(Some(number)),
+        None => Err(Unreadable(format!("header {name} is not a number that is not negative"))),
+    }
+}
+
+fn text<'a>(headers: Option<&'a FieldTable>, name: &str) -> Result<Option<&'a str>, Unreadable> {
+    match headers.and_then(|h| h.get(name)) {
+        None => Ok(None),
+        Some(value) => {
+            value.as_str().map(Some).ok_or_else(|| Unreadable(format!("header {name} is not a text")))
+        }
+    }
+}
+
+/// Reads a message. `classes` are the names of the classes in their order, `keyed` tells of which of them each call
+/// needs a key, `wall_ms` is the Unix time now.
+pub fn read(
+    content: &Content,
+    queue: &str,
+    route: &Route,
+    classes: &[(String, bool)],
+    wall_ms: u64,
+) -> Result<Read, Unreadable> {
+    let p = &content.properties;
+    let headers = p.headers.as_ref();
+    let class = match text(headers, "pipithub-class")?.or(p.kind.as_deref()) {
+        Some(name) => match classes.iter().position(|(n, _)| n == name) {
+            Some(class) => class,
+            // The property `type` may be used for something else where the route gives the class.
+            None if headers.is_none_or(|h| h.get("pipithub-class").is_none()) && route.class.is_some() => {
+                route.class.unwrap_or_default()
+            }
+            None => return Err(Unreadable(format!("class '{name}' is not known"))),
+        },
+        None => route.class.ok_or_else(|| Unreadable("no class: header pipithub-class is missing".into()))?,
+    };
+    let function: Arc<str> = match text(headers, "pipithub-function")? {
+        Some(name) if name.is_empty() || name.len() > LONGEST_NAME => {
+            return Err(Unreadable(format!(
+                "header pipithub-function has {} bytes, 1 to {LONGEST_NAME} are taken",
+                name.len()
+            )));
+        }
+        Some(name) => name.into(),
+        None => {
+            let missing = || Unreadable("no function: header pipithub-function is missing".into());
+            route.function.clone().ok_or_else(missing)?
+        }
+    };
+    let ms = |name: &str| -> Result<Option<Time>, Unreadable> {
+        Ok(number(headers, name)?.map(|ms| (ms.min(LONGEST_MS as f64) * MS as f64) as Time))
+    };
+    let expiration = match &p.expiration {
+        None => None,
+        Some(text) => match text.parse::<u64>() {
+            Ok(ms) => Some(ms.min(LONGEST_MS) * MS),
+            Err(_) => return Err(Unreadable(format!("expiration '{text}' is not a number of milliseconds"))),
+        },
+    };
+    let wait = [expiration, ms("pipithub-budget-ms")?].into_iter().flatten().min().or(route.budget);
+    let sent_ms = number(headers, "pipithub-sent-ms")?.map(|ms| ms as u64);
+    // A timestamp counts whole seconds: its message may have been sent up to a second later. It is taken as late as
+    // it can have been for the client's time, which must not be cut short, and as early for the age, which decides
+    // whether a repeat is harmless.
+    let early = sent_ms.or(p.timestamp.map(|s| s.saturating_mul(1000)));
+    let late = sent_ms.or(p.timestamp.map(|s| s.saturating_mul(1000).saturating_add(999)));
+    let since = |at: u64| wall_ms.saturating_sub(at).min(LONGEST_MS) * MS;
+    let budget = wait.map(|wait| wait.saturating_sub(late.map_or(0, since)));
+    let message_id = p.message_id.as_deref().filter(|id| !id.is_empty());
+    let identity = match (message_id, p.reply_to.as_deref(), p.correlation_id.as_deref()) {
+        (Some(id), ..) => Some(format!("{queue}\0{id}").into()),
+        (None, Some(reply), Some(correlation)) if !correlation.is_empty() => {
+            Some(format!("{queue}\0\0{reply}\0{correlation}").into())
+        }
+        _ => None,
+    };
+    let mut key: Option<Arc<str>> = text(headers, "pipithub-key")?.map(Into::into);
+    if key.is_none() && classes[class].1 {
+        // The message's own name does: each delivery of it carries the same.
+        key = message_id.map(Into::into);
+        if key.is_none() {
+            return Err(Unreadable(
+                "no key: a call of this class needs header pipithub-key or a message_id".into(),
+            ));
+        }
+    }
+    let lanes = number(headers, "pipithub-lanes")?.map_or(route.lanes, |n| n.min(65_536.0) as u32).max(1);
+    let call = Call {
+        function,
+        class,
+        budget,
+        age: early.map(since),
+        expected: ms("pipithub-expected-ms")?.or(route.expected),
+        memory_mb: number(headers, "pipithub-memory-mb")?.unwrap_or(route.memory_mb),
+        lanes,
+        load_time: ms("pipithub-load-ms")?.or(route.load_time),
+        label: message_id.or(p.correlation_id.as_deref()).map(Into::into),
+        key,
+        content_type: p.content_type.as_deref().map(Into::into),
+        body: content.body.clone(),
+    };
+    let deliveries = headers.and_then(|h| h.get("x-delivery-count")).and_then(FieldValue::as_i64);
+    Ok(Read { call, identity, deliveries: deliveries.unwrap_or(0).clamp(0, i64::from(u32::MAX)) as u32 })
+}
+
+/// What is kept of a message until its answer goes out.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Address {
+    /// Where the answer goes; `None`: nowhere.
+    pub reply_to: Option<ShortStr>,
+    /// What ties it to the call.
+    pub correlation_id: Option<ShortStr>,
+    /// Whether the answer is to outlive the broker, as the call was.
+    pub delivery_mode: Option<u8>,
+}
+
+impl Address {
+    /// From the call's properties.
+    pub fn of(p: &Properties) -> Self {
+        Address {
+            reply_to: p.reply_to.clone().filter(|r| !r.is_empty()),
+            correlation_id: p.correlation_id.clone().or(p.message_id.clone()),
+            delivery_mode: p.delivery_mode,
+        }
+    }
+}
+
+fn headers(verdict: &str, cause: &str, attempts: u32) -> FieldTable {
+    FieldTable::new()
+        .with("pipithub-verdict", verdict)
+        .with("pipithub-cause", cause)
+        .with("pipithub-attempts", i64::from(attempts))
+}
+
+/// The answer as a message.
+pub fn answer(address: &Address, reply: &Reply) -> (Properties, Bytes) {
+    let mut headers = headers(reply.verdict.as_str(), reply.cause.as_str(), reply.attempts);
+    if let Some(after) = reply.retry_after {
+        headers = headers.with("pipithub-retry-after-ms", i64::try_from(after / MS).unwrap_or(i64::MAX));
+    }
+    if let Some(worker) = &reply.worker {
+        headers = headers.with("pipithub-worker", &*worker.0);
+    }
+    let (content_type, body) = match &reply.served {
+        Some(served) => {
+            headers = headers.with("pipithub-status", i64::from(served.status));
+            (served.content_type.as_deref().map(ShortStr::truncated), served.body.clone())
+        }
+        None => (None, Bytes::new()),
+    };
+    (properties(address, headers, content_type), body)
+}
+
+/// The answer to a message that is no call: a refusal, for it never ran.
+pub fn answer_unreadable(address: &Address, why: &Unreadable) -> Properties {
+    let headers = headers("refused", "unreadable", 0).with("pipithub-reason", why.0.as_str());
+    properties(address, headers, None)
+}
+
+fn properties(address: &Address, headers: FieldTable, content_type: Option<ShortStr>) -> Properties {
+    Properties {
+        content_type,
+        headers: Some(headers),
+        correlation_id: address.correlation_id.clone(),
+        delivery_mode: address.delivery_mode,
+        app_id: Some(ShortStr::truncated("pipithub")),
+        ..Properties::default()
+    }
+}
+
+/// The properties of the copy of an unreadable message that goes to the dead letters.
+pub fn dead_letter(original: &Properties, queue: &str, why: &Unreadable) -> Properties {
+    let headers = original.headers.clone().unwrap_or_default();
+    let headers = headers.with("pipithub-reason", why.0.as_str()).with("pipithub-queue", queue);
+    Properties { headers: Some(headers), expiration: None, ..original.clone() }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const WALL: u64 = 1_800_000_000_500;
+
+    fn classes() -> Vec<(String, bool)> {
+        vec![("view".into(), false), ("change".into(), true)]
+    }
+
+    fn content(change: impl FnOnce(&mut Properties)) -> Content {
+        let headers = FieldTable::new().with("pipithub-function", "f").with("pipithub-class", "view");
+        let mut properties = Properties { headers: Some(headers), ..Properties::default() };
+        change(&mut properties);
+        Content { properties, body: Bytes::from_static(b"x") }
+    }
+
+    fn header(p: &mut Properties, name: &str, value: impl Into<FieldValue>) {
+        p.headers = Some(p.headers.take().unwrap_or_default().with(name, value));
+    }
+
+    fn read_it(change: impl FnOnce(&mut Properties)) -> Result<Read, Unreadable> {
+        read(&content(change), "q", &Route::default(), &classes(), WALL)
+    }
+
+    #[test]
+    fn time_left_is_worked_out_from_when_it_was_sent() {
+        let budget = |change: fn(&mut Properties)| read_it(change).expect("readable").call.budget;
+        assert_eq!(budget(|_| {}), None);
+        assert_eq!(budget(|p| p.expiration = Some(ShortStr::truncated("900"))), Some(900 * MS));
+        let sent = |p: &mut Properties| {
+            p.expiration = Some(ShortStr::truncated("900"));
+            header(p, "pipithub-sent-ms", (WALL - 400) as i64);
+        };
+        assert_eq!(budget(sent), Some(500 * MS));
+        assert_eq!(
+            budget(|p| {
+                p.expiration = Some(ShortStr::truncated("900"));
+                header(p, "pipithub-budget-ms", 300i64);
+                header(p, "pipithub-sent-ms", (WALL - 400) as i64);
+            }),
+            Some(0)
+        );
+        // A clock that runs behind must not lengthen anything.
+        assert_eq!(
+            budget(|p| {
+                header(p, "pipithub-budget-ms", 300i64);
+                header(p, "pipithub-sent-ms", (WALL + 5_000) as i64);
+            }),
+            Some(300 * MS)
+        );
+    }
+
+    /// Sent at .999, stamped with its whole second: its client must not lose a second, nor a repeat gain one.
+    #[test]
+    fn a_timestamp_is_taken_on_the_careful_side() {
+        let read = read_it(|p| {
+            p.timestamp = Some(WALL / 1000 - 1);
+            p.expiration = Some(ShortStr::truncated("2000"));
+        });
+        let call = read.expect("readable").call;
+        assert_eq!(call.budget, Some((2000 - 501) * MS));
+        assert_eq!(call.age, Some(1500 * MS));
+    }
+
+    #[test]
+    fn what_is_no_call_is_told_why() {
+        let why = |change: fn(&mut Properties)| read_it(change).expect_err("unreadable").0;
+        assert!(why(|p| p.headers = None).contains("pipithub-class"));
+        assert!(why(|p| header(p, "pipithub-class", "nope")).contains("'nope'"));
+        assert!(why(|p| header(p, "pipithub-function", "")).contains("0 bytes"));
+        assert!(why(|p| header(p, "pipithub-function", 5i64)).contains("not a text"));
+        assert!(why(|p| header(p, "pipithub-memory-mb", "lots")).contains("pipithub-memory-mb"));
+        assert!(why(|p| header(p, "pipithub-lanes", -1i64)).contains("pipithub-lanes"));
+        assert!(why(|p| header(p, "pipithub-budget-ms", FieldValue::F64(f64::NAN))).contains("budget"));
+        assert!(why(|p| p.expiration = Some(ShortStr::truncated("soon"))).contains("'soon'"));
+        assert!(why(|p| header(p, "pipithub-class", "change")).contains("needs header pipithub-key"));
+    }
+
+    #[test]
+    fn names_and_keys() {
+        let named = read_it(|p| {
+            p.message_id = Some(ShortStr::truncated("m"));
+            header(p, "pipithub-class", "change");
+        });
+        let named = named.expect("readable");
+        assert_eq!((named.identity.as_deref(), named.call.key.as_deref()), (Some("q\0m"), Some("m")));
+        let by_reply = read_it(|p| {
+            p.reply_to = Some(ShortStr::truncated("r"));
+            p.correlation_id = Some(ShortStr::truncated("c"));
+        });
+        assert_eq!(by_reply.expect("readable").identity.as_deref(), Some("q\0\0r\0c"));
+        assert_eq!(read_it(|_| {}).expect("readable").identity, None);
+        // Another use of `type` does no harm where the route gives the class.
+        let route = Route { class: Some(0), ..Route::default() };
+        let odd = content(|p| {
+            p.kind = Some(ShortStr::truncated("com.example.Event"));
+            p.headers = Some(FieldTable::new().with("pipithub-function", "f"));
+        });
+        assert_eq!(read(&odd, "q", &route, &classes(), WALL).expect("readable").call.class, 0);
+    }
+}
--- /dev/null
+++ b/crates/pipithub-standin/src/broker/mod.rs
@@ -0,0 +1,7 @@
+//! A stand-in for an AMQP 0-9-1 broker: [`core`] decides, [`server`] serves it.
+
+pub mod core;
+pub mod server;
+
+pub use core::{Bounds, Broker, ConnId, Out};
+pub use server::{BrokerServer, BrokerSettings};
