--- a/crates/pipithub-standin/src/lib.rs
+++ b/crates/pipithub-standin/src/lib.rs
@@ -6,4 +6,7 @@
 
 pub mod broker;
 pub mod clock;
+pub mod list;
 pub mod recorder;
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/crates/pipithub-standin/src/store.rs
@@ -0,0 +1,167 @@
+//! A stand-in for the model store that all workers share: it slows down when crowded, turns fetches away past a limit,
+//! and can be slowed or halted.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+
+/// How a store is built.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreSettings {
+    /// Time of a fetch when the store is not crowded.
+    pub fetch: Duration,
+    /// Fetches at a time that it serves at full pace.
+    pub at_once: usize,
+    /// Fetches at a time that it takes; more are turned away.
+    pub limit: usize,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        StoreSettings { fetch: Duration::from_millis(300), at_once: 8, limit: 40 }
+    }
+}
+
+/// What may be changed while it runs.
+#[derive(Debug)]
+pub struct StoreControl {
+    /// Fetches take so many thousandths of their usual time.
+    slowness: AtomicU64,
+    halted: AtomicBool,
+    active: AtomicUsize,
+    served: AtomicU64,
+    settings: RwLock<StoreSettings>,
+}
+
+impl StoreControl {
+    /// Slows it down by this factor; 1 is its usual pace.
+    pub fn slow(&self, factor: f64) {
+        self.slowness.store((factor.clamp(0.0, 1e6) * 1000.0) as u64, Ordering::Relaxed);
+    }
+
+    /// Turns every fetch away, or serves them again.
+    pub fn halt(&self, halted: bool) {
+        self.halted.store(halted, Ordering::Relaxed);
+    }
+
+    /// Fetches served so far.
+    pub fn served(&self) -> u64 {
+        self.served.load(Ordering::Relaxed)
+    }
+}
+
+/// A store that is running; it ends when dropped.
+pub struct StoreServer {
+    address: SocketAddr,
+    control: Arc<StoreControl>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for StoreServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl StoreServer {
+    /// Starts one. It speaks a line each way: `GET name`, then `ok` or `no`; and `SLOW factor`, `HALT`, `GO`.
+    pub async fn start(listen: SocketAddr, settings: StoreSettings) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let control = Arc::new(StoreControl {
+            slowness: AtomicU64::new(1000),
+            halted: AtomicBool::new(false),
+            active: AtomicUsize::new(0),
+            served: AtomicU64::new(0),
+            settings: RwLock::new(settings),
+        });
+        let shared = control.clone();
+        let task = tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                tokio::spawn(serve(stream, shared.clone()));
+            }
+        });
+        Ok(StoreServer { address, control, task })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What may be changed.
+    pub fn control(&self) -> &Arc<StoreControl> {
+        &self.control
+    }
+}
+
+async fn serve(stream: TcpStream, control: Arc<StoreControl>) -> std::io::Result<()> {
+    let mut stream = BufReader::new(stream.take_limit());
+    let mut line = String::new();
+    while stream.read_line(&mut line).await? > 0 {
+        let (verb, rest) = line.trim().split_once(' ').unwrap_or((line.trim(), ""));
+        let answer = match verb {
+            "GET" => {
+                let settings = *control.settings.read().unwrap_or_else(PoisonError::into_inner);
+                let active = control.active.fetch_add(1, Ordering::Relaxed) + 1;
+                let taken = active <= settings.limit && !control.halted.load(Ordering::Relaxed);
+                if taken {
+                    let crowd = (active as f64 / settings.at_once.max(1) as f64).max(1.0);
+                    let slowness = control.slowness.load(Ordering::Relaxed) as f64 / 1000.0;
+                    tokio::time::sleep(settings.fetch.mul_f64(crowd * slowness)).await;
+                    control.served.fetch_add(1, Ordering::Relaxed);
+                }
+                control.active.fetch_sub(1, Ordering::Relaxed);
+                if taken && !control.halted.load(Ordering::Relaxed) { "ok" } else { "no" }
+            }
+            "SLOW" => {
+                control.slow(rest.parse().unwrap_or(1.0));
+                "ok"
+            }
+            "HALT" => {
+                control.halt(true);
+                "ok"
+            }
+            "GO" => {
+                control.halt(false);
+                "ok"
+            }
+            _ => "no",
+        };
+        line.clear();
+        stream.get_mut().get_mut().write_all(format!("{answer}\n").as_bytes()).await?;
+    }
+    Ok(())
+}
+
+trait TakeLimit {
+    fn take_limit(self) -> tokio::io::Take<TcpStream>;
+}
+
+impl TakeLimit for TcpStream {
+    /// No peer sends more than this in one connection's life.
+    fn take_limit(self) -> tokio::io::Take<TcpStream> {
+        AsyncReadExt::take(self, 1 << 20)
+    }
+}
+
+/// Says one line to a store; its answer.
+pub async fn say(address: &str, line: &str) -> std::io::Result<String> {
+    let mut stream = BufReader::new(TcpStream::connect(address).await?);
+    stream.get_mut().write_all(format!("{line}\n").as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_line(&mut answer).await?;
+    Ok(answer.trim().to_string())
+}
+
+/// Fetches a model; whether it came.
+pub async fn fetch(address: &str, model: &str) -> bool {
+    // A name with a line's end in it would be two lines.
+    let model = model.replace(['\n', '\r'], "?");
+    matches!(say(address, &format!("GET {model}")).await.as_deref(), Ok("ok"))
+}
