Gateway on tokio: AMQP and cron sources, pooled HTTP workers, watched list, KDL settings

Need: the engine must meet sockets. Each front end is one task that owns its engine; sources, workers and the list are tasks around it that decide nothing.

--- a/crates/pipithub-standin/src/clock.rs
+++ b/crates/pipithub-clock/src/lib.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use pipithub_amqp::Time;
+/// A point in time or a length of it, in nanoseconds.
+pub type Time = u64;
 
 /// Counts nanoseconds from its making.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/crates/pipithub-gateway/src/front.rs
@@ -0,0 +1,255 @@
+//! One front end: a task that owns the engine, and the channels around it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pipithub_clock::Clock;
+use pipithub_engine::policy::{Entry, ListKind, Worker};
+use pipithub_engine::{AttemptId, Engine, Input, Output, Reply, SourceId, Ticket, Time, Verdict};
+use pipithub_settings::Config;
+use tokio::sync::{mpsc, oneshot, watch};
+use tracing::{debug, info, warn};
+
+use crate::Snapshot;
+use crate::workers::Pool;
+
+/// Inputs that wait for the engine; sources and workers wait in turn when it is full.
+const INPUTS: usize = 4096;
+
+/// What a source is told.
+#[derive(Debug)]
+pub(crate) enum Order {
+    /// Give the final answer and settle, both or neither.
+    Answer(Ticket, Arc<Reply>),
+    /// Settle without an answer.
+    Forget(Ticket),
+    /// Take nothing new; end when all is settled.
+    Stop,
+}
+
+/// A source's end of its channels.
+pub(crate) struct SourceHandle {
+    /// Not bounded by itself: the engine holds no more triggers than `max-open`, and owes each one order.
+    pub(crate) orders: mpsc::UnboundedReceiver<Order>,
+    pub(crate) room: watch::Receiver<usize>,
+}
+
+struct Source {
+    orders: mpsc::UnboundedSender<Order>,
+    room: watch::Sender<usize>,
+}
+
+pub(crate) struct Front {
+    name: String,
+    classes: Vec<(String, bool)>,
+    clock: Clock,
+    engine: Engine,
+    drain: Time,
+    pool: Arc<Pool>,
+    inputs: mpsc::Receiver<Input>,
+    sender: mpsc::Sender<Input>,
+    sources: BTreeMap<SourceId, Source>,
+    cancels: BTreeMap<AttemptId, oneshot::Sender<()>>,
+    snapshot: watch::Sender<Snapshot>,
+    out: Vec<Output>,
+}
+
+impl Front {
+    pub(crate) fn new(
+        name: &str,
+        config: &Config,
+        clock: Clock,
+        seed: u64,
+        pool: Arc<Pool>,
+    ) -> (Self, mpsc::Sender<Input>) {
+        let (sender, inputs) = mpsc::channel(INPUTS);
+        let front = Front {
+            name: name.to_string(),
+            classes: config.classes.clone(),
+            clock,
+            engine: Engine::new(config.engine.clone(), seed),
+            drain: config.drain,
+            pool,
+            inputs,
+            sender: sender.clone(),
+            sources: BTreeMap::new(),
+            cancels: BTreeMap::new(),
+            snapshot: watch::channel(Snapshot::default()).0,
+            out: Vec::new(),
+        };
+        (front, sender)
+    }
+
+    pub(crate) fn add_source(&mut self, id: SourceId) -> SourceHandle {
+        let (orders, receiver) = mpsc::unbounded_channel();
+        let (room, watched) = watch::channel(self.engine.room());
+        self.sources.insert(id, Source { orders, room });
+        SourceHandle { orders: receiver, room: watched }
+    }
+
+    pub(crate) fn snapshot(&self) -> watch::Receiver<Snapshot> {
+        self.snapshot.subscribe()
+    }
+
+    pub(crate) fn fixed_workers(&mut self, workers: &[(String, String, f64)]) {
+        let entry = |(address, zone, memory_mb): &(String, String, f64)| Entry {
+            worker: Worker::new(address),
+            zone: zone.clone(),
+            memory_mb: *memory_mb,
+            ..Entry::default()
+        };
+        self.first(Input::Workers { kind: ListKind::Complete, entries: workers.iter().map(entry).collect() });
+    }
+
+    /// An input before anything runs.
+    pub(crate) fn first(&mut self, input: Input) {
+        self.engine.handle(self.clock.now(), input, &mut self.out);
+    }
+
+    pub(crate) async fn run(mut self, mut stopped: watch::Receiver<bool>) {
+        info!(front_end = self.name, workers = self.engine.live_workers(), "front end up");
+        let mut batch = Vec::with_capacity(256);
+        let mut end = None;
+        loop {
+            self.carry_out();
+            self.tell();
+            if end.is_some_and(|end| self.engine.open() == 0 || self.clock.now() >= end) {
+                break;
+            }
+            let due = [self.engine.next_due(), end].into_iter().flatten().min();
+            tokio::select! {
+                count = self.inputs.recv_many(&mut batch, 256) => {
+                    if count == 0 {
+                        break;
+                    }
+                }
+                () = self.clock.sleep_until(due) => batch.push(Input::Tick),
+                _ = stopped.wait_for(|s| *s), if end.is_none() => {
+                    info!(front_end = self.name, open = self.engine.open(), "stopping");
+                    end = Some(self.clock.now() + self.drain);
+                    self.sources.values().for_each(|s| drop(s.orders.send(Order::Stop)));
+                    batch.push(Input::Drain);
+                }
+            }
+            for input in batch.drain(..) {
+                if let Input::Attempt(done) = &input {
+                    self.cancels.remove(&done.id);
+                }
+                self.engine.handle(self.clock.now(), input, &mut self.out);
+                // Carried out at once: an answer must not wait for the rest of the batch.
+                self.carry_out();
+            }
+        }
+        let left = self.engine.open();
+        if left > 0 {
+            warn!(
+                front_end = self.name,
+                left, "stopped with calls that are not settled; their sources deliver them again"
+            );
+        }
+        info!(front_end = self.name, "front end down");
+        // A last answer has been settled; its source closes its connection in its own time.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    /// Tells sources how much room there is, and whoever looks how things stand.
+    fn tell(&mut self) {
+        let room = self.engine.room();
+        for source in self.sources.values() {
+            source.room.send_if_modified(|known| std::mem::replace(known, room) != room);
+        }
+        let snapshot = Snapshot {
+            stats: self.engine.stats(),
+            open: self.engine.open(),
+            bytes: self.engine.bytes(),
+            workers: self.engine.live_workers(),
+        };
+        self.snapshot.send_if_modified(|known| std::mem::replace(known, snapshot) != snapshot);
+    }
+
+    fn carry_out(&mut self) {
+        let mut out = std::mem::take(&mut self.out);
+        for output in out.drain(..) {
+            self.one(output);
+        }
+        self.out = out;
+    }
+
+    fn one(&mut self, output: Output) {
+        match output {
+            Output::Send { id, worker, call, deadline } => {
+                debug!(
+                    front_end = self.name,
+                    request = id.request,
+                    label = call.label.as_deref(),
+                    class = self.classes.get(call.class).map(|c| c.0.as_str()),
+                    function = &*call.function,
+                    worker = &*worker.0,
+                    attempt = id.number,
+                    "send"
+                );
+                let (cancel, cancelled) = oneshot::channel();
+                self.cancels.insert(id, cancel);
+                let (pool, sender) = (self.pool.clone(), self.sender.clone());
+                tokio::spawn(async move {
+                    let end = pool.attempt(id, &worker, &call, deadline, cancelled).await;
+                    let _ = sender.send(Input::Attempt(end)).await;
+                });
+            }
+            Output::Cancel(id) => {
+                // The attempt ends as withdrawn, unless its outcome is on its way already.
+                if let Some(cancel) = self.cancels.remove(&id) {
+                    let _ = cancel.send(());
+                }
+            }
+            Output::Hold { worker, function, name, copies } => {
+                debug!(front_end = self.name, worker = &*worker.0, function = &*name, copies, "order");
+                let (pool, sender) = (self.pool.clone(), self.sender.clone());
+                tokio::spawn(async move {
+                    let end = pool.order(worker, function, &name, copies).await;
+                    let _ = sender.send(Input::Order(end)).await;
+                });
+            }
+            Output::Drop { worker, name } => {
+                let pool = self.pool.clone();
+                tokio::spawn(async move { pool.unload(worker, &name).await });
+            }
+            Output::Probe(worker) => {
+                let (pool, sender) = (self.pool.clone(), self.sender.clone());
+                tokio::spawn(async move {
+                    let end = pool.probe(worker).await;
+                    let _ = sender.send(Input::Probe(end)).await;
+                });
+            }
+            Output::Answer { ticket, reply } => {
+                let worker = reply.worker.as_ref().map(|w| &*w.0);
+                if reply.verdict == Verdict::Failed {
+                    info!(front_end = self.name, source = ticket.source.0, ticket = ticket.number,
+                        cause = reply.cause.as_str(), attempts = reply.attempts, worker, last = ?reply.last, "failed");
+                } else {
+                    debug!(
+                        front_end = self.name,
+                        source = ticket.source.0,
+                        ticket = ticket.number,
+                        verdict = reply.verdict.as_str(),
+                        cause = reply.cause.as_str(),
+                        attempts = reply.attempts,
+                        worker,
+                        "answer"
+                    );
+                }
+                self.order(ticket.source, Order::Answer(ticket, reply));
+            }
+            Output::Forget(ticket) => self.order(ticket.source, Order::Forget(ticket)),
+            // Lists are followed from the start here.
+            Output::FollowList => {}
+        }
+    }
+
+    fn order(&self, source: SourceId, order: Order) {
+        if let Some(source) = self.sources.get(&source) {
+            let _ = source.orders.send(order);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pipithub-gateway/src/lib.rs
@@ -0,0 +1,118 @@
+//! The front end on tokio: thin shells around the engine.
+//!
+//! A [`Gateway`] runs one or more front ends; each owns an engine and shares nothing with the others. Sources
+//! ([`amqp`], [`cron`]), workers ([`workers`]) and the worker list ([`list`]) are tasks that hand the engine what
+//! happened and carry out what it says. They decide nothing.
+
+mod amqp;
+mod cron;
+mod front;
+mod list;
+mod workers;
+
+use std::sync::Arc;
+
+use pipithub_clock::Clock;
+use pipithub_engine::{Input, SourceId, Stats};
+use pipithub_settings::{Config, WorkersConfig};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// What a front end holds and has done, as last looked at.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Counters.
+    pub stats: Stats,
+    /// Requests that are not settled.
+    pub open: usize,
+    /// Bytes of bodies held.
+    pub bytes: usize,
+    /// Live workers, as told.
+    pub workers: usize,
+}
+
+/// A running gateway. Dropped, it ends at once, as if killed.
+pub struct Gateway {
+    stop: watch::Sender<bool>,
+    snapshots: Vec<watch::Receiver<Snapshot>>,
+    tasks: JoinSet<()>,
+}
+
+impl Gateway {
+    /// Starts all front ends of the settings.
+    pub fn start(config: &Config) -> Gateway {
+        let (stop, stopped) = watch::channel(false);
+        let mut gateway = Gateway { stop, snapshots: Vec::new(), tasks: JoinSet::new() };
+        for instance in 0..config.instances {
+            let name = if config.instances == 1 {
+                config.name.clone()
+            } else {
+                format!("{}-{instance}", config.name)
+            };
+            gateway.start_front(config, &name, &stopped);
+        }
+        gateway
+    }
+
+    fn start_front(&mut self, config: &Config, name: &str, stopped: &watch::Receiver<bool>) {
+        let clock = Clock::default();
+        let pool = Arc::new(workers::Pool::new(name, config.http, clock));
+        let seed = name.bytes().fold(u64::from(std::process::id()), |h, b| h.wrapping_mul(31) + u64::from(b));
+        let (mut front, inputs) = front::Front::new(name, config, clock, seed, pool.clone());
+        let mut number = 0;
+        let mut source = || {
+            number += 1;
+            SourceId(number)
+        };
+        for broker in &config.amqp {
+            for queue in &broker.queues {
+                let id = source();
+                let handle = front.add_source(id);
+                let consumer = amqp::settings(config, broker, queue, id, name);
+                let addresses = broker.addresses.clone();
+                let task =
+                    amqp::run(consumer, addresses, handle, inputs.clone(), clock, seed ^ u64::from(id.0));
+                self.tasks.spawn(task);
+            }
+        }
+        if !config.cron.is_empty() {
+            let id = source();
+            let handle = front.add_source(id);
+            self.tasks.spawn(cron::run(config.cron.clone(), id, handle, inputs.clone()));
+        }
+        match &config.workers {
+            WorkersConfig::Fixed(workers) => front.fixed_workers(workers),
+            WorkersConfig::Slices { url, namespace, service, port, remember } => {
+                let settings = list::ListSettings {
+                    url: url.clone(),
+                    namespace: namespace.clone(),
+                    service: service.clone(),
+                    port: port.clone(),
+                    remember: remember.clone(),
+                    front_end: name.to_string(),
+                };
+                if let Some(remembered) = list::recall(&settings, clock) {
+                    front.first(Input::Workers { kind: remembered.0, entries: remembered.1 });
+                }
+                self.tasks.spawn(list::run(settings, inputs.clone(), clock, seed));
+            }
+        }
+        self.snapshots.push(front.snapshot());
+        self.tasks.spawn(front.run(stopped.clone()));
+    }
+
+    /// How each front end stands.
+    pub fn snapshots(&self) -> Vec<Snapshot> {
+        self.snapshots.iter().map(|s| *s.borrow()).collect()
+    }
+
+    /// Takes nothing new, waits until all that is held is settled, or as long as the settings give.
+    pub async fn stop(mut self) {
+        let _ = self.stop.send(true);
+        for snapshot in &mut self.snapshots {
+            // A front end that is done drops its sender.
+            while snapshot.changed().await.is_ok() {}
+        }
+        self.tasks.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/pipithub-gateway/src/workers.rs
@@ -0,0 +1,233 @@
+//! Workers over HTTP/1.1: pooled connections, attempts with their deadlines, orders and probes.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::SendRequest;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use pipithub_clock::Clock;
+use pipithub_engine::policy::{Function, Load, Outcome, Worker};
+use pipithub_engine::{AttemptEnd, AttemptId, Call, OrderEnd, ProbeEnd, Served, Time};
+use pipithub_inference::{WorkerRequest, header};
+use pipithub_settings::HttpConfig;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+
+/// A connection and the task that moves its bytes; dropped, it is closed, so that a worker sees when nobody waits.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// All connections of a front end to its workers.
+pub(crate) struct Pool {
+    front_end: String,
+    config: HttpConfig,
+    clock: Clock,
+    idle: Mutex<HashMap<Arc<str>, Vec<Connection>>>,
+}
+
+/// How an exchange failed.
+enum Failed {
+    /// Nothing of it was sent.
+    NotSent,
+    /// It was sent, at least in part.
+    Broken,
+}
+
+struct Answer {
+    status: u16,
+    headers: hyper::HeaderMap,
+    body: Bytes,
+}
+
+impl Answer {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|v| v.to_str().ok())
+    }
+}
+
+impl Pool {
+    pub(crate) fn new(front_end: &str, config: HttpConfig, clock: Clock) -> Self {
+        Pool { front_end: front_end.to_string(), config, clock, idle: Mutex::new(HashMap::new()) }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, HashMap<Arc<str>, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self, worker: &Worker) -> Option<Connection> {
+        let mut idle = self.idle();
+        let connections = idle.get_mut(&worker.0)?;
+        while let Some(connection) = connections.pop() {
+            if connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        idle.remove(&worker.0);
+        None
+    }
+
+    fn put(&self, worker: &Worker, connection: Connection) {
+        let mut idle = self.idle();
+        let connections = idle.entry(worker.0.clone()).or_default();
+        if connections.len() < self.config.idle && !connection.sender.is_closed() {
+            connections.push(connection);
+        }
+    }
+
+    async fn connect(&self, worker: &Worker) -> Option<Connection> {
+        let connect = async {
+            let stream = TcpStream::connect(&*worker.0).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let (sender, connection) =
+                hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+            let task = tokio::spawn(async move { drop(connection.await) });
+            Some(Connection { sender, task })
+        };
+        let most = std::time::Duration::from_nanos(self.config.connect_timeout);
+        tokio::time::timeout(most, connect).await.ok().flatten()
+    }
+
+    /// One exchange. A pooled connection that its worker had closed before anything was sent is passed over; what may
+    /// have been sent is never sent again here.
+    async fn exchange(&self, worker: &Worker, request: WorkerRequest, body: Bytes) -> Result<Answer, Failed> {
+        loop {
+            let pooled = self.take(worker);
+            let fresh = pooled.is_none();
+            let mut connection = match pooled {
+                Some(connection) => connection,
+                None => self.connect(worker).await.ok_or(Failed::NotSent)?,
+            };
+            let mut builder =
+                Request::builder().method(if request.get { "GET" } else { "POST" }).uri(&request.path);
+            builder = builder.header("host", &*worker.0);
+            for (name, value) in &request.headers {
+                builder = builder.header(*name, value);
+            }
+            let built = builder.body(Full::new(body.clone())).map_err(|_| Failed::NotSent)?;
+            if connection.sender.ready().await.is_err() {
+                if fresh {
+                    return Err(Failed::NotSent);
+                }
+                continue;
+            }
+            let response: Response<hyper::body::Incoming> =
+                match connection.sender.try_send_request(built).await {
+                    Ok(response) => response,
+                    // The message comes back only where no byte of it was written.
+                    Err(mut error) => match error.take_message() {
+                        Some(_) if fresh => return Err(Failed::NotSent),
+                        Some(_) => continue,
+                        None => return Err(Failed::Broken),
+                    },
+                };
+            let (parts, incoming) = response.into_parts();
+            let limited = Limited::new(incoming, self.config.max_body);
+            let body = limited.collect().await.map_err(|_| Failed::Broken)?.to_bytes();
+            self.put(worker, connection);
+            return Ok(Answer { status: parts.status.as_u16(), headers: parts.headers, body });
+        }
+    }
+
+    /// Makes an attempt; it ends by its answer, its deadline or its withdrawal.
+    pub(crate) async fn attempt(
+        &self,
+        id: AttemptId,
+        worker: &Worker,
+        call: &Call,
+        deadline: Time,
+        cancelled: oneshot::Receiver<()>,
+    ) -> AttemptEnd {
+        let began = self.clock.now();
+        let left = deadline.saturating_sub(began);
+        let request = pipithub_inference::infer(call, id, &self.front_end, left);
+        let exchange = self.exchange(worker, request, call.body.clone());
+        let ended = tokio::select! {
+            biased;
+            answer = exchange => match answer {
+                Ok(answer) => Ok(answer),
+                Err(Failed::NotSent) => Err(Outcome::Unreachable),
+                Err(Failed::Broken) => Err(Outcome::Broken),
+            },
+            () = self.clock.sleep_until(Some(deadline)) => Err(Outcome::TimedOut),
+            _ = cancelled => Err(Outcome::Cancelled),
+        };
+        let took = self.clock.now() - began;
+        match ended {
+            Ok(answer) => {
+                let told = pipithub_inference::outcome(answer.status, |name| answer.header(name));
+                let content_type = answer.header("content-type").map(Arc::from);
+                let served = (told.outcome == Outcome::Served).then(|| Served {
+                    status: answer.status,
+                    content_type,
+                    body: answer.body.clone(),
+                });
+                let (outcome, note, alike, load) = (told.outcome, told.note, told.alike, told.load);
+                AttemptEnd { id, outcome, took, note, alike, load, served }
+            }
+            Err(outcome) => {
+                AttemptEnd { id, outcome, took, note: None, alike: None, load: Load::default(), served: None }
+            }
+        }
+    }
+
+    /// Has a worker hold copies.
+    pub(crate) async fn order(
+        &self,
+        worker: Worker,
+        function: Function,
+        name: &str,
+        copies: u32,
+    ) -> OrderEnd {
+        let began = self.clock.now();
+        let request = pipithub_inference::order(name, copies, &self.front_end);
+        let most = std::time::Duration::from_nanos(self.config.order_timeout);
+        let answer = tokio::time::timeout(most, self.exchange(&worker, request, Bytes::new())).await;
+        let (outcome, copies) = match answer {
+            Err(_) => (Outcome::TimedOut, 0),
+            Ok(Err(Failed::NotSent)) => (Outcome::Unreachable, 0),
+            Ok(Err(Failed::Broken)) => (Outcome::Broken, 0),
+            Ok(Ok(answer)) => {
+                let copies = answer.header(header::COPIES).and_then(|v| v.parse().ok());
+                match answer.status {
+                    // The extension itself tells no number; a load that was done has left one at least.
+                    200..=299 => (Outcome::Served, copies.unwrap_or(1)),
+                    429 => (Outcome::Full, copies.unwrap_or(0)),
+                    _ => (Outcome::Error, copies.unwrap_or(0)),
+                }
+            }
+        };
+        OrderEnd { worker, function, outcome, took: self.clock.now() - began, copies }
+    }
+
+    /// Has a worker unload idle copies; nobody waits for the reply.
+    pub(crate) async fn unload(&self, worker: Worker, name: &str) {
+        let request = pipithub_inference::order(name, 0, &self.front_end);
+        let most = std::time::Duration::from_nanos(self.config.order_timeout);
+        let _ = tokio::time::timeout(most, self.exchange(&worker, request, Bytes::new())).await;
+    }
+
+    /// Asks a worker for its load.
+    pub(crate) async fn probe(&self, worker: Worker) -> ProbeEnd {
+        let most = std::time::Duration::from_nanos(self.config.probe_timeout);
+        let request = pipithub_inference::probe(&self.front_end);
+        let answer = tokio::time::timeout(most, self.exchange(&worker, request, Bytes::new())).await;
+        match answer {
+            Ok(Ok(answer)) if answer.status == 200 => {
+                let load = answer.header(header::LOAD).map(pipithub_inference::load).unwrap_or_default();
+                ProbeEnd { worker, answered: true, load }
+            }
+            _ => ProbeEnd { worker, answered: false, load: Load::default() },
+        }
+    }
+}
--- a/crates/pipithub-standin/src/lib.rs
+++ b/crates/pipithub-standin/src/lib.rs
@@ -5,8 +5,9 @@
 //! They are test tools: they keep nothing on disk and trust whoever reaches them, so they listen on loopback alone.
 
 pub mod broker;
-pub mod clock;
 pub mod list;
 pub mod recorder;
 pub mod store;
 pub mod worker;
+
+pub use pipithub_clock as clock;
