--- a/crates/pipithub-check/src/lib.rs
+++ b/crates/pipithub-check/src/lib.rs
@@ -4,3 +4,5 @@
 //! such records and nothing else: no log and no counter of the gateway's.
 
 pub mod record;
+pub mod report;
+pub mod rules;
--- /dev/null
+++ b/crates/pipithub-check/tests/planted.rs
@@ -0,0 +1,222 @@
+//! The checker against records of a good day, and of each rule broken on purpose.
+
+use std::collections::BTreeMap;
+
+use pipithub_check::record::{Record, Seen};
+use pipithub_check::rules::{ClassRules, Effect, Rule, RuleBook, check};
+
+const MS: u64 = 1_000_000;
+
+fn book() -> RuleBook {
+    let class = |effect| ClassRules {
+        effect,
+        give_up: 2_000 * MS,
+        aim: 1_000 * MS,
+        worth: 1.0,
+        dedup_window: 1_000 * MS,
+    };
+    RuleBook {
+        classes: [("safe", Effect::Safe), ("keyed", Effect::Keyed), ("unsafe", Effect::Unsafe)]
+            .into_iter()
+            .map(|(n, e)| (n.to_string(), class(e)))
+            .collect(),
+        queue: "calls".into(),
+        slack: 50 * MS,
+        drain_grace: 500 * MS,
+        ration: Some((5_000 * MS, 1.0, 0.5)),
+        until: None,
+    }
+}
+
+fn at(ms: u64, place: &str, seen: Seen) -> Record {
+    Record { t: (1_000_000 + ms) * MS, at: place.into(), seen }
+}
+
+fn published(ms: u64, id: &str, class: &str) -> Record {
+    at(
+        ms,
+        "broker",
+        Seen::Published {
+            queues: vec!["calls".into()],
+            routing_key: "calls".into(),
+            message_id: Some(id.into()),
+            correlation_id: Some(id.into()),
+            reply_to: Some("answers".into()),
+            expiration_ms: None,
+            headers: BTreeMap::from([("pipithub-class".to_string(), class.to_string())]),
+            size: 0,
+            client: "client#1".into(),
+        },
+    )
+}
+
+fn answered(ms: u64, id: &str, verdict: &str) -> Record {
+    at(
+        ms,
+        "broker",
+        Seen::Published {
+            queues: vec!["answers".into()],
+            routing_key: "answers".into(),
+            message_id: None,
+            correlation_id: Some(id.into()),
+            reply_to: None,
+            expiration_ms: None,
+            headers: BTreeMap::from([("pipithub-verdict".to_string(), verdict.to_string())]),
+            size: 0,
+            client: "fe#2".into(),
+        },
+    )
+}
+
+fn delivered(ms: u64, id: &str, redelivered: bool) -> Record {
+    at(
+        ms,
+        "broker",
+        Seen::Delivered {
+            queue: "calls".into(),
+            message_id: Some(id.into()),
+            correlation_id: Some(id.into()),
+            redelivered,
+            client: "fe#2".into(),
+        },
+    )
+}
+
+fn call(ms: u64, id: &str, worker: &str, attempt: u32) -> Record {
+    at(
+        ms,
+        worker,
+        Seen::Call { front_end: "fe".into(), request: id.into(), attempt, function: "f".into(), key: None },
+    )
+}
+
+fn ran(ms: u64, id: &str, worker: &str) -> Record {
+    at(ms, worker, Seen::Ran { request: id.into(), key: None, dropped: false })
+}
+
+fn replied(ms: u64, id: &str, worker: &str, attempt: u32, not_run: bool) -> Record {
+    let status = if not_run { 429 } else { 200 };
+    at(ms, worker, Seen::Replied { front_end: "fe".into(), request: id.into(), attempt, status, not_run })
+}
+
+fn order(ms: u64, worker: &str) -> Record {
+    at(ms, worker, Seen::Order { front_end: "fe".into(), function: "f".into(), copies: 1 })
+}
+
+fn told(ms: u64, worker: &str, state: &str) -> Record {
+    let (front_end, worker, state) = ("fe".into(), worker.into(), state.into());
+    at(ms, "list", Seen::Told { front_end, worker, state, started_ms: None })
+}
+
+/// A call that is turned away once, then served.
+fn good() -> Vec<Record> {
+    vec![
+        published(0, "a", "unsafe"),
+        delivered(1, "a", false),
+        call(2, "a", "w1", 0),
+        replied(3, "a", "w1", 0, true),
+        call(5, "a", "w2", 1),
+        ran(6, "a", "w2"),
+        replied(90, "a", "w2", 1, false),
+        answered(95, "a", "served"),
+        told(100, "w1", "draining"),
+        order(110, "w2"),
+    ]
+}
+
+fn broken(records: Vec<Record>) -> Vec<Rule> {
+    let mut rules: Vec<Rule> = check(&records, &book()).into_iter().map(|b| b.rule).collect();
+    rules.dedup();
+    rules
+}
+
+fn with(more: Vec<Record>) -> Vec<Record> {
+    good().into_iter().chain(more).collect()
+}
+
+#[test]
+fn a_good_day_breaks_nothing() {
+    assert_eq!(broken(good()), []);
+}
+
+#[test]
+fn answers_that_lack_double_or_come_late_are_found() {
+    assert_eq!(broken(with(vec![published(10, "b", "safe")])), [Rule::OneAnswer]);
+    assert_eq!(broken(with(vec![answered(200, "a", "failed")])), [Rule::OneAnswer]);
+    let late = |ms, again| {
+        vec![
+            published(10, "b", "safe"),
+            delivered(11, "b", false),
+            delivered(1_500, "b", again),
+            answered(ms, "b", "served"),
+        ]
+    };
+    assert_eq!(broken(with(late(2_055, false))), []);
+    assert_eq!(broken(with(late(2_100, false))), [Rule::OneAnswer]);
+    assert_eq!(broken(with(late(3_400, true))), [], "its first front end died");
+    assert_eq!(broken(with(late(3_600, true))), [Rule::OneAnswer]);
+    assert_eq!(broken(with(vec![call(200, "a", "w3", 2)])), [Rule::OneAnswer, Rule::NoEffectTwice]);
+}
+
+#[test]
+fn effects_that_double_are_found() {
+    let two = |class: &str, second: u64| {
+        vec![
+            published(0, "b", class),
+            delivered(1, "b", false),
+            call(2, "b", "w1", 0),
+            call(second, "b", "w2", 1),
+            answered(1_500, "b", "served"),
+        ]
+    };
+    assert_eq!(broken(two("safe", 200)), []);
+    assert_eq!(broken(two("keyed", 200)), []);
+    assert_eq!(broken(two("keyed", 1_200)), [Rule::NoEffectTwice], "forgotten by then");
+    assert_eq!(broken(two("unsafe", 200)), [Rule::NoEffectTwice], "it may have run, whether it did or not");
+    assert_eq!(broken(with(vec![ran(50, "a", "w3")])), [Rule::NoEffectTwice]);
+    let refused = vec![
+        published(0, "b", "unsafe"),
+        delivered(1, "b", false),
+        call(2, "b", "w1", 0),
+        ran(3, "b", "w1"),
+        answered(50, "b", "refused"),
+    ];
+    assert_eq!(broken(refused), [Rule::NoEffectTwice], "a refusal of what ran is a lie");
+}
+
+#[test]
+fn work_for_drained_workers_is_found() {
+    let after = |ms, state| {
+        let (came, over) = (delivered(551, "b", false), answered(900, "b", "served"));
+        with(vec![published(550, "b", "safe"), came, told(700, "w1", state), call(ms, "b", "w1", 0), over])
+    };
+    assert_eq!(broken(after(600, "draining")), []);
+    assert_eq!(broken(after(800, "draining")), [Rule::DrainsKept]);
+    assert_eq!(broken(after(800, "gone")), [Rule::DrainsKept]);
+    assert_eq!(broken(after(800, "live")), [], "it came back");
+}
+
+#[test]
+fn a_worker_pushed_over_is_found() {
+    assert_eq!(
+        broken(with(vec![at(5, "w1", Seen::FellOver { sent: 9.0, bound: 4.0 })])),
+        [Rule::ColdWorkers]
+    );
+}
+
+#[test]
+fn loads_beyond_the_ration_are_found() {
+    // One in any case and half of the one call taken: 1.5.
+    assert_eq!(broken(with(vec![order(6_000, "w2")])), [], "the window has passed");
+    assert_eq!(broken(with(vec![order(2_000, "w2")])), [Rule::LoadsRationed]);
+}
+
+#[test]
+fn records_read_back_and_a_cut_line_is_passed_over() {
+    let text: String = good().iter().map(Record::line).collect();
+    assert_eq!(Record::read_all(&text).expect("own lines"), good());
+    let cut = &text[..text.len() - 5];
+    assert_eq!(Record::read_all(cut).expect("but the last").len(), good().len() - 1);
+    let error = Record::read_all("{\"t\":1}\n").expect_err("no record");
+    assert_eq!(error.line, 1);
+}
