Command line, demo and drills: the whole path on loopback, judged from socket traffic

Need: the first proof is a running program. pipithub serve, config check, standin, publish, demo and drill; each stand-in and front end is a process of its own, faults come from a scenario file, the checker judges the records.

--- /dev/null
+++ b/crates/pipithub-drill/src/scenario.rs
@@ -0,0 +1,332 @@
+//! A day as a file: what runs, what is asked, what goes wrong.
+
+use std::str::FromStr;
+
+use kdl::{KdlDocument, KdlNode};
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use pipithub_settings::duration;
+
+/// A fault of a scenario file.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+#[error("{message}")]
+pub struct Unreadable {
+    message: String,
+    #[source_code]
+    source_code: NamedSource<String>,
+    #[label("here")]
+    span: SourceSpan,
+}
+
+/// A class of calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClassSpec {
+    /// Its name.
+    pub name: String,
+    /// `safe`, `keyed` or `unsafe`.
+    pub effect: String,
+    /// Nanoseconds within which an answer is wanted.
+    pub aim: u64,
+    /// Nanoseconds that a client waits.
+    pub give_up: u64,
+    /// What a served call is worth.
+    pub worth: f64,
+    /// Its part of the calls.
+    pub share: f64,
+    /// Its work, in nanoseconds.
+    pub work: u64,
+    /// For how long workers drop repeats of a key, in nanoseconds.
+    pub dedup_window: u64,
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    /// A worker dies and comes back cold.
+    Crash {
+        /// Which, from 0.
+        worker: usize,
+    },
+    /// Workers are replaced one by one, each drained first.
+    Deploy {
+        /// Nanoseconds between two.
+        every: u64,
+        /// How many.
+        count: usize,
+    },
+    /// The list runs so far behind, in nanoseconds.
+    LateList {
+        /// By how much.
+        by: u64,
+    },
+    /// A worker takes calls and answers none.
+    Silent {
+        /// Which.
+        worker: usize,
+    },
+    /// The store is slowed by a factor.
+    SlowStore {
+        /// The factor.
+        factor: f64,
+    },
+    /// The store turns every fetch away.
+    HaltStore,
+    /// A front end is killed outright and started again.
+    KillFront {
+        /// Which.
+        front: usize,
+    },
+    /// The broker drops all connections.
+    CutBroker,
+    /// All workers of a zone die.
+    LoseZone {
+        /// Which.
+        zone: usize,
+    },
+    /// A share of the clients has almost no time.
+    LittleTime {
+        /// The share.
+        share: f64,
+    },
+    /// A share of the calls is for functions that are wanted once.
+    OneOff {
+        /// The share.
+        share: f64,
+    },
+    /// A share of the calls is for one function.
+    Hot {
+        /// The share.
+        share: f64,
+    },
+}
+
+/// A trouble with its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// Nanoseconds from the first call.
+    pub at: u64,
+    /// How long it lasts, in nanoseconds.
+    pub length: u64,
+    /// What.
+    pub trouble: Trouble,
+}
+
+/// A day.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// How long calls are published, in nanoseconds.
+    pub length: u64,
+    /// Calls a second.
+    pub rate: f64,
+    /// Front ends, each a process.
+    pub fronts: usize,
+    /// Workers, each a process.
+    pub workers: usize,
+    /// Zones, over which workers are dealt out.
+    pub zones: usize,
+    /// Functions; the first are asked for most.
+    pub functions: usize,
+    /// Arguments of each worker, beside its own.
+    pub worker_arguments: Vec<String>,
+    /// Further lines of the front ends' settings.
+    pub settings: String,
+    /// Nanoseconds until the list tells of a death.
+    pub list_lag: u64,
+    /// Grace of the drain rule, in nanoseconds.
+    pub drain_grace: u64,
+    /// Slack of the checker, in nanoseconds.
+    pub slack: u64,
+    /// The classes.
+    pub classes: Vec<ClassSpec>,
+    /// What goes wrong, by time.
+    pub steps: Vec<Step>,
+}
+
+struct Node<'a> {
+    node: &'a KdlNode,
+    text: &'a str,
+    file: &'a str,
+}
+
+type Read<T> = Result<T, Box<Unreadable>>;
+
+impl<'a> Node<'a> {
+    fn fault<T>(&self, message: impl Into<String>) -> Read<T> {
+        let source_code = NamedSource::new(self.file, self.text.to_string());
+        Err(Box::new(Unreadable { message: message.into(), source_code, span: self.node.span() }))
+    }
+
+    fn text_of(&self, name: &str) -> Option<&'a str> {
+        self.node.get(name).and_then(|v| v.as_string())
+    }
+
+    fn time(&self, name: &str, default: Option<u64>) -> Read<u64> {
+        match (self.node.get(name), default) {
+            (None, Some(default)) => Ok(default),
+            (Some(v), _) if v.as_string().and_then(duration).is_some() => {
+                Ok(v.as_string().and_then(duration).unwrap_or_default())
+            }
+            _ => {
+                self.fault(format!("'{}' needs a time '{name}', as {name}=\"2s\"", self.node.name().value()))
+            }
+        }
+    }
+
+    fn number(&self, name: &str, default: Option<f64>) -> Read<f64> {
+        let value = self.node.get(name);
+        let number = value.and_then(|v| v.as_float().or(v.as_integer().map(|n| n as f64)));
+        match (value, number.filter(|n| *n >= 0.0), default) {
+            (None, _, Some(default)) => Ok(default),
+            (Some(_), Some(number), _) => Ok(number),
+            _ => self.fault(format!("'{}' needs a number '{name}'", self.node.name().value())),
+        }
+    }
+
+    fn allow(&self, names: &[&str]) -> Read<()> {
+        let given = self.node.entries().iter().filter_map(|e| e.name().map(|n| n.value()));
+        for name in given {
+            if !names.contains(&name) {
+                return self.fault(format!(
+                    "'{}' takes {}, not '{name}'",
+                    self.node.name().value(),
+                    names.join(", ")
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Scenario {
+    /// Reads a file.
+    pub fn parse(file: &str, text: &str) -> Result<Scenario, Box<Unreadable>> {
+        let source = || NamedSource::new(file, text.to_string());
+        let document = KdlDocument::from_str(text).map_err(|error| {
+            let first = error.diagnostics.first();
+            let message = first.and_then(|d| d.message.clone()).unwrap_or_else(|| "this is not KDL".into());
+            let span = first.map_or((0, 0).into(), |d| d.span);
+            Box::new(Unreadable { message, source_code: source(), span })
+        })?;
+        let mut day = Scenario {
+            name: file.to_string(),
+            length: 20_000_000_000,
+            rate: 50.0,
+            fronts: 2,
+            workers: 6,
+            zones: 2,
+            functions: 12,
+            worker_arguments: Vec::new(),
+            settings: String::new(),
+            list_lag: 300_000_000,
+            drain_grace: 1_000_000_000,
+            slack: 300_000_000,
+            classes: Vec::new(),
+            steps: Vec::new(),
+        };
+        for node in document.nodes() {
+            let n = Node { node, text, file };
+            match node.name().value() {
+                "day" => {
+                    n.allow(&[
+                        "name",
+                        "length",
+                        "rate",
+                        "fronts",
+                        "workers",
+                        "zones",
+                        "functions",
+                        "list-lag",
+                        "drain-grace",
+                        "slack",
+                    ])?;
+                    day.name = n.text_of("name").unwrap_or(file).to_string();
+                    day.length = n.time("length", Some(day.length))?;
+                    day.rate = n.number("rate", Some(day.rate))?.clamp(0.1, 100_000.0);
+                    day.fronts = (n.number("fronts", Some(2.0))? as usize).clamp(1, 64);
+                    day.workers = (n.number("workers", Some(6.0))? as usize).clamp(1, 256);
+                    day.zones = (n.number("zones", Some(2.0))? as usize).clamp(1, 16);
+                    day.functions = (n.number("functions", Some(12.0))? as usize).clamp(1, 10_000);
+                    day.list_lag = n.time("list-lag", Some(day.list_lag))?;
+                    day.drain_grace = n.time("drain-grace", Some(day.drain_grace))?;
+                    day.slack = n.time("slack", Some(day.slack))?;
+                }
+                "class" => {
+                    n.allow(&["effect", "aim", "give-up", "worth", "share", "work", "dedup-window"])?;
+                    let Some(name) = node.get(0).and_then(|v| v.as_string()) else {
+                        return n.fault("a class needs a name");
+                    };
+                    let effect = n.text_of("effect").unwrap_or_default().to_string();
+                    if !["safe", "keyed", "unsafe"].contains(&effect.as_str()) {
+                        return n.fault("a class needs effect=\"safe\", \"keyed\" or \"unsafe\"");
+                    }
+                    day.classes.push(ClassSpec {
+                        name: name.to_string(),
+                        effect,
+                        aim: n.time("aim", Some(1_000_000_000))?,
+                        give_up: n.time("give-up", Some(4_000_000_000))?,
+                        worth: n.number("worth", Some(1.0))?,
+                        share: n.number("share", Some(1.0))?,
+                        work: n.time("work", Some(50_000_000))?,
+                        dedup_window: n.time("dedup-window", Some(5_000_000_000))?,
+                    });
+                }
+                "worker" => {
+                    day.worker_arguments = node
+                        .entries()
+                        .iter()
+                        .filter_map(|e| e.value().as_string().map(str::to_string))
+                        .collect();
+                }
+                "settings" => {
+                    day.settings = node.children().map(|d| d.to_string()).unwrap_or_default();
+                }
+                name => {
+                    let trouble = match name {
+                        "crash" => Trouble::Crash { worker: n.number("worker", None)? as usize },
+                        "deploy" => Trouble::Deploy {
+                            every: n.time("every", Some(1_500_000_000))?,
+                            count: n.number("count", Some(3.0))? as usize,
+                        },
+                        "late-list" => Trouble::LateList { by: n.time("by", None)? },
+                        "silent" => Trouble::Silent { worker: n.number("worker", None)? as usize },
+                        "slow-store" => Trouble::SlowStore { factor: n.number("factor", None)? },
+                        "halt-store" => Trouble::HaltStore,
+                        "kill-front" => Trouble::KillFront { front: n.number("front", None)? as usize },
+                        "cut-broker" => Trouble::CutBroker,
+                        "lose-zone" => Trouble::LoseZone { zone: n.number("zone", None)? as usize },
+                        "little-time" => Trouble::LittleTime { share: n.number("share", None)? },
+                        "one-off" => Trouble::OneOff { share: n.number("share", None)? },
+                        "hot" => Trouble::Hot { share: n.number("share", None)? },
+                        other => return n.fault(format!("a day has no '{other}'")),
+                    };
+                    n.allow(&[
+                        "at", "for", "worker", "front", "zone", "share", "factor", "by", "every", "count",
+                    ])?;
+                    match trouble {
+                        Trouble::Crash { worker } | Trouble::Silent { worker } if worker >= day.workers => {
+                            return n
+                                .fault(format!("there are only {} workers, counted from 0", day.workers));
+                        }
+                        Trouble::KillFront { front } if front >= day.fronts => {
+                            return n
+                                .fault(format!("there are only {} front ends, counted from 0", day.fronts));
+                        }
+                        _ => {}
+                    }
+                    day.steps.push(Step {
+                        at: n.time("at", None)?,
+                        length: n.time("for", Some(2_000_000_000))?,
+                        trouble,
+                    });
+                }
+            }
+        }
+        if day.classes.is_empty() {
+            let message = "a day needs a class".to_string();
+            return Err(Box::new(Unreadable { message, source_code: source(), span: (0, 0).into() }));
+        }
+        day.steps.sort_by_key(|s| s.at);
+        Ok(day)
+    }
+}
--- a/crates/pipithub-settings/src/read.rs
+++ b/crates/pipithub-settings/src/read.rs
@@ -191,7 +191,11 @@
 }
 
 fn written(time: Time) -> String {
-    if time.is_multiple_of(SECOND) { format!("{}s", time / SECOND) } else { format!("{}ms", time as f64 / MS as f64) }
+    if time.is_multiple_of(SECOND) {
+        format!("{}s", time / SECOND)
+    } else {
+        format!("{}ms", time as f64 / MS as f64)
+    }
 }
 
 /// A known name that was likely meant.
--- a/crates/pipithub-standin/src/lib.rs
+++ b/crates/pipithub-standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod broker;
 pub mod list;
+pub mod proxy;
 pub mod recorder;
 pub mod store;
 pub mod worker;
--- /dev/null
+++ b/crates/pipithub/src/demo.rs
@@ -0,0 +1,39 @@
+//! `pipithub demo`: a short day with troubles, watched live.
+
+use std::process::ExitCode;
+
+use miette::{IntoDiagnostic, Result, miette};
+use pipithub_drill::scenario::Scenario;
+
+const DAY: &str = include_str!("../demo.kdl");
+
+pub async fn run() -> Result<ExitCode> {
+    crate::log(false, "warn");
+    let day = Scenario::parse("demo.kdl", DAY).map_err(|e| miette::Report::new(*e))?;
+    println!(
+        "A broker, {} front ends, {} workers, a model store and a worker list, each on loopback; {} calls a second.",
+        day.fronts, day.workers, day.rate
+    );
+    println!(
+        "{} s, in which a worker crashes, a front end is killed and the broker drops all connections.",
+        day.length / 1_000_000_000
+    );
+    let folder = std::env::temp_dir().join(format!("pipithub-demo-{}", std::process::id()));
+    let binary = std::env::current_exe().into_diagnostic()?;
+    let judged = pipithub_drill::run::run(&day, 1, &binary, &folder, |second, sent, verdicts| {
+        let of = |v: &str| verdicts.get(v).copied().unwrap_or(0);
+        println!(
+            "{second:>4.0} s  sent {sent:>5}  served {:>5}  refused {:>4}  failed {:>4}",
+            of("served"),
+            of("refused"),
+            of("failed")
+        );
+    });
+    let judged = judged.await.map_err(|e| miette!("{e}; logs are in {}", folder.display()))?;
+    crate::show(&day, 1, &judged);
+    let kept = judged.breaches.is_empty();
+    if kept {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/crates/pipithub/src/main.rs
@@ -0,0 +1,214 @@
+//! The command line.
+
+mod demo;
+mod publish;
+mod standin;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use pipithub_check::rules::Rule;
+use pipithub_drill::run::Judged;
+use pipithub_drill::scenario::Scenario;
+use pipithub_gateway::Gateway;
+use pipithub_settings::Config;
+use tracing::info;
+use tracing_subscriber::EnvFilter;
+
+/// A gateway that runs calls on workers which load functions or models on demand.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs the gateway.
+    Serve {
+        /// The settings file.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Works on settings files.
+    Config {
+        #[command(subcommand)]
+        command: ConfigCommand,
+    },
+    /// Runs a stand-in for something that the gateway meets.
+    Standin {
+        #[command(subcommand)]
+        command: standin::Standin,
+    },
+    /// Publishes calls to a queue and shows their answers.
+    Publish(publish::Publish),
+    /// Runs everything on loopback for some seconds and shows what comes of it.
+    Demo,
+    /// Runs a scripted day and has the rules checked; ends with 0 only where all were kept.
+    Drill {
+        /// The day.
+        file: PathBuf,
+        /// Its seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Print JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+        /// Where logs and records go; by default a folder for temporary files, removed where all rules were kept.
+        #[arg(long)]
+        folder: Option<PathBuf>,
+    },
+}
+
+#[derive(Subcommand)]
+enum ConfigCommand {
+    /// Reads a settings file and tells all that is wrong with it.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+}
+
+fn main() -> Result<ExitCode> {
+    let arguments = Arguments::parse();
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
+    runtime.block_on(run(arguments.command))
+}
+
+fn log(json: bool, level: &str) {
+    let filter = EnvFilter::try_from_default_env().or_else(|_| EnvFilter::try_new(level)).unwrap_or_default();
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    // A second call, as in tests, changes nothing.
+    let _ = if json { builder.json().try_init() } else { builder.with_ansi(false).try_init() };
+}
+
+fn load(path: &Path) -> Result<Config> {
+    let text =
+        std::fs::read_to_string(path).into_diagnostic().wrap_err_with(|| path.display().to_string())?;
+    Config::parse(&path.display().to_string(), &text).map_err(|faults| miette::Report::new(*faults))
+}
+
+async fn run(command: Command) -> Result<ExitCode> {
+    match command {
+        Command::Serve { config } => {
+            let config = load(&config)?;
+            log(config.log.json, &config.log.level);
+            let gateway = Gateway::start(&config);
+            asked_to_stop().await?;
+            gateway.stop().await;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Config { command: ConfigCommand::Check { file } } => {
+            let config = load(&file)?;
+            let queues: usize = config.amqp.iter().map(|a| a.queues.len()).sum();
+            println!(
+                "{}: good; {} classes, {} brokers with {queues} queues, {} timers",
+                file.display(),
+                config.classes.len(),
+                config.amqp.len(),
+                config.cron.len()
+            );
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Standin { command } => {
+            log(false, "info");
+            standin::run(command).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Publish(publish) => publish::run(publish).await,
+        Command::Demo => demo::run().await,
+        Command::Drill { file, seed, json, folder } => {
+            log(false, "warn");
+            let text = std::fs::read_to_string(&file)
+                .into_diagnostic()
+                .wrap_err_with(|| file.display().to_string())?;
+            let day =
+                Scenario::parse(&file.display().to_string(), &text).map_err(|e| miette::Report::new(*e))?;
+            let given = folder.is_some();
+            let folder = folder.unwrap_or_else(|| {
+                std::env::temp_dir().join(format!("pipithub-drill-{}-{seed}", std::process::id()))
+            });
+            let binary = std::env::current_exe().into_diagnostic()?;
+            let judged = pipithub_drill::run::run(&day, seed, &binary, &folder, |_, _, _| {}).await;
+            let judged = judged.map_err(|e| miette!("{e}; logs are in {}", folder.display()))?;
+            if json {
+                println!("{}", json_of(&day, seed, &judged));
+            } else {
+                show(&day, seed, &judged);
+            }
+            if judged.breaches.is_empty() {
+                if !given {
+                    let _ = std::fs::remove_dir_all(&folder);
+                }
+                Ok(ExitCode::SUCCESS)
+            } else {
+                eprintln!("logs and records are in {}", folder.display());
+                Ok(ExitCode::FAILURE)
+            }
+        }
+    }
+}
+
+async fn asked_to_stop() -> Result<()> {
+    let mut terminate =
+        tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).into_diagnostic()?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        interrupted = tokio::signal::ctrl_c() => interrupted.into_diagnostic()?,
+    }
+    info!("asked to stop");
+    Ok(())
+}
+
+fn json_of(day: &Scenario, seed: u64, judged: &Judged) -> serde_json::Value {
+    let rule = |r: &Rule| {
+        let broken: Vec<&str> =
+            judged.breaches.iter().filter(|b| b.rule == *r).map(|b| b.what.as_str()).collect();
+        serde_json::json!({"rule": r.name(), "kept": broken.is_empty(), "breaches": broken})
+    };
+    serde_json::json!({
+        "day": day.name,
+        "seed": seed,
+        "calls": judged.calls,
+        "rules": Rule::ALL.iter().map(rule).collect::<Vec<_>>(),
+        "report": judged.report,
+        "faults": judged.faults,
+    })
+}
+
+fn show(day: &Scenario, seed: u64, judged: &Judged) {
+    println!("{}, seed {seed}: {} calls, {} answers at the client", day.name, judged.calls, judged.answered);
+    println!(
+        "{:>7} {:>6} {:>8} {:>6} {:>8} {:>7} {:>8}",
+        "from", "calls", "in time", "late", "refused", "failed", "service"
+    );
+    let line = |name: String, w: &pipithub_check::report::Window| {
+        let (calls, in_time, late, refused, failed) = (w.calls, w.in_time, w.late, w.refused, w.failed);
+        println!("{name:>7} {calls:>6} {in_time:>8} {late:>6} {refused:>8} {failed:>7} {:>8.3}", w.service);
+    };
+    let mut faults = judged.faults.iter().peekable();
+    for window in &judged.report.windows {
+        line(format!("{:.0} s", window.from_s), window);
+        while let Some((at, what)) = faults.next_if(|f| f.0 < window.from_s + 2.0) {
+            println!("{:>7} {at:.1} s {what}", "");
+        }
+    }
+    line("whole".into(), &judged.report.whole);
+    let [p50, p99, p999] = judged.report.latency_ms;
+    println!(
+        "served in p50 {p50:.1} ms, p99 {p99:.1} ms, p99.9 {p999:.1} ms; {:.3} attempts a call",
+        judged.report.attempts
+    );
+    for rule in Rule::ALL {
+        let broken: Vec<_> = judged.breaches.iter().filter(|b| b.rule == rule).collect();
+        println!(
+            "{:<30} {}",
+            rule.name(),
+            if broken.is_empty() { "kept".to_string() } else { format!("BROKEN {} times", broken.len()) }
+        );
+        broken.iter().take(10).for_each(|b| println!("    {}", b.what));
+    }
+}
--- /dev/null
+++ b/crates/pipithub/src/standin.rs
@@ -0,0 +1,232 @@
+//! Stand-ins as processes: each prints its address first, and logs to standard error.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Args, Subcommand};
+use miette::{IntoDiagnostic, Result, miette};
+use pipithub_amqp::FieldTable;
+use pipithub_standin::broker::{BrokerServer, BrokerSettings};
+use pipithub_standin::list::ListServer;
+use pipithub_standin::proxy::{Damage, Proxy};
+use pipithub_standin::recorder::Recorder;
+use pipithub_standin::store::{StoreServer, StoreSettings};
+use pipithub_standin::worker::{WorkerServer, WorkerSettings};
+use tokio::io::{AsyncBufReadExt, BufReader};
+
+#[derive(Subcommand)]
+pub enum Standin {
+    /// An AMQP 0-9-1 broker; user guest, password guest, virtual host `/`.
+    Broker {
+        #[command(flatten)]
+        common: Common,
+        /// A durable queue to declare beforehand; may be given several times.
+        #[arg(long)]
+        queue: Vec<String>,
+    },
+    /// A worker that loads any model it is asked for and echoes inputs as outputs.
+    Worker(Box<Worker>),
+    /// The model store that workers share.
+    Store {
+        #[command(flatten)]
+        common: Common,
+        /// Milliseconds of a fetch when nothing is in its way.
+        #[arg(long, default_value_t = 300)]
+        fetch_ms: u64,
+        /// Fetches at a time at full pace.
+        #[arg(long, default_value_t = 8)]
+        at_once: usize,
+        /// Fetches at a time that are taken.
+        #[arg(long, default_value_t = 40)]
+        limit: usize,
+    },
+    /// The worker list: EndpointSlices with list and watch. Workers are set by `POST /control/worker`.
+    List {
+        #[command(flatten)]
+        common: Common,
+    },
+    /// A proxy that does damage: lines on standard input say which (`pass`, `delay MS`, `cut`, `half-close`, `swallow`,
+    /// `corrupt`).
+    Proxy {
+        #[command(flatten)]
+        common: Common,
+        /// Where connections go on to.
+        #[arg(long)]
+        to: String,
+    },
+}
+
+#[derive(Args)]
+pub struct Common {
+    /// Where to listen; loopback alone.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Write what is seen on the sockets to this file.
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// End when standard input does, so that no stand-in outlives a drill that is killed.
+    #[arg(long)]
+    commands: bool,
+}
+
+#[derive(Args)]
+pub struct Worker {
+    #[command(flatten)]
+    common: Common,
+    /// Where models are fetched; without it a load takes `--load-ms` alone.
+    #[arg(long)]
+    store: Option<String>,
+    /// Cores.
+    #[arg(long, default_value_t = 2.0)]
+    cores: f64,
+    /// Speed of a core.
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Memory for copies, in MB.
+    #[arg(long, default_value_t = 24_000.0)]
+    memory_mb: f64,
+    /// Milliseconds of work of a call that does not say.
+    #[arg(long, default_value_t = 60)]
+    run_ms: u64,
+    /// Milliseconds of a load, beside its fetch.
+    #[arg(long, default_value_t = 500)]
+    load_ms: u64,
+    /// Calls that may wait.
+    #[arg(long, default_value_t = 64)]
+    queue: usize,
+    /// Milliseconds after which an idle copy is unloaded.
+    #[arg(long, default_value_t = 10_000)]
+    keep_ms: u64,
+    /// Share of its capacity that it starts with.
+    #[arg(long, default_value_t = 1.0)]
+    cold_from: f64,
+    /// Milliseconds until it is warm.
+    #[arg(long, default_value_t = 5_000)]
+    ramp_ms: u64,
+    /// Sent more than this multiple of its capacity while cold, it falls over; 0: never.
+    #[arg(long, default_value_t = 0.0)]
+    fall_multiple: f64,
+    /// Milliseconds over which that is counted.
+    #[arg(long, default_value_t = 2_000)]
+    fall_span_ms: u64,
+    /// Milliseconds for which repeats of a key are dropped.
+    #[arg(long, default_value_t = 5_000)]
+    dedup_ms: u64,
+}
+
+impl Common {
+    fn check(&self) -> Result<Recorder> {
+        if !self.listen.ip().is_loopback() {
+            return Err(miette!(
+                "stand-ins trust whoever reaches them: they listen on loopback alone, not on {}",
+                self.listen.ip()
+            ));
+        }
+        match &self.record {
+            Some(path) => Recorder::file(path).into_diagnostic(),
+            None => Ok(Recorder::none()),
+        }
+    }
+}
+
+fn say(address: SocketAddr) {
+    println!("{}", serde_json::json!({"address": address.to_string()}));
+}
+
+/// Does what the lines on standard input say, until asked to stop.
+async fn commands(ends: bool, mut command: impl FnMut(&str)) {
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        command(line.trim());
+    }
+    if !ends {
+        std::future::pending::<()>().await;
+    }
+}
+
+pub async fn run(standin: Standin) -> Result<()> {
+    match standin {
+        Standin::Broker { common, queue } => {
+            let recorder = common.check()?;
+            let queues = queue.into_iter().map(|q| (q, FieldTable::new())).collect();
+            let settings = BrokerSettings { queues, recorder, ..BrokerSettings::default() };
+            let broker = BrokerServer::start(common.listen, settings).await.into_diagnostic()?;
+            say(broker.address());
+            let act = |line: &str| match line {
+                "cut" => broker.cut_all(),
+                "block" => broker.set_blocked(Some("asked for")),
+                "unblock" => broker.set_blocked(None),
+                _ => {}
+            };
+            stop_or(commands(common.commands, act)).await
+        }
+        Standin::Worker(worker) => {
+            let recorder = worker.common.check()?;
+            let ms = |ms: u64| ms * 1_000_000;
+            let settings = WorkerSettings {
+                cores: worker.cores.max(0.01),
+                speed: worker.speed.max(0.001),
+                memory_mb: worker.memory_mb,
+                run: ms(worker.run_ms),
+                load: ms(worker.load_ms),
+                queue: worker.queue,
+                keep_alive: ms(worker.keep_ms),
+                cold_from: worker.cold_from.clamp(0.01, 1.0),
+                ramp: ms(worker.ramp_ms),
+                fall_multiple: worker.fall_multiple,
+                fall_span: ms(worker.fall_span_ms),
+                dedup_window: ms(worker.dedup_ms),
+                ..WorkerSettings::default()
+            };
+            let started = WorkerServer::start(worker.common.listen, settings, worker.store, recorder).await;
+            let server = Arc::new(started.into_diagnostic()?);
+            say(server.address());
+            let fallen = server.clone();
+            let act = |line: &str| match line {
+                "silent on" => server.set_silent(true),
+                "silent off" => server.set_silent(false),
+                _ => {}
+            };
+            tokio::select! {
+                stopped = stop_or(commands(worker.common.commands, act)) => stopped,
+                () = fallen.fallen() => Err(miette!("it fell over: it was sent too much while cold")),
+            }
+        }
+        Standin::Store { common, fetch_ms, at_once, limit } => {
+            common.check()?;
+            let settings = StoreSettings { fetch: Duration::from_millis(fetch_ms), at_once, limit };
+            let store = StoreServer::start(common.listen, settings).await.into_diagnostic()?;
+            say(store.address());
+            stop_or(commands(common.commands, |_| {})).await
+        }
+        Standin::List { common } => {
+            let list = ListServer::start(common.listen, common.check()?).await.into_diagnostic()?;
+            say(list.address());
+            stop_or(commands(common.commands, |_| {})).await
+        }
+        Standin::Proxy { common, to } => {
+            common.check()?;
+            let proxy = Proxy::start(common.listen, to).await.into_diagnostic()?;
+            say(proxy.address());
+            let act = |line: &str| match line.split_once(' ').unwrap_or((line, "")) {
+                ("pass", _) => proxy.set(Damage::None),
+                ("delay", ms) => proxy.set(Damage::Delay(Duration::from_millis(ms.parse().unwrap_or(100)))),
+                ("cut", _) => proxy.cut(),
+                ("half-close", _) => proxy.set(Damage::HalfClose),
+                ("swallow", _) => proxy.set(Damage::Swallow),
+                ("corrupt", _) => proxy.set(Damage::Corrupt),
+                _ => tracing::warn!(line, "not understood"),
+            };
+            stop_or(commands(common.commands, act)).await
+        }
+    }
+}
+
+async fn stop_or(commands: impl Future<Output = ()>) -> Result<()> {
+    tokio::select! {
+        stopped = crate::asked_to_stop() => stopped,
+        () = commands => Ok(()),
+    }
+}
