--- a/crates/pipithub-drill/src/run.rs
+++ b/crates/pipithub-drill/src/run.rs
@@ -134,13 +134,17 @@
         self.folder.join(name).display().to_string()
     }
 
-    async fn start_worker(&mut self, n: usize) -> std::io::Result<()> {
+    /// Starts a worker; the first ones have been up for long: a day begins with a warm fleet that holds nothing.
+    async fn start_worker(&mut self, n: usize, first: bool) -> std::io::Result<()> {
         self.started += 1;
         let mut arguments: Vec<String> =
             ["standin", "worker", "--listen", "127.0.0.1:0", "--commands"].map(Into::into).into();
         arguments.extend(["--store".into(), self.store.address().to_string()]);
         arguments.extend(["--record".into(), self.path(&format!("worker-{}.jsonl", self.started))]);
         arguments.extend(self.day.worker_arguments.iter().cloned());
+        if first {
+            arguments.extend(["--cold-from".into(), "1".into()]);
+        }
         let process = Process::standin(self.binary, &arguments, &self.folder.join("workers.log")).await?;
         let (ip, port) = process.address.rsplit_once(':').unwrap_or(("127.0.0.1", "0"));
         let listed = Listed {
@@ -150,7 +154,7 @@
             zone: format!("zone-{}", n % self.day.zones),
             state: "live".into(),
             memory_mb: 24_000.0,
-            started_ms: wall_ms(),
+            started_ms: if first { 0 } else { wall_ms() },
         };
         self.list.set(listed.clone());
         (self.slots[n].process, self.slots[n].listed) = (Some(process), Some(listed));
@@ -182,7 +186,7 @@
             }
             Act::Start(n) => {
                 if self.slots[n].process.is_none() {
-                    self.start_worker(n).await?;
+                    self.start_worker(n, false).await?;
                 }
             }
             Act::Drain(n) => {
@@ -304,7 +308,7 @@
         faults: Vec::new(),
     };
     for n in 0..day.workers {
-        stage.start_worker(n).await?;
+        stage.start_worker(n, true).await?;
     }
     for n in 0..day.fronts {
         let remember = stage.path(&format!("front-{n}-list.json"));
--- a/crates/pipithub-standin/src/worker/server.rs
+++ b/crates/pipithub-standin/src/worker/server.rs
@@ -46,6 +46,7 @@
     recorder: Recorder,
     at: String,
     store: Option<String>,
+    dedup_window: std::time::Duration,
 }
 
 /// A worker that is running; it ends when dropped.
@@ -72,6 +73,7 @@
             ramp_ms: settings.ramp / 1_000_000,
         };
         recorder.note(&address.to_string(), up);
+        let dedup_window = std::time::Duration::from_nanos(settings.dedup_window);
         let core = WorkerCore::new(settings, store.is_some(), clock.now());
         let state = State { core, next: 1, waiting: HashMap::new(), names: HashMap::new(), swallow: false };
         let shared = Arc::new(Shared {
@@ -82,6 +84,7 @@
             recorder,
             at: address.to_string(),
             store,
+            dedup_window,
         });
         let mut tasks = tokio::task::JoinSet::new();
         tasks.spawn(accept(listener, shared.clone()));
@@ -294,7 +297,13 @@
             );
             let json: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
             let work = json.as_ref().and_then(|j| j["parameters"]["work_ms"].as_f64()).filter(|w| *w >= 0.0);
+            // The workers of one store drop each other's repeats: the key is claimed there before the call may run.
+            let claimed = match (&shared.store, &key) {
+                (Some(store), Some(key)) => crate::store::claim(store, key, shared.dedup_window).await,
+                _ => true,
+            };
             let incoming = Incoming {
+                repeat: !claimed,
                 id: 0,
                 function: model.clone(),
                 key: key.clone(),
@@ -302,6 +311,7 @@
                 lanes: number(header::LANES) as u32,
                 work: work.map(|ms| (ms.min(600_000.0) * 1e6) as u64),
             };
+            let told_key = key.clone();
             let (sender, receiver) = oneshot::channel();
             let id = shared.act(|state, now| {
                 let id = state.next;
@@ -315,6 +325,9 @@
             let told = receiver.await;
             guard.armed = false;
             let Ok(Reply::Call(result, alike)) = told else { return Err(std::io::ErrorKind::Other.into()) };
+            if let (Err(_), true, Some(store), Some(key)) = (&result, claimed, &shared.store, told_key) {
+                crate::store::give_back(store, &key).await;
+            }
             if shared.lock().swallow {
                 // The work is done, the answer never leaves.
                 std::future::pending::<()>().await;
--- a/crates/pipithub/src/standin.rs
+++ b/crates/pipithub/src/standin.rs
@@ -100,7 +100,7 @@
     #[arg(long, default_value_t = 10_000)]
     keep_ms: u64,
     /// Share of its capacity that it starts with.
-    #[arg(long, default_value_t = 1.0)]
+    #[arg(long, default_value_t = 1.0, overrides_with = "cold_from")]
     cold_from: f64,
     /// Milliseconds until it is warm.
     #[arg(long, default_value_t = 5_000)]
