An orphan is not sent again: its message is another front end's by now

A call without its ticket now gets no further attempt; what is out may end, and is answered if the message comes back.

Measured: a test that fails without the change, and the random worlds now check that only a holder sends.

--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -458,6 +458,26 @@
         }
     }
 
+    /// Ends an orphan in place of a send; the module hears that the attempt was not made.
+    fn let_go(&mut self, request: RequestId, id: AttemptId, worker: Worker) {
+        let Some(open) = self.open.remove(&request) else { return };
+        self.bytes -= open.bytes;
+        if let Some(identity) = &open.identity {
+            self.memory.abandon(identity, request);
+        }
+        self.events.push_back(Event::Finished(Finished {
+            request,
+            attempt: id.number,
+            worker,
+            outcome: Outcome::NotSent,
+            took: 0,
+            settled: true,
+            note: None,
+            alike: None,
+            load: Default::default(),
+        }));
+    }
+
     /// Lets go of an answered request whose message did not come back in its time: it went elsewhere.
     fn retire(&mut self, now: Time, request: RequestId) {
         let Some(open) = self.open.get(&request) else { return };
@@ -507,6 +527,11 @@
             Action::Send { request, worker, timeout } => {
                 let Some(open) = self.open.get_mut(&request).filter(|o| o.reply.is_none()) else { return };
                 let id = AttemptId { request, number: open.attempts };
+                if open.ticket.is_none() {
+                    // Its message is another front end's by now: a further send here could come after the other's
+                    // answer. What is out already may end, for the message may still come back here.
+                    return self.let_go(request, id, worker);
+                }
                 open.attempts += 1;
                 self.out.insert(id, worker.clone());
                 self.stats.sends += 1;
--- a/crates/pipithub-engine/tests/engine.rs
+++ b/crates/pipithub-engine/tests/engine.rs
@@ -175,6 +175,19 @@
     assert_eq!(out, [Output::Forget(third)]);
 }
 
+/// Found by the bad day: a front end whose connection was cut sent a call again after another had answered it.
+#[test]
+fn an_orphan_is_not_sent_again() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(SAFE, |_| {});
+    bed.input(Input::SourceLost(SourceId(1)));
+    assert_eq!(bed.end(sends(&out)[0], Outcome::Broken), []);
+    assert_eq!((bed.engine.open(), bed.engine.bytes(), bed.engine.attempts_out()), (0, 0, 0));
+    // Should it come back here after all, it is decided anew.
+    let (_, out) = bed.trigger(SAFE, |t| t.redelivered = true);
+    assert_eq!(sends(&out).len(), 1);
+}
+
 /// A client that uses a name anew must not have its call settled by the answer of an earlier one.
 #[test]
 fn a_name_used_anew_is_a_new_message() {
--- a/crates/pipithub-engine/tests/world.rs
+++ b/crates/pipithub-engine/tests/world.rs
@@ -130,6 +130,8 @@
             Output::Send { id, call, deadline, .. } => {
                 assert!(deadline > self.now, "sent after its time");
                 let message = self.message_of(&call);
+                let held = self.unacked.values().any(|held| *held == (which, message));
+                assert!(held, "message {message} was sent by one that does not hold it");
                 let trouble = self.chance(100) < self.trouble;
                 let outcome = match (trouble, self.chance(5)) {
                     (false, _) => Outcome::Served,
