Bench: the gateway beside a direct call and a plain pass-through, in one run

Need: what the decisions cost must be measured against something: a lapin consumer with a hyper client and round robin, as processes on the same stand-ins.

--- /dev/null
+++ b/crates/pipithub-bench/src/main.rs
@@ -0,0 +1,289 @@
+//! Measures, in one run and side by side: calls straight to workers, the gateway, and a plain pass-through (a lapin
+//! consumer, a hyper client, round robin, no decisions). All are processes on loopback against the same stand-ins.
+
+mod baseline;
+
+use std::collections::HashMap;
+use std::error::Error;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use hdrhistogram::Histogram;
+use pipithub_amqp::Login;
+use pipithub_clock::Clock;
+use pipithub_drill::client::{Publish, QueueClient, consumers};
+use pipithub_drill::process::Process;
+
+type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
+
+/// Measures the gateway beside a direct call and a plain pass-through.
+#[derive(Parser)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+    /// The pipithub binary; by default the one beside this program.
+    #[arg(long)]
+    binary: Option<PathBuf>,
+    /// Seconds of each measured part.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Workers.
+    #[arg(long, default_value_t = 12)]
+    workers: usize,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The pass-through, as a process.
+    Baseline {
+        /// The broker.
+        #[arg(long)]
+        broker: String,
+        /// The workers.
+        #[arg(long)]
+        worker: Vec<String>,
+    },
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    if let Some(Command::Baseline { broker, worker }) = arguments.command {
+        return baseline::run(&broker, worker).await;
+    }
+    let me = std::env::current_exe()?;
+    let binary = arguments.binary.unwrap_or_else(|| me.with_file_name("pipithub"));
+    let folder = std::env::temp_dir().join(format!("pipithub-bench-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let bed = Bed { me, binary, folder, seconds: arguments.seconds, workers: arguments.workers };
+    bed.all().await?;
+    std::fs::remove_dir_all(&bed.folder)?;
+    Ok(())
+}
+
+struct Bed {
+    me: PathBuf,
+    binary: PathBuf,
+    folder: PathBuf,
+    seconds: u64,
+    workers: usize,
+}
+
+/// What a process has used: CPU in seconds, resident memory in MiB.
+fn usage(pid: u32) -> (f64, f64) {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |n: usize| fields.get(n).and_then(|v| v.parse::<f64>().ok()).unwrap_or(0.0);
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let rss =
+        status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.trim().split(' ').next()?.parse::<f64>().ok());
+    // Linux counts in hundredths of a second here on all its common machines.
+    ((ticks(11) + ticks(12)) / 100.0, rss.unwrap_or(0.0) / 1024.0)
+}
+
+fn histogram() -> Histogram<u64> {
+    // A minute at most, to three digits; these bounds are always good.
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("good bounds")
+}
+
+fn show(what: &str, h: &Histogram<u64>) {
+    let ms = |q: f64| h.value_at_quantile(q) as f64 / 1000.0;
+    println!(
+        "{what:<28} p50 {:>8.3} ms  p99 {:>8.3} ms  p99.9 {:>8.3} ms  ({} calls)",
+        ms(0.5),
+        ms(0.99),
+        ms(0.999),
+        h.len()
+    );
+}
+
+impl Bed {
+    async fn standin(&self, arguments: &[&str]) -> Result<Process> {
+        let arguments: Vec<String> = arguments.iter().map(|a| a.to_string()).collect();
+        Ok(Process::standin(&self.binary, &arguments, &self.folder.join("log")).await?)
+    }
+
+    async fn all(&self) -> Result<()> {
+        let mut workers = Vec::new();
+        for _ in 0..self.workers {
+            // Workers of many cores and little work: what is measured is what stands between client and worker.
+            let worker = [
+                "standin",
+                "worker",
+                "--commands",
+                "--cores",
+                "1000",
+                "--run-ms",
+                "2",
+                "--load-ms",
+                "1",
+                "--queue",
+                "100000",
+                "--keep-ms",
+                "600000",
+            ];
+            workers.push(self.standin(&worker).await?);
+        }
+        let addresses: Vec<String> = workers.iter().map(|w| w.address.clone()).collect();
+        println!("{} workers that take 2 ms a call; {} s a part", self.workers, self.seconds);
+        let direct = baseline::direct(&addresses, 200.0, self.seconds).await?;
+        show("direct, 200 a second", &direct);
+        let mut cost = Vec::new();
+        for which in ["pass-through", "gateway"] {
+            let broker = self.standin(&["standin", "broker", "--commands", "--queue", "calls"]).await?;
+            let log = self.folder.join("log");
+            let process = if which == "gateway" {
+                let workers: String = addresses.iter().map(|a| format!("worker \"{a}\"; ")).collect();
+                let text = format!(
+                    "class \"view\" effect=\"safe\" aim=\"5s\" give-up=\"20s\" late-worth=0.5\n\
+                     class \"long\" effect=\"unsafe\" aim=\"10s\" give-up=\"30s\" late-worth=0.5\n\
+                     amqp \"b\" {{ address \"{}\"; queue \"calls\" {{ prefetch 2000; lanes 64 }} }}\n\
+                     workers {{ {workers} }}\nlog level=\"warn\"\n",
+                    broker.address
+                );
+                let path = self.folder.join("serve.kdl");
+                std::fs::write(&path, text)?;
+                Process::gateway(
+                    &self.binary,
+                    &["serve".into(), "--config".into(), path.display().to_string()],
+                    &log,
+                )?
+            } else {
+                let mut arguments = vec!["baseline".to_string(), "--broker".into(), broker.address.clone()];
+                addresses.iter().for_each(|a| arguments.extend(["--worker".to_string(), a.clone()]));
+                Process::gateway(&self.me, &arguments, &log)?
+            };
+            self.part(which, &broker.address, &process, &direct, &mut cost).await?;
+            process.kill().await;
+            broker.kill().await;
+        }
+        println!(
+            "gateway over pass-through: CPU a call {:.2}, calls a second {:.2}",
+            cost[1].0 / cost[0].0,
+            cost[1].1 / cost[0].1
+        );
+        Ok(())
+    }
+
+    async fn part(
+        &self,
+        which: &str,
+        broker: &str,
+        process: &Process,
+        direct: &Histogram<u64>,
+        cost: &mut Vec<(f64, f64)>,
+    ) -> Result<()> {
+        while consumers(broker, Login::default(), "calls").await != Some(1) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let pid = process.id().ok_or("the process has ended")?;
+        let mut client = QueueClient::start(broker, Login::default(), "answers");
+        load(&mut client, Load::Rate(100.0), 2, 0).await?;
+        let paced = load(&mut client, Load::Rate(200.0), self.seconds, 2).await?;
+        show(&format!("{which}, 200 a second"), &paced.latency);
+        let added = |q: f64| {
+            (paced.latency.value_at_quantile(q) as f64 - direct.value_at_quantile(q) as f64) / 1000.0
+        };
+        println!(
+            "{:<28} p50 {:>8.3} ms  p99 {:>8.3} ms  p99.9 {:>8.3} ms",
+            "  added to direct",
+            added(0.5),
+            added(0.99),
+            added(0.999)
+        );
+        let before = usage(pid).0;
+        let full = load(&mut client, Load::Held(64), self.seconds, 3).await?;
+        let cpu = usage(pid).0 - before;
+        let calls = full.latency.len() as f64;
+        show(&format!("{which}, 64 at a time"), &full.latency);
+        println!(
+            "  {:.0} calls a second, {:.0} us of CPU a call, {} not served",
+            calls / full.took,
+            cpu / calls * 1e6,
+            full.other
+        );
+        cost.push((cpu / calls, calls / full.took));
+        // Some thousand calls in flight, each 3 s long: memory is looked at in the middle.
+        let idle = usage(pid).1;
+        let many = load(&mut client, Load::Long(1_250), 2, 4);
+        let look = async {
+            tokio::time::sleep(Duration::from_millis(1_800)).await;
+            usage(pid).1
+        };
+        let (many, held) = tokio::join!(many, look);
+        println!(
+            "  {idle:.1} MiB before, {held:.1} MiB with 1,000 calls in flight ({} not served)",
+            many?.other
+        );
+        Ok(())
+    }
+}
+
+enum Load {
+    /// So many a second, answered or not.
+    Rate(f64),
+    /// So many at a time.
+    Held(usize),
+    /// So many at once, each three seconds long.
+    Long(usize),
+}
+
+struct Loaded {
+    latency: Histogram<u64>,
+    other: usize,
+    took: f64,
+}
+
+async fn load(client: &mut QueueClient, load: Load, seconds: u64, part: usize) -> Result<Loaded> {
+    let clock = Clock::default();
+    let mut sent: HashMap<String, u64> = HashMap::new();
+    let mut loaded = Loaded { latency: histogram(), other: 0, took: 0.0 };
+    let mut number = 0u64;
+    let end = seconds * 1_000_000_000;
+    let mut due = 0;
+    loop {
+        let now = clock.now();
+        let more = match load {
+            Load::Rate(_) => now < end && now >= due,
+            Load::Held(most) => now < end && sent.len() < most,
+            Load::Long(most) => (number as usize) < most,
+        };
+        if more {
+            if let Load::Rate(rate) = load {
+                due += (1e9 / rate) as u64;
+            }
+            let id = format!("{part}-{number}");
+            // Long ones are of a class of their own: among calls of 2 ms they would look like silent workers.
+            let (class, work) = if matches!(load, Load::Long(_)) { ("long", 3_000) } else { ("view", 2) };
+            number += 1;
+            let call = Publish {
+                queue: "calls".into(),
+                class: class.into(),
+                function: format!("m{}", number % 16),
+                lanes: 64,
+                body: format!("{{\"inputs\":[],\"parameters\":{{\"work_ms\":{work}}}}}").into_bytes(),
+                id: id.clone(),
+                ..Publish::default()
+            };
+            client.calls.send(call).await?;
+            sent.insert(id, client.clock.now());
+            continue;
+        }
+        let waits = matches!(load, Load::Rate(_)) && now < end;
+        if sent.is_empty() && !waits {
+            loaded.took = clock.now() as f64 / 1e9;
+            return Ok(loaded);
+        }
+        tokio::select! {
+            answer = client.answers.recv() => {
+                let answer = answer.ok_or("the client has ended")?;
+                let Some(at) = sent.remove(&answer.id) else { continue };
+                loaded.latency.saturating_record(((answer.at - at) / 1000).max(1));
+                loaded.other += usize::from(answer.verdict != "served");
+            }
+            () = clock.sleep_until(Some(due)), if waits => {}
+            () = tokio::time::sleep(Duration::from_secs(30)) => return Err(format!("{} calls without an answer", sent.len()).into()),
+        }
+    }
+}
--- a/crates/pipithub-drill/src/process.rs
+++ b/crates/pipithub-drill/src/process.rs
@@ -67,6 +67,11 @@
         let _ = self.child.kill().await;
     }
 
+    /// Its process id, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Whether it has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
