Textbook baselines in the module's place, for drills alone: round robin and least loaded

The engine decides through a trait; the module is its only implementation in service, pipithub-baselines has two that foresee nothing.

--- a/crates/pipithub-drill/src/run.rs
+++ b/crates/pipithub-drill/src/run.rs
@@ -71,6 +71,7 @@
     broker: Process,
     slots: Vec<Slot>,
     fronts: Vec<Option<Process>>,
+    baseline: Option<String>,
     started: u64,
     faults: Vec<(u64, String)>,
 }
@@ -163,7 +164,10 @@
 
     fn start_front(&mut self, n: usize) -> std::io::Result<()> {
         let config = self.path(&format!("front-{n}.kdl"));
-        let arguments = ["serve".to_string(), "--config".into(), config];
+        let mut arguments = vec!["serve".to_string(), "--config".into(), config];
+        if let Some(baseline) = &self.baseline {
+            arguments.extend(["--baseline".to_string(), baseline.clone()]);
+        }
         let log = self.folder.join(format!("front-{n}.log"));
         self.fronts[n] = Some(Process::gateway(self.binary, &arguments, &log)?);
         Ok(())
@@ -277,12 +281,13 @@
     }
 }
 
-/// Runs a day from a seed; `progress` is told each second.
+/// Runs a day from a seed; `progress` is told each second, and `baseline` names a policy in the module's place.
 pub async fn run(
     day: &Scenario,
     seed: u64,
     binary: &Path,
     folder: &Path,
+    baseline: Option<&str>,
     mut progress: impl FnMut(f64, usize, &BTreeMap<String, usize>),
 ) -> Result<Judged, Box<dyn std::error::Error + Send + Sync>> {
     std::fs::create_dir_all(folder)?;
@@ -304,6 +309,7 @@
         broker,
         slots,
         fronts: (0..day.fronts).map(|_| None).collect(),
+        baseline: baseline.map(str::to_string),
         started: 0,
         faults: Vec::new(),
     };
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -52,6 +52,18 @@
     }
 }
 
+/// Decides: the module, or in drills a policy to compare it with.
+pub trait Decide: std::fmt::Debug + Send {
+    /// Takes one event and appends what to do about it.
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Decide for FrontEnd {
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        FrontEnd::handle(self, now, event, actions);
+    }
+}
+
 /// What an engine has done so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -97,7 +109,7 @@
 #[derive(Debug)]
 pub struct Engine {
     settings: EngineSettings,
-    front: FrontEnd,
+    front: Box<dyn Decide>,
     timers: Timers,
     open: BTreeMap<RequestId, Open>,
     tickets: BTreeMap<Ticket, RequestId>,
@@ -118,13 +130,19 @@
 impl Engine {
     /// An engine that knows nothing but its settings; the seed is its only chance.
     pub fn new(settings: EngineSettings, seed: u64) -> Self {
+        let module = FrontEnd::new(settings.policy.clone(), seed);
+        Self::deciding_by(Box::new(module), settings)
+    }
+
+    /// An engine whose decisions are made by something else than the module: for comparison alone.
+    pub fn deciding_by(front: Box<dyn Decide>, settings: EngineSettings) -> Self {
         let mut policy = settings.policy.clone();
         if policy.classes.is_empty() {
             policy.classes.push(Default::default());
         }
         let settings = EngineSettings { policy, ..settings };
         Engine {
-            front: FrontEnd::new(settings.policy.clone(), seed),
+            front,
             memory: Memory::new(settings.remember, settings.remember_for),
             settings,
             timers: Timers::default(),
--- a/crates/pipithub-engine/src/lib.rs
+++ b/crates/pipithub-engine/src/lib.rs
@@ -13,7 +13,7 @@
 mod model;
 mod timers;
 
-pub use engine::{Engine, EngineSettings, Stats};
+pub use engine::{Decide, Engine, EngineSettings, Stats};
 pub use model::{
     AttemptEnd, AttemptId, Call, Cause, Input, OrderEnd, Output, ProbeEnd, Reply, Served, SourceId, Ticket,
     Trigger, Verdict, function_id,
--- a/crates/pipithub-gateway/src/front.rs
+++ b/crates/pipithub-gateway/src/front.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pipithub_baselines::{Baseline, Policy};
 use pipithub_clock::Clock;
 use pipithub_engine::policy::{Entry, ListKind, Worker};
 use pipithub_engine::{AttemptId, Engine, Input, Output, Reply, SourceId, Ticket, Time, Verdict};
@@ -62,13 +63,22 @@
         clock: Clock,
         seed: u64,
         pool: Arc<Pool>,
+        baseline: Option<Policy>,
     ) -> (Self, mpsc::Sender<Input>) {
         let (sender, inputs) = mpsc::channel(INPUTS);
+        let settings = config.engine.clone();
+        let engine = match baseline {
+            None => Engine::new(settings, seed),
+            Some(policy) => {
+                let baseline = Baseline::new(policy, settings.policy.clone());
+                Engine::deciding_by(Box::new(baseline), settings)
+            }
+        };
         let front = Front {
             name: name.to_string(),
             classes: config.classes.clone(),
             clock,
-            engine: Engine::new(config.engine.clone(), seed),
+            engine,
             drain: config.drain,
             pool,
             inputs,
--- a/crates/pipithub-gateway/src/lib.rs
+++ b/crates/pipithub-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 use std::sync::Arc;
 
+pub use pipithub_baselines::Policy;
 use pipithub_clock::Clock;
 use pipithub_engine::{Input, SourceId, Stats};
 use pipithub_settings::{Config, WorkersConfig};
@@ -41,6 +42,11 @@
 impl Gateway {
     /// Starts all front ends of the settings.
     pub fn start(config: &Config) -> Gateway {
+        Self::start_deciding_by(config, None)
+    }
+
+    /// Starts all front ends with a textbook policy in the module's place: for comparison in drills alone.
+    pub fn start_deciding_by(config: &Config, baseline: Option<Policy>) -> Gateway {
         let (stop, stopped) = watch::channel(false);
         let mut gateway = Gateway { stop, snapshots: Vec::new(), tasks: JoinSet::new() };
         for instance in 0..config.instances {
@@ -49,16 +55,22 @@
             } else {
                 format!("{}-{instance}", config.name)
             };
-            gateway.start_front(config, &name, &stopped);
+            gateway.start_front(config, &name, &stopped, baseline);
         }
         gateway
     }
 
-    fn start_front(&mut self, config: &Config, name: &str, stopped: &watch::Receiver<bool>) {
+    fn start_front(
+        &mut self,
+        config: &Config,
+        name: &str,
+        stopped: &watch::Receiver<bool>,
+        baseline: Option<Policy>,
+    ) {
         let clock = Clock::default();
         let pool = Arc::new(workers::Pool::new(name, config.http, clock));
         let seed = name.bytes().fold(u64::from(std::process::id()), |h, b| h.wrapping_mul(31) + u64::from(b));
-        let (mut front, inputs) = front::Front::new(name, config, clock, seed, pool.clone());
+        let (mut front, inputs) = front::Front::new(name, config, clock, seed, pool.clone(), baseline);
         let mut number = 0;
         let mut source = || {
             number += 1;
--- a/crates/pipithub/src/demo.rs
+++ b/crates/pipithub/src/demo.rs
@@ -20,7 +20,7 @@
     );
     let folder = std::env::temp_dir().join(format!("pipithub-demo-{}", std::process::id()));
     let binary = std::env::current_exe().into_diagnostic()?;
-    let judged = pipithub_drill::run::run(&day, 1, &binary, &folder, |second, sent, verdicts| {
+    let judged = pipithub_drill::run::run(&day, 1, &binary, &folder, None, |second, sent, verdicts| {
         let of = |v: &str| verdicts.get(v).copied().unwrap_or(0);
         println!(
             "{second:>4.0} s  sent {sent:>5}  served {:>5}  refused {:>4}  failed {:>4}",
--- a/crates/pipithub/src/main.rs
+++ b/crates/pipithub/src/main.rs
@@ -12,7 +12,7 @@
 use pipithub_check::rules::Rule;
 use pipithub_drill::run::Judged;
 use pipithub_drill::scenario::Scenario;
-use pipithub_gateway::Gateway;
+use pipithub_gateway::{Gateway, Policy};
 use pipithub_settings::Config;
 use tracing::info;
 use tracing_subscriber::EnvFilter;
@@ -32,6 +32,9 @@
         /// The settings file.
         #[arg(long)]
         config: PathBuf,
+        /// A textbook policy in the module's place, to compare with in drills.
+        #[arg(long, hide = true)]
+        baseline: Option<Baseline>,
     },
     /// Works on settings files.
     Config {
@@ -60,9 +63,35 @@
         /// Where logs and records go; by default a folder for temporary files, removed where all rules were kept.
         #[arg(long)]
         folder: Option<PathBuf>,
+        /// Decide by a textbook policy instead, to compare with.
+        #[arg(long)]
+        baseline: Option<Baseline>,
     },
 }
 
+/// A policy to compare with.
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Baseline {
+    RoundRobin,
+    LeastLoaded,
+}
+
+impl Baseline {
+    fn policy(self) -> Policy {
+        match self {
+            Baseline::RoundRobin => Policy::RoundRobin,
+            Baseline::LeastLoaded => Policy::LeastLoaded,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Baseline::RoundRobin => "round-robin",
+            Baseline::LeastLoaded => "least-loaded",
+        }
+    }
+}
+
 #[derive(Subcommand)]
 enum ConfigCommand {
     /// Reads a settings file and tells all that is wrong with it.
@@ -93,10 +122,10 @@
 
 async fn run(command: Command) -> Result<ExitCode> {
     match command {
-        Command::Serve { config } => {
+        Command::Serve { config, baseline } => {
             let config = load(&config)?;
             log(config.log.json, &config.log.level);
-            let gateway = Gateway::start(&config);
+            let gateway = Gateway::start_deciding_by(&config, baseline.map(Baseline::policy));
             asked_to_stop().await?;
             gateway.stop().await;
             Ok(ExitCode::SUCCESS)
@@ -120,7 +149,7 @@
         }
         Command::Publish(publish) => publish::run(publish).await,
         Command::Demo => demo::run().await,
-        Command::Drill { file, seed, json, folder } => {
+        Command::Drill { file, seed, json, folder, baseline } => {
             log(false, "warn");
             let text = std::fs::read_to_string(&file)
                 .into_diagnostic()
@@ -132,7 +161,8 @@
                 std::env::temp_dir().join(format!("pipithub-drill-{}-{seed}", std::process::id()))
             });
             let binary = std::env::current_exe().into_diagnostic()?;
-            let judged = pipithub_drill::run::run(&day, seed, &binary, &folder, |_, _, _| {}).await;
+            let baseline = baseline.map(Baseline::name);
+            let judged = pipithub_drill::run::run(&day, seed, &binary, &folder, baseline, |_, _, _| {}).await;
             let judged = judged.map_err(|e| miette!("{e}; logs are in {}", folder.display()))?;
             if json {
                 println!("{}", json_of(&day, seed, &judged));
