Time in the queue counts: a call that waited gets what is left of its class's time

What it surely waited, by pipithub-sent-ms or its timestamp, is taken off now, whoever states the time.

--- a/crates/pipithub-consumer/src/message.rs
+++ b/crates/pipithub-consumer/src/message.rs
@@ -155,6 +155,7 @@
         function,
         class,
         budget,
+        waited: late.map_or(0, since),
         age: early.map(since),
         expected: ms("pipithub-expected-ms")?.or(route.expected),
         memory_mb: number(headers, "pipithub-memory-mb")?.unwrap_or(route.memory_mb),
@@ -303,6 +304,7 @@
         });
         let call = read.expect("readable").call;
         assert_eq!(call.budget, Some((2000 - 501) * MS));
+        assert_eq!(call.waited, 501 * MS);
         assert_eq!(call.age, Some(1500 * MS));
     }
 
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -250,7 +250,7 @@
         self.stats.taken += 1;
         let Trigger { ticket, identity, redelivered, deliveries, mut call } = trigger;
         call.class = call.class.min(self.settings.policy.classes.len() - 1);
-        let mut budget = call.budget;
+        let (mut budget, waited) = (call.budget, call.waited);
         if redelivered {
             self.stats.again += 1;
             let class = &self.settings.policy.classes[call.class];
@@ -296,7 +296,9 @@
             return self.at_once(now, ticket, identity, Verdict::Refused, Cause::NoRoom, out);
         }
         let class = &self.settings.policy.classes[call.class];
-        let budget = budget.unwrap_or(class.give_up).min(class.give_up);
+        // Of a message that waited in its queue the client's time is partly over, whoever states it.
+        let rest = class.give_up.saturating_sub(waited);
+        let budget = budget.unwrap_or(rest).min(rest);
         let Some(left) = budget.checked_sub(self.settings.answer_margin).filter(|left| *left > 0) else {
             return self.at_once(now, ticket, identity, Verdict::Refused, Cause::TooLate, out);
         };
--- a/crates/pipithub-engine/src/model.rs
+++ b/crates/pipithub-engine/src/model.rs
@@ -38,7 +38,9 @@
     pub class: usize,
     /// What is left of the client's time; `None`: as long as the class gives.
     pub budget: Option<Time>,
-    /// For how long the message has existed already, where its source tells.
+    /// For how long the message has surely waited already: its class's time began then. [`Call::budget`] is net of it.
+    pub waited: Time,
+    /// For how long the message may have existed at the most, where its source tells.
     pub age: Option<Time>,
     /// The work it is expected to take, where told.
     pub expected: Option<Time>,
--- a/crates/pipithub-engine/tests/engine.rs
+++ b/crates/pipithub-engine/tests/engine.rs
@@ -136,6 +136,19 @@
     }
 }
 
+/// Found by a drill: a call that had waited in its queue was given its class's whole time anew, and was answered when its
+/// client had long gone.
+#[test]
+fn time_in_the_queue_counts() {
+    let mut bed = Bed::new(settings());
+    let (_, out) = bed.trigger(SAFE, |t| t.call.waited = 3_000 * MS);
+    assert_eq!(sends(&out).len(), 1);
+    let out = bed.pass(1_000 * MS);
+    assert_eq!(only_answer(&out).1.verdict, Verdict::Refused, "its 4 s are over");
+    let (_, out) = bed.trigger(SAFE, |t| t.call.waited = 5_000 * MS);
+    assert_eq!(only_answer(&out).1.cause, Cause::TooLate);
+}
+
 #[test]
 fn an_unsafe_call_that_may_have_run_fails_and_one_that_did_not_goes_on() {
     let mut bed = Bed::new(settings());
--- a/crates/pipithub-gateway/src/cron.rs
+++ b/crates/pipithub-gateway/src/cron.rs
@@ -91,6 +91,7 @@
         function: route.function.clone().unwrap_or_default(),
         class: route.class.unwrap_or_default(),
         budget: route.budget,
+        waited: 0,
         age: None,
         expected: route.expected,
         memory_mb: route.memory_mb,
