--- a/crates/pipithub-amqp/benches/codec.rs
+++ b/crates/pipithub-amqp/benches/codec.rs
@@ -1,4 +1,5 @@
 //! What the codec costs: a delivery with its headers, read and written.
+#![allow(missing_docs, reason = "criterion's macros make public functions")]
 
 use bytes::{Bytes, BytesMut};
 use criterion::{Criterion, Throughput, criterion_group, criterion_main};
--- a/crates/pipithub-engine/benches/engine.rs
+++ b/crates/pipithub-engine/benches/engine.rs
@@ -1,4 +1,5 @@
 //! What one call costs in the engine, the module's part beside it.
+#![allow(missing_docs, reason = "criterion's macros make public functions")]
 
 use bytes::Bytes;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
