Nothing is taken before the first worker list

Cause: a front end that had just started and whose list was still on its way refused calls that others, or itself a moment later, could serve. The engine has no room before its first list, a remembered one included; the consumer does not begin to consume until there is room.

Measured: a test over sockets that fails without the change (refused where served is right).

--- a/crates/pipithub-consumer/src/consumer.rs
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -461,7 +461,12 @@
                 if self.stopping {
                     return self.finish_stop();
                 }
-                self.consume(channel);
+                if self.room == 0 {
+                    self.backoff.up(self.now);
+                    self.phase = Phase::Paused(channel, None);
+                } else {
+                    self.consume(channel);
+                }
             }
             (Method::BasicConsumeOk { .. }, _) if matches!(self.phase, Phase::Setup(_)) => {
                 self.phase = Phase::Consuming(channel);
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -120,6 +120,8 @@
     next_request: RequestId,
     bytes: usize,
     draining: bool,
+    /// A list of workers has come, if only a remembered one.
+    listed: bool,
     /// Live workers, as last told.
     live: BTreeMap<Worker, State>,
     stats: Stats,
@@ -153,6 +155,7 @@
             next_request: 1,
             bytes: 0,
             draining: false,
+            listed: false,
             live: BTreeMap::new(),
             stats: Stats::default(),
             actions: Vec::new(),
@@ -165,9 +168,10 @@
         self.timers.next()
     }
 
-    /// How many more triggers may be handed in now. Sources that can be held back should be.
+    /// How many more triggers may be handed in now. Sources that can be held back should be. Before the first list there
+    /// is no room: a front end that knows no worker yet would refuse what another could serve.
     pub fn room(&self) -> usize {
-        if self.draining || self.bytes >= self.settings.max_bytes {
+        if !self.listed || self.draining || self.bytes >= self.settings.max_bytes {
             return 0;
         }
         self.settings.max_open.saturating_sub(self.open.len())
@@ -229,6 +233,7 @@
                 self.decide(now, Event::Ordered(order), out);
             }
             Input::Workers { kind, entries } => {
+                self.listed |= kind != ListKind::Lost;
                 if matches!(kind, ListKind::Complete | ListKind::Remembered) {
                     self.live.clear();
                 }
--- a/crates/pipithub-engine/tests/engine.rs
+++ b/crates/pipithub-engine/tests/engine.rs
@@ -330,6 +330,16 @@
     }
 }
 
+#[test]
+fn before_the_first_list_there_is_no_room() {
+    let mut engine = Engine::new(settings(), 7);
+    assert_eq!(engine.room(), 0);
+    engine.handle(0, Input::Workers { kind: ListKind::Lost, entries: Vec::new() }, &mut Vec::new());
+    assert_eq!(engine.room(), 0, "a list that could not be had is none");
+    engine.handle(0, Input::Workers { kind: ListKind::Complete, entries: Vec::new() }, &mut Vec::new());
+    assert_eq!(engine.room(), settings().max_open);
+}
+
 #[test]
 fn without_workers_a_call_is_refused_and_after_their_return_served() {
     let mut bed = Bed::new(settings());
--- a/crates/pipithub-gateway/tests/sockets.rs
+++ b/crates/pipithub-gateway/tests/sockets.rs
@@ -64,6 +64,18 @@
     }
 }
 
+fn listed(worker: &WorkerServer, uid: &str) -> Listed {
+    Listed {
+        ip: "127.0.0.1".into(),
+        port: worker.address().port(),
+        uid: uid.into(),
+        zone: String::new(),
+        state: "live".into(),
+        memory_mb: 0.0,
+        started_ms: 0,
+    }
+}
+
 fn client(broker: SocketAddr) -> QueueClient {
     QueueClient::start(&broker.to_string(), Login::default(), "answers")
 }
@@ -131,20 +143,26 @@
         assert!(held.open <= 300 && held.bytes <= 8 << 20, "{held:?}");
     }
     assert_eq!(verdicts, BTreeMap::from([("refused".to_string(), 1_000)]), "none lost, none kept waiting");
-    list.set(Listed {
-        ip: "127.0.0.1".into(),
-        port: worker.address().port(),
-        uid: "back".into(),
-        zone: String::new(),
-        state: "live".into(),
-        memory_mb: 0.0,
-        started_ms: 0,
-    });
+    list.set(listed(&worker, "back"));
     until("the worker is known", || gateway.snapshots()[0].workers == 1).await;
     client.calls.send(call("after", "assign", b"x".to_vec())).await.expect("running");
     assert_eq!(answer(&mut client).await.verdict, "served");
 }
 
+/// A front end that has just started, and whose list is still on its way, must not refuse what it will soon serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_taken_before_the_first_list() {
+    let (broker, (worker, _)) = (broker().await, worker(1).await);
+    let list = ListServer::start(any(), Recorder::none()).await.expect("a list");
+    list.set(listed(&worker, "first"));
+    list.set_delay(Duration::from_millis(500));
+    let _gateway =
+        Gateway::start(&config(broker.address(), &format!("list \"http://{}\"", list.address()), ""));
+    let mut client = client(broker.address());
+    client.calls.send(call("early", "view", b"x".to_vec())).await.expect("running");
+    assert_eq!(answer(&mut client).await.verdict, "served");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broker_that_drops_all_connections_gets_one_answer_to_each() {
     let (broker, (worker, ran)) = (broker().await, worker(20).await);
