A queue that exists with other properties is consumed as it is

Cause: declared plainly, a queue to which its operators gave a time to live or dead letters is refused (406), and the consumer would have tried for ever. After such an answer it no longer declares.

--- a/crates/pipithub-consumer/src/consumer.rs
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -435,6 +435,11 @@
                 Event::ChannelClosed { fault, .. } => {
                     let missing = fault.code == Code::NotFound as u16 && fault.class_id == 60;
                     self.no_dead_letters |= missing && fault.method_id == 40;
+                    // The queue is there with other properties than the plain ones: it is taken as it is.
+                    let other = fault.code == Code::PreconditionFailed as u16;
+                    if other && (fault.class_id, fault.method_id) == (50, 10) {
+                        self.settings.declare = false;
+                    }
                     // What goes wrong on this channel goes wrong on the next: the connection is begun anew, after a wait.
                     if let Some(endpoint) = &mut self.endpoint {
                         endpoint.close(fault);
--- a/crates/pipithub-consumer/tests/with_broker.rs
+++ b/crates/pipithub-consumer/tests/with_broker.rs
@@ -140,7 +140,7 @@
             login: Login::default(),
             tuning: Tuning::default(),
             queue: "calls".into(),
-            declare: false,
+            declare: true,
             route: Route { function: Some("f".into()), lanes: 4, ..Route::default() },
             classes: vec![("safe".into(), false), ("keyed".into(), true), ("unsafe".into(), false)],
             prefetch: self.prefetch,
@@ -495,6 +495,21 @@
     assert_eq!(bed.serve(Outcome::Served), ["a"]);
 }
 
+/// Its operators gave the queue a time to live and dead letters: declared plainly it would be refused for ever.
+#[test]
+fn a_queue_with_properties_of_its_own_is_taken_as_it_is() {
+    let mut bed = Bed::new(1, 10, Qos::Channel);
+    let delete = Method::QueueDelete { queue: s("calls"), if_unused: false, if_empty: false, no_wait: false };
+    bed.client.send(1, delete).expect("open");
+    bed.settle();
+    bed.broker.declare("calls", &FieldTable::new().with("x-message-ttl", 60_000i64));
+    bed.cut(0);
+    bed.pass(1_000 * MS);
+    bed.publish("a", |_| {});
+    bed.settle();
+    assert_eq!(bed.serve(Outcome::Served), ["a"]);
+}
+
 #[test]
 fn a_stopped_front_end_finishes_what_it_has() {
     let mut bed = Bed::new(2, 10, Qos::Channel);
