Want of room at a worker is no failed load; a watch that ends in its time is no fault

Cause, found on reading the change again: the gateway's shell mapped every refused order to an error, and two errors make the module shut the store for a while, though only one worker was full. The reply is read in pipithub-inference now, as for calls: only a load that failed is an error. The worker stand-in says which it was. A watch that ends after the time it was asked for was logged and waited on as a fault each minute. Live workers were counted anew for each batch of inputs; they are kept as a set.

--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -1,6 +1,6 @@
 //! The engine: the module's front end, the open requests, and the one final answer of each.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use pipithub_policy::api::{
@@ -123,7 +123,7 @@
     /// A list of workers has come, if only a remembered one.
     listed: bool,
     /// Live workers, as last told.
-    live: BTreeMap<Worker, State>,
+    live: BTreeSet<Worker>,
     stats: Stats,
     actions: Vec<Action>,
     events: VecDeque<Event>,
@@ -156,7 +156,7 @@
             bytes: 0,
             draining: false,
             listed: false,
-            live: BTreeMap::new(),
+            live: BTreeSet::new(),
             stats: Stats::default(),
             actions: Vec::new(),
             events: VecDeque::new(),
@@ -199,7 +199,7 @@
 
     /// Workers that may be sent work, as last told.
     pub fn live_workers(&self) -> usize {
-        self.live.values().filter(|s| **s == State::Live).count()
+        self.live.len()
     }
 
     /// What was done so far.
@@ -239,8 +239,8 @@
                 }
                 for entry in &entries {
                     match entry.state {
-                        State::Gone => self.live.remove(&entry.worker),
-                        state => self.live.insert(entry.worker.clone(), state),
+                        State::Live => self.live.insert(entry.worker.clone()),
+                        State::Draining | State::Gone => self.live.remove(&entry.worker),
                     };
                 }
                 self.decide(now, Event::List { kind, entries }, out);
--- a/crates/pipithub-gateway/src/list.rs
+++ b/crates/pipithub-gateway/src/list.rs
@@ -159,7 +159,9 @@
     loop {
         let frame = match tokio::time::timeout_at(end, body.frame()).await {
             Ok(Some(frame)) => frame.map_err(|e| e.to_string())?,
-            // Its time is over: the next one goes on from the version reached.
+            // Its time is over, as asked: the next one goes on from the version reached, at once. One that ends
+            // early is a server in trouble, not to be asked without a pause.
+            Ok(None) if tokio::time::Instant::now() + Duration::from_secs(15) >= end => return Ok(()),
             Ok(None) => return Err("the watch has ended".into()),
             Err(_) => return Ok(()),
         };
--- a/crates/pipithub-gateway/src/workers.rs
+++ b/crates/pipithub-gateway/src/workers.rs
@@ -197,15 +197,7 @@
             Err(_) => (Outcome::TimedOut, 0),
             Ok(Err(Failed::NotSent)) => (Outcome::Unreachable, 0),
             Ok(Err(Failed::Broken)) => (Outcome::Broken, 0),
-            Ok(Ok(answer)) => {
-                let copies = answer.header(header::COPIES).and_then(|v| v.parse().ok());
-                match answer.status {
-                    // The extension itself tells no number; a load that was done has left one at least.
-                    200..=299 => (Outcome::Served, copies.unwrap_or(1)),
-                    429 => (Outcome::Full, copies.unwrap_or(0)),
-                    _ => (Outcome::Error, copies.unwrap_or(0)),
-                }
-            }
+            Ok(Ok(answer)) => pipithub_inference::order_outcome(answer.status, |name| answer.header(name)),
         };
         OrderEnd { worker, function, outcome, took: self.clock.now() - began, copies }
     }
--- a/crates/pipithub-inference/src/lib.rs
+++ b/crates/pipithub-inference/src/lib.rs
@@ -201,6 +201,21 @@
     }
 }
 
+/// Reads the status of a reply to an order, and the copies that stand. Only a load that failed is an error: it is what
+/// the module shuts the store for, and want of room at one worker must not do that.
+pub fn order_outcome<'a>(status: u16, headers: impl Fn(&str) -> Option<&'a str>) -> (Outcome, u32) {
+    let copies = headers(header::COPIES).and_then(|v| v.parse().ok());
+    // The extension itself tells no number; a load that was done has left one at least.
+    let outcome = match status {
+        200..=299 => return (Outcome::Served, copies.unwrap_or(1)),
+        429 => Outcome::Full,
+        _ if headers(header::COPY) == Some("failed") => Outcome::Error,
+        _ if headers(header::RAN) == Some("no") => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    (outcome, copies.unwrap_or(0))
+}
+
 /// The module's view of an ORCA report. What cannot be read counts as not told.
 pub fn load(report: &str) -> Load {
     let Ok(report) = orca::Report::parse(report) else { return Load::default() };
@@ -238,6 +253,20 @@
         }
     }
 
+    #[test]
+    fn want_of_room_is_no_failed_load() {
+        let told = |status, headers: &[(&str, &'static str)]| {
+            order_outcome(status, |name| headers.iter().find(|(n, _)| *n == name).map(|(_, v)| *v))
+        };
+        let not_run = (header::RAN, "no");
+        assert_eq!(told(200, &[]), (Outcome::Served, 1));
+        assert_eq!(told(200, &[(header::COPIES, "3")]), (Outcome::Served, 3));
+        assert_eq!(told(429, &[(header::COPIES, "2")]), (Outcome::Full, 2));
+        assert_eq!(told(503, &[not_run]), (Outcome::Full, 0));
+        assert_eq!(told(503, &[not_run, (header::COPY, "failed")]), (Outcome::Error, 0));
+        assert_eq!(told(500, &[]), (Outcome::Error, 0));
+    }
+
     #[test]
     fn notes_and_loads_are_read() {
         let told = told(
--- a/crates/pipithub-standin/src/worker/core.rs
+++ b/crates/pipithub-standin/src/worker/core.rs
@@ -114,8 +114,8 @@
         id: u64,
         /// Copies that stand.
         copies: u32,
-        /// The copies that were asked for stand.
-        done: bool,
+        /// Why the copies that were asked for do not stand.
+        result: Result<(), Refused>,
     },
     /// The store is to be asked for a model.
     Fetch(String),
@@ -449,7 +449,7 @@
             }
             if let Some(model) = self.models.get_mut(function) {
                 for (id, _) in std::mem::take(&mut model.orders) {
-                    self.out.push(Happened::Ordered { id, copies: 0, done: false });
+                    self.out.push(Happened::Ordered { id, copies: 0, result: Err(Refused::LoadFailed) });
                 }
             }
         }
@@ -491,7 +491,7 @@
     pub fn order(&mut self, now: Time, id: u64, function: &str, copies: u32) {
         self.on_time(now);
         if self.draining || self.fallen {
-            return self.out.push(Happened::Ordered { id, copies: 0, done: false });
+            return self.out.push(Happened::Ordered { id, copies: 0, result: Err(Refused::Draining) });
         }
         if copies == 0 {
             if let Some(model) = self.models.get_mut(function) {
@@ -499,7 +499,7 @@
             }
             let copies = self.models.get(function).map_or(0, |m| m.ready);
             self.models.retain(|_, m| m.copies() > 0 || m.running > 0);
-            return self.out.push(Happened::Ordered { id, copies, done: true });
+            return self.out.push(Happened::Ordered { id, copies, result: Ok(()) });
         }
         let (copy_mb, lanes) = (self.settings.copy_mb, self.settings.lanes);
         let model = self.models.entry(function.to_string()).or_insert_with(|| Model {
@@ -512,7 +512,7 @@
             if !self.load(function) {
                 let copies = self.models[function].ready;
                 self.models.retain(|_, m| m.copies() > 0 || m.running > 0);
-                return self.out.push(Happened::Ordered { id, copies, done: false });
+                return self.out.push(Happened::Ordered { id, copies, result: Err(Refused::NoMemory) });
             }
         }
         if let Some(model) = self.models.get_mut(function) {
@@ -527,7 +527,11 @@
         let (done, open) = std::mem::take(&mut model.orders).into_iter().partition(|(_, n)| *n <= ready);
         model.orders = open;
         let done: Vec<(u64, u32)> = done;
-        self.out.extend(done.into_iter().map(|(id, _)| Happened::Ordered { id, copies: ready, done: true }));
+        self.out.extend(done.into_iter().map(|(id, _)| Happened::Ordered {
+            id,
+            copies: ready,
+            result: Ok(()),
+        }));
     }
 }
 
@@ -602,7 +606,7 @@
             all.contains(&Happened::Done { id: 1, result: Err(Refused::LoadFailed), alike: 0 }),
             "{all:?}"
         );
-        assert!(all.contains(&Happened::Ordered { id: 9, copies: 0, done: false }));
+        assert!(all.contains(&Happened::Ordered { id: 9, copies: 0, result: Err(Refused::LoadFailed) }));
     }
 
     #[test]
--- a/crates/pipithub-standin/src/worker/server.rs
+++ b/crates/pipithub-standin/src/worker/server.rs
@@ -26,7 +26,7 @@
 
 enum Reply {
     Call(Result<Met, Refused>, u32),
-    Order { copies: u32, done: bool },
+    Order { copies: u32, result: Result<(), Refused> },
 }
 
 struct State {
@@ -140,9 +140,9 @@
                         let _ = sender.send(Reply::Call(result, alike));
                     }
                 }
-                Happened::Ordered { id, copies, done } => {
+                Happened::Ordered { id, copies, result } => {
                     if let Some(sender) = state.waiting.remove(&id) {
-                        let _ = sender.send(Reply::Order { copies, done });
+                        let _ = sender.send(Reply::Order { copies, result });
                     }
                 }
                 Happened::Fetch(model) => {
@@ -272,11 +272,18 @@
             let mut guard = Guard { shared: shared.clone(), id, armed: true };
             let told = receiver.await;
             guard.armed = false;
-            let Ok(Reply::Order { copies, done }) = told else {
+            let Ok(Reply::Order { copies, result }) = told else {
                 return Err(std::io::ErrorKind::Other.into());
             };
-            let status = if done { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            let response = reply(status).header(header::COPIES, copies).header(header::RAN, "no");
+            let status = match result {
+                Ok(()) => StatusCode::OK,
+                Err(Refused::LoadFailed) => StatusCode::SERVICE_UNAVAILABLE,
+                Err(_) => StatusCode::TOO_MANY_REQUESTS,
+            };
+            let mut response = reply(status).header(header::COPIES, copies).header(header::RAN, "no");
+            if result == Err(Refused::LoadFailed) {
+                response = response.header(header::COPY, "failed");
+            }
             Ok(finish(response, Bytes::new()))
         }
         (&Method::POST, ["v2", "models", model, "infer"]) => {
