Dead parts of the change are gone; the worker stand-in's index uses the shared type

Cause: read again, several functions had no user: a left caller in the engine, counters, a drain in the worker core that nothing called, a lock around settings that never change. None of them was tested.

--- a/crates/pipithub-amqp/src/endpoint.rs
+++ b/crates/pipithub-amqp/src/endpoint.rs
@@ -331,14 +331,6 @@
         }
     }
 
-    /// The transport failed or ended.
-    pub fn transport_lost(&mut self, why: &str) {
-        if self.state != State::Over && self.state != State::Closing {
-            self.over(Fault::new(Code::ConnectionForced, why), false);
-        }
-        self.state = State::Over;
-    }
-
     fn over(&mut self, fault: Fault, by_peer: bool) {
         self.state = State::Over;
         self.channels.clear();
--- a/crates/pipithub-check/src/rules.rs
+++ b/crates/pipithub-check/src/rules.rs
@@ -3,7 +3,7 @@
 //! Times are those at which stand-ins saw things. A front end acts before a stand-in sees it and learns after one wrote
 //! it, so every comparison has a slack for the way ([`RuleBook::slack`]); the rules' own figures are added to it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::record::{Record, Seen};
 
@@ -325,12 +325,3 @@
         }
     }
 }
-
-/// Front ends that are seen in the records.
-pub fn front_ends(records: &[Record]) -> BTreeSet<String> {
-    let of = |r: &Record| match &r.seen {
-        Seen::Call { front_end, .. } => Some(front_end.clone()),
-        _ => None,
-    };
-    records.iter().filter_map(of).collect()
-}
--- a/crates/pipithub-drill/src/process.rs
+++ b/crates/pipithub-drill/src/process.rs
@@ -71,9 +71,4 @@
     pub fn id(&self) -> Option<u32> {
         self.child.id()
     }
-
-    /// Whether it has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
 }
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -187,11 +187,6 @@
         self.out.len()
     }
 
-    /// Requests that have no final answer yet.
-    pub fn unanswered(&self) -> usize {
-        self.open.values().filter(|o| o.reply.is_none()).count()
-    }
-
     /// Bytes of bodies held.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -217,11 +212,6 @@
             Input::Trigger(trigger) => self.trigger(now, trigger, out),
             Input::SourceLost(source) => self.source_lost(now, source, out),
             Input::Settled(ticket) => self.settled(now, ticket),
-            Input::Left(ticket) => {
-                if let Some(request) = self.tickets.get(&ticket).copied() {
-                    self.abandon(now, request, out);
-                }
-            }
             Input::Attempt(end) => self.attempt(now, end, out),
             Input::Probe(p) => {
                 let event = Event::Probed { worker: p.worker, answered: p.answered, load: p.load };
--- a/crates/pipithub-engine/src/memory.rs
+++ b/crates/pipithub-engine/src/memory.rs
@@ -98,9 +98,4 @@
         }
         self.settled.get(identity).filter(|at| **at + self.keep >= now).map(|_| Again::Forget)
     }
-
-    /// How many settled messages are remembered.
-    pub fn remembered(&self) -> usize {
-        self.settled.len()
-    }
 }
--- a/crates/pipithub-engine/src/model.rs
+++ b/crates/pipithub-engine/src/model.rs
@@ -151,8 +151,6 @@
     SourceLost(SourceId),
     /// An answer is safe at its source.
     Settled(Ticket),
-    /// The caller has left; no answer is owed any more.
-    Left(Ticket),
     /// An attempt ended.
     Attempt(AttemptEnd),
     /// A probe ended.
--- a/crates/pipithub-standin/src/list.rs
+++ b/crates/pipithub-standin/src/list.rs
@@ -23,7 +23,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 
-use crate::clock::wall_ms;
 use crate::recorder::Recorder;
 
 /// Changes that are kept for watches; older versions are gone.
@@ -345,8 +344,3 @@
     }
     PollStream(poll)
 }
-
-/// Unix milliseconds now, for those who list workers.
-pub fn now_ms() -> u64 {
-    wall_ms()
-}
--- a/crates/pipithub-standin/src/store.rs
+++ b/crates/pipithub-standin/src/store.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -34,8 +34,7 @@
     slowness: AtomicU64,
     halted: AtomicBool,
     active: AtomicUsize,
-    served: AtomicU64,
-    settings: RwLock<StoreSettings>,
+    settings: StoreSettings,
     /// Keys that workers claimed, and until when: the workers of one store drop each other's repeats.
     keys: Mutex<HashMap<String, Instant>>,
 }
@@ -72,11 +71,6 @@
     fn give_back(&self, key: &str) {
         self.keys.lock().unwrap_or_else(PoisonError::into_inner).remove(key);
     }
-
-    /// Fetches served so far.
-    pub fn served(&self) -> u64 {
-        self.served.load(Ordering::Relaxed)
-    }
 }
 
 /// A store that is running; it ends when dropped.
@@ -102,8 +96,7 @@
             slowness: AtomicU64::new(1000),
             halted: AtomicBool::new(false),
             active: AtomicUsize::new(0),
-            served: AtomicU64::new(0),
-            settings: RwLock::new(settings),
+            settings,
             keys: Mutex::default(),
         });
         let shared = control.clone();
@@ -134,14 +127,13 @@
         let (verb, rest) = line.trim().split_once(' ').unwrap_or((line.trim(), ""));
         let answer = match verb {
             "GET" => {
-                let settings = *control.settings.read().unwrap_or_else(PoisonError::into_inner);
+                let settings = control.settings;
                 let active = control.active.fetch_add(1, Ordering::Relaxed) + 1;
                 let taken = active <= settings.limit && !control.halted.load(Ordering::Relaxed);
                 if taken {
                     let crowd = (active as f64 / settings.at_once.max(1) as f64).max(1.0);
                     let slowness = control.slowness.load(Ordering::Relaxed) as f64 / 1000.0;
                     tokio::time::sleep(settings.fetch.mul_f64(crowd * slowness)).await;
-                    control.served.fetch_add(1, Ordering::Relaxed);
                 }
                 control.active.fetch_sub(1, Ordering::Relaxed);
                 if taken && !control.halted.load(Ordering::Relaxed) { "ok" } else { "no" }
--- a/crates/pipithub-standin/src/worker/core.rs
+++ b/crates/pipithub-standin/src/worker/core.rs
@@ -148,8 +148,8 @@
     NoMemory,
     /// The load failed.
     LoadFailed,
-    /// It takes nothing new.
-    Draining,
+    /// It has fallen over.
+    Fallen,
 }
 
 #[derive(Debug)]
@@ -201,7 +201,6 @@
     keys: BTreeMap<String, Time>,
     sent: VecDeque<Time>,
     fallen: bool,
-    draining: bool,
     out: Vec<Happened>,
 }
 
@@ -219,7 +218,6 @@
             keys: BTreeMap::new(),
             sent: VecDeque::new(),
             fallen: false,
-            draining: false,
             out: Vec::new(),
         }
     }
@@ -266,11 +264,6 @@
         self.models.iter().filter(|(_, m)| m.copies() > 0).map(|(n, m)| (n.clone(), state(m))).collect()
     }
 
-    /// Takes nothing new from now on.
-    pub fn drain(&mut self) {
-        self.draining = true;
-    }
-
     fn rate(&self) -> f64 {
         let share = (self.settings.cores / self.running.len().max(1) as f64).min(1.0);
         self.settings.speed * self.warmth() * share
@@ -337,8 +330,8 @@
         };
         let alike = held_alike(&call.function);
         let refuse = |why| Happened::Done { id: call.id, result: Err(why), alike };
-        if self.fallen || self.draining {
-            return self.out.push(refuse(Refused::Draining));
+        if self.fallen {
+            return self.out.push(refuse(Refused::Fallen));
         }
         if self.waiting.len() >= self.settings.queue {
             return self.out.push(refuse(Refused::Full));
@@ -490,8 +483,8 @@
     /// An order to hold so many copies, or with 0 to unload the idle ones.
     pub fn order(&mut self, now: Time, id: u64, function: &str, copies: u32) {
         self.on_time(now);
-        if self.draining || self.fallen {
-            return self.out.push(Happened::Ordered { id, copies: 0, result: Err(Refused::Draining) });
+        if self.fallen {
+            return self.out.push(Happened::Ordered { id, copies: 0, result: Err(Refused::Fallen) });
         }
         if copies == 0 {
             if let Some(model) = self.models.get_mut(function) {
--- a/crates/pipithub-standin/src/worker/server.rs
+++ b/crates/pipithub-standin/src/worker/server.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use pipithub_check::record::Seen;
 use pipithub_inference::orca::Report;
-use pipithub_inference::{header, unescape};
+use pipithub_inference::{IndexEntry, header, unescape};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot};
 use tracing::debug;
@@ -249,11 +249,13 @@
         }
         (&Method::POST, ["v2", "repository", "index"]) => {
             let index = shared.lock().core.index();
-            let all: Vec<_> = index
-                .into_iter()
-                .map(|(name, state)| serde_json::json!({"name": name, "state": state}))
-                .collect();
-            Ok(finish(reply(StatusCode::OK), Bytes::from(serde_json::Value::Array(all).to_string())))
+            let entry = |(name, state): (String, &str)| IndexEntry {
+                name,
+                state: state.into(),
+                reason: String::new(),
+            };
+            let all: Vec<IndexEntry> = index.into_iter().map(entry).collect();
+            Ok(finish(reply(StatusCode::OK), Bytes::from(serde_json::to_vec(&all).unwrap_or_default())))
         }
         (&Method::POST, ["v2", "repository", "models", model, verb @ ("load" | "unload")]) => {
             let Some(model) = unescape(model) else {
@@ -344,7 +346,7 @@
                 Ok(Met::Began) => (StatusCode::OK, Some("began")),
                 Ok(Met::Waited) => (StatusCode::OK, Some("waited")),
                 Err(Refused::LoadFailed) => (StatusCode::SERVICE_UNAVAILABLE, Some("failed")),
-                Err(Refused::Full | Refused::NoMemory | Refused::Draining) => {
+                Err(Refused::Full | Refused::NoMemory | Refused::Fallen) => {
                     (StatusCode::TOO_MANY_REQUESTS, None)
                 }
             };
