LDAP v3 without I/O: bounded frames, names, filters, LDIF, a client connection

Change: crate pipithub-ldap. Messages and BER are rasn-ldap's; ours cuts the stream within a bound on size and nesting before the decoder, which recurses, sees anything; names compare by parts, user names stay values in filters; StartTLS takes no byte in the clear before its handshake; RFC 4533 and paging controls.

--- /dev/null
+++ b/crates/pipithub-ldap/src/dn.rs
@@ -0,0 +1,218 @@
+//! Distinguished names (RFC 4514), normalised so that equal names are equal texts.
+
+use std::fmt;
+
+use winnow::combinator::{alt, repeat, separated};
+use winnow::error::ContextError;
+use winnow::prelude::*;
+use winnow::token::{any, one_of, take_while};
+
+/// Bytes that a name may have.
+pub const LONGEST: usize = 8192;
+/// Parts that a name may have.
+pub const PARTS_MOST: usize = 128;
+
+/// Why a text is no name.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("'{text}' is no distinguished name: {why}")]
+pub struct NoDn {
+    /// Its beginning.
+    pub text: String,
+    /// What is wrong.
+    pub why: &'static str,
+}
+
+/// A name: its parts from the innermost to the root, each as sorted `type=value` pairs, types and values in lower case,
+/// inner spaces run together (as `caseIgnoreMatch` compares, RFC 4518, in ASCII and simple case folding).
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Dn(Vec<Box<str>>);
+
+impl Dn {
+    /// Reads a name.
+    pub fn parse(text: &str) -> Result<Dn, NoDn> {
+        let no = |why| NoDn { text: text.chars().take(80).collect(), why };
+        if text.len() > LONGEST {
+            return Err(no("it is too long"));
+        }
+        if text.trim().is_empty() {
+            return Ok(Dn::default());
+        }
+        let parts: Vec<Vec<(String, String)>> = separated(1.., rdn, separator(','))
+            .parse(text.trim_start_matches(' '))
+            .map_err(|_| no("parts are 'type=value', set apart by commas, special characters escaped"))?;
+        if parts.len() > PARTS_MOST {
+            return Err(no("it has too many parts"));
+        }
+        let part = |pairs: Vec<(String, String)>| {
+            let mut pairs: Vec<String> =
+                pairs.iter().map(|(t, v)| format!("{}={}", fold(t), escaped(&fold(v)))).collect();
+            pairs.sort();
+            pairs.join("+").into_boxed_str()
+        };
+        Ok(Dn(parts.into_iter().map(part).collect()))
+    }
+
+    /// Whether it is the other name or lies below it.
+    pub fn is_within(&self, base: &Dn) -> bool {
+        self.0.len() >= base.0.len() && self.0[self.0.len() - base.0.len()..] == base.0[..]
+    }
+
+    /// Number of parts.
+    pub fn depth(&self) -> usize {
+        self.0.len()
+    }
+
+    /// The name above it.
+    pub fn parent(&self) -> Option<Dn> {
+        (!self.0.is_empty()).then(|| Dn(self.0[1..].to_vec()))
+    }
+
+    /// Its innermost part.
+    pub fn rdn(&self) -> Option<&str> {
+        self.0.first().map(|p| &**p)
+    }
+
+    /// The same innermost part under another name, or a new part there.
+    pub fn moved(&self, rdn: Option<&Dn>, superior: Option<&Dn>) -> Dn {
+        let mut parts: Vec<Box<str>> = Vec::new();
+        match rdn {
+            Some(rdn) => parts.extend(rdn.0.iter().cloned()),
+            None => parts.extend(self.0.first().cloned()),
+        }
+        match superior {
+            Some(superior) => parts.extend(superior.0.iter().cloned()),
+            None => parts.extend(self.0.iter().skip(1).cloned()),
+        }
+        Dn(parts)
+    }
+}
+
+impl fmt::Display for Dn {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0.join(","))
+    }
+}
+
+/// Folds case and runs of spaces.
+pub fn fold(text: &str) -> String {
+    let mut folded = String::with_capacity(text.len());
+    for word in text.split(' ').filter(|w| !w.is_empty()) {
+        if !folded.is_empty() {
+            folded.push(' ');
+        }
+        folded.extend(word.chars().flat_map(char::to_lowercase));
+    }
+    folded
+}
+
+/// A value as it may stand in a name (RFC 4514, 2.4).
+pub fn escaped(value: &str) -> String {
+    let mut out = String::with_capacity(value.len());
+    let last = value.chars().count().saturating_sub(1);
+    for (n, c) in value.chars().enumerate() {
+        match c {
+            '"' | '+' | ',' | ';' | '<' | '>' | '\\' | '=' => out.extend(['\\', c]),
+            '#' if n == 0 => out.push_str("\\#"),
+            ' ' if n == 0 || n == last => out.push_str("\\20"),
+            '\0' => out.push_str("\\00"),
+            _ => out.push(c),
+        }
+    }
+    out
+}
+
+fn separator(c: char) -> impl FnMut(&mut &str) -> Result<(), ContextError> {
+    move |input| (take_while(0.., ' '), c, take_while(0.., ' ')).void().parse_next(input)
+}
+
+fn rdn(input: &mut &str) -> Result<Vec<(String, String)>, ContextError> {
+    separated(1..=16, pair, separator('+')).parse_next(input)
+}
+
+fn pair(input: &mut &str) -> Result<(String, String), ContextError> {
+    let kind: &str =
+        take_while(1.., |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '.').parse_next(input)?;
+    separator('=')(input)?;
+    let value = alt((hex_string, value)).parse_next(input)?;
+    Ok((kind.to_string(), value))
+}
+
+/// `#` and the BER encoding in hexadecimal; kept as it is written.
+fn hex_string(input: &mut &str) -> Result<String, ContextError> {
+    ('#', take_while(2.., |c: char| c.is_ascii_hexdigit())).take().map(str::to_string).parse_next(input)
+}
+
+fn value(input: &mut &str) -> Result<String, ContextError> {
+    let mut bytes: Vec<u8> = repeat(0.., piece)
+        .fold(Vec::new, |mut all: Vec<u8>, piece: Vec<u8>| {
+            all.extend(piece);
+            all
+        })
+        .parse_next(input)?;
+    // Spaces at the end that are not escaped do not count; the parser cannot know which were the last.
+    while bytes.last() == Some(&b' ') {
+        bytes.pop();
+    }
+    String::from_utf8(bytes).map_err(|_| ContextError::new())
+}
+
+/// Bytes of a value: a character as it is, or an escaped one.
+fn piece(input: &mut &str) -> Result<Vec<u8>, ContextError> {
+    let escape = ('\\', alt((hex_pair, special)));
+    let plain = any.verify(|c: &char| !matches!(c, '"' | '+' | ',' | ';' | '<' | '>' | '\\' | '\0'));
+    let plain = plain.map(|c: char| c.to_string().into_bytes());
+    alt((escape.map(|(_, b)| b), plain)).parse_next(input)
+}
+
+fn hex_pair(input: &mut &str) -> Result<Vec<u8>, ContextError> {
+    let hex = take_while(2..=2, |c: char| c.is_ascii_hexdigit()).parse_next(input)?;
+    u8::from_str_radix(hex, 16).map(|b| vec![b]).map_err(|_| ContextError::new())
+}
+
+fn special(input: &mut &str) -> Result<Vec<u8>, ContextError> {
+    one_of(['"', '+', ',', ';', '<', '>', '\\', ' ', '#', '=']).map(|c: char| vec![c as u8]).parse_next(input)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn dn(text: &str) -> Dn {
+        Dn::parse(text).expect(text)
+    }
+
+    #[test]
+    fn equal_names_are_equal() {
+        assert_eq!(dn("UID=Mai,  OU=North ,dc=Example"), dn("uid=mai,ou=north,dc=example"));
+        assert_eq!(dn("cn=James \\\"Jim\\\" Smith\\, III"), dn("CN=james \\22jim\\22 smith\\2C iii"));
+        assert_eq!(dn("a=1+b=2,dc=x"), dn("B=2+A=1,DC=x"));
+        assert_ne!(dn("cn=a\\,ou=north"), dn("cn=a,ou=north"), "an escaped comma is no boundary");
+        assert_eq!(dn(""), Dn::default());
+        assert_eq!(dn("cn=Lu\\C4\\8Di\\C4\\87"), dn("cn=Lučić"));
+    }
+
+    #[test]
+    fn within_is_by_parts_not_by_letters() {
+        let north = dn("ou=north,dc=example");
+        assert!(dn("uid=a,ou=north,dc=example").is_within(&north) && north.is_within(&north));
+        assert!(!dn("uid=a,ou=south-ou=north,dc=example").is_within(&north));
+        assert!(!dn("uid=a\\,ou=north,dc=example").is_within(&north), "the value holds the text of a part");
+        assert!(!dn("dc=example").is_within(&north));
+    }
+
+    #[test]
+    fn what_is_no_name_is_refused() {
+        for bad in ["x", "=x", "a=1,", "a=1,,b=2", "a=\\", "a=\\zz", "a=b\"c", "a=\\ff", ",a=1"] {
+            assert!(Dn::parse(bad).is_err(), "{bad}");
+        }
+        assert!(Dn::parse(&format!("a={}", "x".repeat(LONGEST))).is_err());
+        assert!(Dn::parse(&vec!["a=1"; 200].join(",")).is_err());
+    }
+
+    #[test]
+    fn moves() {
+        let from = dn("uid=mai,ou=north,dc=example");
+        assert_eq!(from.moved(None, Some(&dn("ou=south,dc=example"))), dn("uid=mai,ou=south,dc=example"));
+        assert_eq!(from.moved(Some(&dn("uid=may")), None), dn("uid=may,ou=north,dc=example"));
+    }
+}
--- /dev/null
+++ b/crates/pipithub-ldap/src/filter.rs
@@ -0,0 +1,165 @@
+//! Filters: built from values for searches, read from an operator's text for settings (RFC 4515).
+//!
+//! A user's name goes into a filter as a value of its own and never passes through text: whatever characters it has, it
+//! can only be compared.
+
+use bytes::Bytes;
+use rasn::types::SetOf;
+use rasn_ldap::{AttributeValueAssertion, Filter, SubstringChoice, SubstringFilter};
+use winnow::combinator::{alt, delimited, repeat};
+use winnow::error::ContextError;
+use winnow::prelude::*;
+use winnow::token::{any, take_while};
+
+/// Filters within each other that a text may have.
+const DEPTH_MOST: usize = 16;
+/// Bytes that a text may have.
+const LONGEST: usize = 8192;
+
+/// Why a text is no filter.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("'{0}' is no filter as in RFC 4515 of up to {DEPTH_MOST} levels")]
+pub struct NoFilter(pub String);
+
+/// `attribute=value`.
+pub fn equal(attribute: &str, value: &str) -> Filter {
+    Filter::EqualityMatch(assertion(attribute, value.as_bytes()))
+}
+
+/// `attribute>=value`.
+pub fn at_least(attribute: &str, value: &str) -> Filter {
+    Filter::GreaterOrEqual(assertion(attribute, value.as_bytes()))
+}
+
+/// Everything that has an object class: all entries.
+pub fn all() -> Filter {
+    Filter::Present("objectClass".into())
+}
+
+/// All of these.
+pub fn and(filters: Vec<Filter>) -> Filter {
+    Filter::And(SetOf::from_vec(filters))
+}
+
+/// Any of these names, and the operator's own filter where there is one.
+pub fn any_of<'a>(attribute: &str, names: impl Iterator<Item = &'a str>, also: Option<&Filter>) -> Filter {
+    let mut names: Vec<Filter> = names.map(|name| equal(attribute, name)).collect();
+    let names = if names.len() == 1 { names.remove(0) } else { Filter::Or(SetOf::from_vec(names)) };
+    match also {
+        Some(also) => and(vec![also.clone(), names]),
+        None => names,
+    }
+}
+
+fn assertion(attribute: &str, value: &[u8]) -> AttributeValueAssertion {
+    AttributeValueAssertion::new(attribute.into(), Bytes::copy_from_slice(value).into())
+}
+
+/// Reads an operator's filter.
+pub fn parse(text: &str) -> Result<Filter, NoFilter> {
+    let no = || NoFilter(text.chars().take(80).collect());
+    if text.len() > LONGEST {
+        return Err(no());
+    }
+    (|input: &mut &str| whole(input, DEPTH_MOST)).parse(text.trim()).map_err(|_| no())
+}
+
+fn whole(input: &mut &str, depth: usize) -> Result<Filter, ContextError> {
+    if depth == 0 {
+        return Err(ContextError::new());
+    }
+    delimited('(', |input: &mut &str| inner(input, depth - 1), ')').parse_next(input)
+}
+
+fn inner(input: &mut &str, depth: usize) -> Result<Filter, ContextError> {
+    let list = |input: &mut &str| -> Result<Vec<Filter>, ContextError> {
+        repeat(1..=256, |input: &mut &str| whole(input, depth)).parse_next(input)
+    };
+    match input.chars().next() {
+        Some('&') => ('&', list).map(|(_, l)| and(l)).parse_next(input),
+        Some('|') => ('|', list).map(|(_, l)| Filter::Or(SetOf::from_vec(l))).parse_next(input),
+        Some('!') => {
+            let negated = |input: &mut &str| whole(input, depth);
+            ('!', negated).map(|(_, f)| Filter::Not(Box::new(f))).parse_next(input)
+        }
+        _ => item(input),
+    }
+}
+
+fn item(input: &mut &str) -> Result<Filter, ContextError> {
+    let kind = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | ';');
+    let attribute: &str = take_while(1.., kind).parse_next(input)?;
+    let relation = alt(("=", ">=", "<=", "~=")).parse_next(input)?;
+    let pieces: Vec<Vec<u8>> = winnow::combinator::separated(1..=64, value, '*').parse_next(input)?;
+    if pieces.len() == 1 {
+        let assertion = assertion(attribute, &pieces[0]);
+        return Ok(match relation {
+            ">=" => Filter::GreaterOrEqual(assertion),
+            "<=" => Filter::LessOrEqual(assertion),
+            "~=" => Filter::ApproxMatch(assertion),
+            _ => Filter::EqualityMatch(assertion),
+        });
+    }
+    if relation != "=" {
+        return Err(ContextError::new());
+    }
+    if pieces.iter().all(Vec::is_empty) {
+        return if pieces.len() == 2 {
+            Ok(Filter::Present(attribute.into()))
+        } else {
+            Err(ContextError::new())
+        };
+    }
+    let last = pieces.len() - 1;
+    let choice = |(n, piece): (usize, Vec<u8>)| match n {
+        _ if piece.is_empty() => None,
+        0 => Some(SubstringChoice::Initial(piece.into())),
+        n if n == last => Some(SubstringChoice::Final(piece.into())),
+        _ => Some(SubstringChoice::Any(piece.into())),
+    };
+    let choices = pieces.into_iter().enumerate().filter_map(choice).collect();
+    Ok(Filter::Substrings(SubstringFilter::new(attribute.into(), choices)))
+}
+
+fn value(input: &mut &str) -> Result<Vec<u8>, ContextError> {
+    let escape = ('\\', take_while(2..=2, |c: char| c.is_ascii_hexdigit()))
+        .verify_map(|(_, hex): (char, &str)| u8::from_str_radix(hex, 16).ok().map(|b| vec![b]));
+    let plain = any
+        .verify(|c: &char| !matches!(c, '(' | ')' | '*' | '\\' | '\0'))
+        .map(|c: char| c.to_string().into_bytes());
+    repeat(0.., alt((escape, plain)))
+        .fold(Vec::new, |mut all: Vec<u8>, piece: Vec<u8>| {
+            all.extend(piece);
+            all
+        })
+        .parse_next(input)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn operators_filters_are_read() {
+        assert_eq!(parse("(uid=mai)"), Ok(equal("uid", "mai")));
+        assert_eq!(parse("(cn=a\\2ab\\28)"), Ok(equal("cn", "a*b(")));
+        assert_eq!(parse("(objectClass=*)"), Ok(all()));
+        assert!(matches!(parse("(&(a=1)(|(b=2)(!(c=3))))"), Ok(Filter::And(_))));
+        let Ok(Filter::Substrings(s)) = parse("(cn=a*b*c)") else { panic!("substrings") };
+        assert_eq!(s.substrings.len(), 3);
+        for bad in
+            ["", "uid=mai", "(uid=mai", "(uid=a)(b=c)", "(&)", "(uid=a\\2)", "(=x)", "(a>=x*y)", "(a=**)"]
+        {
+            assert!(parse(bad).is_err(), "{bad}");
+        }
+        assert!(parse(&format!("{}(a=1){}", "(!".repeat(1000), ")".repeat(1000))).is_err());
+    }
+
+    /// A user's name that is a filter's text must not become one.
+    #[test]
+    fn a_name_cannot_change_the_filter() {
+        let name = "*)(uid=*))(|(uid=*";
+        let Filter::EqualityMatch(a) = any_of("uid", [name].into_iter(), None) else { panic!("an equality") };
+        assert_eq!(&a.assertion_value[..], name.as_bytes());
+    }
+}
--- /dev/null
+++ b/crates/pipithub-ldap/src/ldif.rs
@@ -0,0 +1,145 @@
+//! LDIF content records (RFC 2849): trees for stand-ins and for checks by hand.
+
+use crate::dn::Dn;
+
+/// Bytes that a file may have.
+const LONGEST: usize = 256 << 20;
+
+/// A line that is not as LDIF has it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("line {line}: {why}")]
+pub struct NoLdif {
+    /// Which, from 1.
+    pub line: usize,
+    /// What is wrong.
+    pub why: String,
+}
+
+/// An entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Its name.
+    pub dn: Dn,
+    /// Its name as written.
+    pub written: String,
+    /// Attributes and values in their order.
+    pub attributes: Vec<(String, Vec<u8>)>,
+}
+
+/// Reads all entries of a file. Values by URL (`:<`) are refused: a tree must not have other files read.
+pub fn read(text: &str) -> Result<Vec<Record>, NoLdif> {
+    if text.len() > LONGEST {
+        return Err(NoLdif { line: 1, why: format!("a file has up to {LONGEST} bytes") });
+    }
+    let mut lines: Vec<(usize, String)> = Vec::new();
+    for (n, line) in text.lines().enumerate() {
+        let line = line.strip_suffix('\r').unwrap_or(line);
+        match (line.strip_prefix(' '), lines.last_mut()) {
+            // A line that begins with a space goes on with the one before it; a comment may go on too.
+            (Some(rest), Some((_, before))) if !before.is_empty() => before.push_str(rest),
+            (Some(_), _) => return Err(NoLdif { line: n + 1, why: "nothing to go on with".into() }),
+            (None, _) => lines.push((n + 1, line.to_string())),
+        }
+    }
+    lines.retain(|(_, l)| !l.starts_with('#'));
+    let mut records: Vec<Record> = Vec::new();
+    let mut open = false;
+    for (number, line) in lines {
+        let no = |why: String| NoLdif { line: number, why };
+        if line.is_empty() {
+            open = false;
+            continue;
+        }
+        let (name, rest) =
+            line.split_once(':').ok_or_else(|| no("neither 'name: value' nor empty".into()))?;
+        let value = match (rest.strip_prefix(':'), rest.strip_prefix('<')) {
+            (Some(encoded), _) => base64(encoded.trim()).ok_or_else(|| no("no base64".into()))?,
+            (_, Some(_)) => return Err(no("values by URL are not read".into())),
+            _ => rest.trim_start_matches(' ').as_bytes().to_vec(),
+        };
+        if name.eq_ignore_ascii_case("version") && records.is_empty() {
+            if value != b"1" {
+                return Err(no("version 1 is read".into()));
+            }
+            continue;
+        }
+        if open {
+            if name.eq_ignore_ascii_case("changetype") {
+                return Err(no("records of changes are not read".into()));
+            }
+            if let Some(record) = records.last_mut() {
+                record.attributes.push((name.to_string(), value));
+            }
+            continue;
+        }
+        if !name.eq_ignore_ascii_case("dn") {
+            return Err(no(format!("an entry begins with 'dn', not with '{name}'")));
+        }
+        let written = String::from_utf8(value).map_err(|_| no("a name is UTF-8".into()))?;
+        let dn = Dn::parse(&written).map_err(|e| no(e.to_string()))?;
+        records.push(Record { dn, written, attributes: Vec::new() });
+        open = true;
+    }
+    Ok(records)
+}
+
+/// Decodes base64 (RFC 4648, 4), padding needed.
+fn base64(text: &str) -> Option<Vec<u8>> {
+    let digit = |b: u8| match b {
+        b'A'..=b'Z' => Some(b - b'A'),
+        b'a'..=b'z' => Some(b - b'a' + 26),
+        b'0'..=b'9' => Some(b - b'0' + 52),
+        b'+' => Some(62),
+        b'/' => Some(63),
+        _ => None,
+    };
+    let bytes = text.as_bytes();
+    if !bytes.len().is_multiple_of(4) {
+        return None;
+    }
+    let padding = bytes.iter().rev().take_while(|b| **b == b'=').count();
+    if padding > 2 {
+        return None;
+    }
+    let mut out = Vec::with_capacity(bytes.len() / 4 * 3);
+    for (n, group) in bytes.chunks(4).enumerate() {
+        let last = (n + 1) * 4 == bytes.len();
+        let keep = if last { 4 - padding } else { 4 };
+        let mut word = 0u32;
+        for (at, b) in group.iter().enumerate() {
+            word = word << 6 | if at < keep { u32::from(digit(*b)?) } else { 0 };
+        }
+        out.extend(&word.to_be_bytes()[1..keep]);
+    }
+    Some(out)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn records_are_read() {
+        let text = "version: 1\n# a comment\n#  that goes on\n\ndn: uid=mai,\n dc=example\r\nuid: mai\nsn:: TMO8\ncn:\n\n\ndn: dc=example\n";
+        let records = read(text).expect("LDIF");
+        assert_eq!(records.len(), 2);
+        assert_eq!(records[0].dn, Dn::parse("uid=mai,dc=example").expect("a name"));
+        let [uid, sn, cn] = &records[0].attributes[..] else { panic!("{records:?}") };
+        assert_eq!(
+            (uid.1.as_slice(), sn.1.as_slice(), cn.1.as_slice()),
+            (&b"mai"[..], "Lü".as_bytes(), &b""[..])
+        );
+    }
+
+    #[test]
+    fn faults_name_their_line() {
+        let line = |text: &str| read(text).expect_err("a fault").line;
+        assert_eq!(line("dn: a=1\nx"), 2);
+        assert_eq!(line(" x"), 1);
+        assert_eq!(line("uid: x"), 1);
+        assert_eq!(line("dn: a=1\n\ndn: b"), 3);
+        assert_eq!(line("dn: a=1\njpeg:< file:///x"), 2);
+        assert_eq!(line("dn: a=1\nx:: A"), 2);
+        assert_eq!(line("dn: a=1\nchangetype: add"), 2);
+    }
+}
--- /dev/null
+++ b/crates/pipithub-ldap/src/lib.rs
@@ -0,0 +1,35 @@
+//! LDAP v3 without I/O (RFC 4511): what a gateway needs to ask directories, and what a stand-in needs to play one.
+//!
+//! Messages are `rasn-ldap`'s. Ours is what stands around them: [`frame`] cuts a byte stream into messages within a
+//! bound on size and nesting before anything is decoded, [`Dn`] compares names (RFC 4514), [`filter`] builds searches
+//! from values that never become filter text (RFC 4515), [`Client`] is one connection as a state machine, [`sync`]
+//! holds the controls of content synchronisation (RFC 4533), and [`ldif`] reads trees (RFC 2849).
+
+pub mod client;
+pub mod dn;
+pub mod filter;
+pub mod frame;
+pub mod ldif;
+pub mod sync;
+
+pub use client::{Client, ClientSettings, Event, Outcome, Search, SearchId};
+pub use dn::Dn;
+pub use rasn_ldap as message;
+
+/// OIDs of what is used beside the core of the protocol.
+pub mod oid {
+    /// StartTLS (RFC 4511, 4.14).
+    pub const START_TLS: &[u8] = b"1.3.6.1.4.1.1466.20037";
+    /// Notice of disconnection (RFC 4511, 4.4.1).
+    pub const NOTICE_OF_DISCONNECTION: &[u8] = b"1.3.6.1.4.1.1466.20036";
+    /// Paged results (RFC 2696).
+    pub const PAGED: &[u8] = b"1.2.840.113556.1.4.319";
+    /// Sync request (RFC 4533, 2.2).
+    pub const SYNC_REQUEST: &[u8] = b"1.3.6.1.4.1.4203.1.9.1.1";
+    /// Sync state (RFC 4533, 2.3).
+    pub const SYNC_STATE: &[u8] = b"1.3.6.1.4.1.4203.1.9.1.2";
+    /// Sync done (RFC 4533, 2.4).
+    pub const SYNC_DONE: &[u8] = b"1.3.6.1.4.1.4203.1.9.1.3";
+    /// Sync info (RFC 4533, 2.5).
+    pub const SYNC_INFO: &[u8] = b"1.3.6.1.4.1.4203.1.9.1.4";
+}
