--- a/crates/pipithub-consumer/src/consumer.rs
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -7,9 +7,10 @@
 use pipithub_amqp::{
     Code, Content, Endpoint, Event, Fault, FieldTable, Login, Method, Properties, ShortStr, Tuning,
 };
-use pipithub_engine::{Reply, SourceId, Ticket, Time, Trigger};
+use pipithub_engine::{Call, Reply, SourceId, Ticket, Time, Trigger};
 
 use crate::backoff::Backoff;
+use crate::identity::{self, Identity};
 use crate::message::{self, Address, Route, Unreadable};
 
 const MS: Time = 1_000_000;
@@ -58,6 +59,8 @@
     pub dead_letter: Option<(String, String)>,
     /// Waits between tries to connect: the first and the longest.
     pub retry: (Time, Time),
+    /// How its messages prove whose they are.
+    pub identity: identity::Rule,
 }
 
 /// What happened, for the engine and the logs.
@@ -144,6 +147,7 @@
     /// again, so it is rejected instead.
     no_dead_letters: bool,
     notices: VecDeque<Notice>,
+    identity: Identity,
     wall_ms: u64,
     now: Time,
 }
@@ -156,6 +160,7 @@
             backoff: Backoff::new(first, most, 10_000 * MS, seed),
             tag: ShortStr::truncated(&settings.front_end),
             room: usize::from(settings.prefetch),
+            identity: Identity::new(settings.identity.clone()),
             settings,
             endpoint: None,
             phase: Phase::Idle(now),
@@ -514,15 +519,19 @@
         self.next_ticket += 1;
         self.held.insert(number, Held { tag, address: Address::of(&content.properties) });
         let ConsumerSettings { queue, route, classes, .. } = &self.settings;
-        match message::read(&content, queue, route, classes, self.wall_ms) {
-            Ok(read) => {
+        let read = message::read(&content, queue, route, classes, self.wall_ms).and_then(|read| {
+            let user = self.identity.user(&content, queue, redelivered, self.wall_ms)?;
+            Ok((read, user))
+        });
+        match read {
+            Ok((read, user)) => {
                 let ticket = Ticket { source: self.settings.source, number };
                 let trigger = Trigger {
                     ticket,
                     identity: read.identity,
                     redelivered,
                     deliveries: read.deliveries,
-                    call: read.call,
+                    call: Call { user, ..read.call },
                 };
                 self.notices.push_back(Notice::Trigger(Box::new(trigger)));
             }
--- a/crates/pipithub-consumer/src/lib.rs
+++ b/crates/pipithub-consumer/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod backoff;
 mod consumer;
+pub mod identity;
 pub mod message;
 
 pub use consumer::{Consumer, ConsumerSettings, Notice, Phase, Qos};
--- a/crates/pipithub-consumer/src/message.rs
+++ b/crates/pipithub-consumer/src/message.rs
@@ -17,7 +17,7 @@
 
 use bytes::Bytes;
 use pipithub_amqp::{Content, FieldTable, FieldValue, Properties, ShortStr};
-use pipithub_engine::{Call, Reply, Time};
+use pipithub_engine::{Call, Reply, Tenant, Time};
 
 const MS: Time = 1_000_000;
 /// No budget or age is taken for longer: a day.
@@ -42,6 +42,8 @@
     pub expected: Option<Time>,
     /// How long clients wait.
     pub budget: Option<Time>,
+    /// The tenant that it belongs to.
+    pub tenant: Option<Tenant>,
 }
 
 /// A message that is no call; it never ran.
@@ -165,6 +167,8 @@
         key,
         content_type: p.content_type.as_deref().map(Into::into),
         body: content.body.clone(),
+        tenant: route.tenant,
+        user: None,
     };
     let deliveries = headers.and_then(|h| h.get("x-delivery-count")).and_then(FieldValue::as_i64);
     Ok(Read { call, identity, deliveries: deliveries.unwrap_or(0).clamp(0, i64::from(u32::MAX)) as u32 })
--- /dev/null
+++ b/crates/pipithub-directory/src/core.rs
@@ -0,0 +1,1134 @@
+//! From wants and answers to searches and facts.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+
+use pipithub_ldap::Dn;
+
+use crate::Time;
+use crate::facts::{Claim, Claims, Facts, Lifetimes, Person, Roster, TenantId, Told, User, View, ms, share};
+use crate::peak::{DAY, Peak};
+use crate::servers::{Breaker, Limits, Server};
+
+const MS: Time = 1_000_000;
+/// Names that a user may have, in bytes.
+const NAME_MOST: usize = 256;
+/// Times that a user is asked for before whoever wants to know must say so again.
+const TRIES_MOST: u8 = 2;
+/// Marks of a directory that are remembered with the time at which they were first seen.
+const MARKS_MOST: usize = 64;
+/// Entries looked at in one turn when a followed directory's refresh is over, or when old ones go.
+const SWEEP: usize = 2_048;
+/// Of all searches, those that may be made twice at once.
+const HEDGE_SHARE: f64 = 0.1;
+/// What nobody waits for is gathered for so long at the most.
+const LINGER_MOST: Time = 5_000 * MS;
+/// Days after which a user who was not seen is not asked for ahead of a peak.
+const SEEN_DAYS: i64 = 2;
+
+/// A tenant's place in a directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TenantBase {
+    /// The directory.
+    pub directory: usize,
+    /// Entries below it are this tenant's; of bases within each other the inner one counts.
+    pub base: Dn,
+}
+
+/// How a directory is asked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DirectorySettings {
+    /// How many servers it has.
+    pub servers: usize,
+    /// Realms of the names that it knows; none: names without a realm.
+    pub realms: Vec<String>,
+    /// For how long what it says counts.
+    pub lifetimes: Lifetimes,
+    /// A search without an answer by then has failed.
+    pub timeout: Time,
+    /// After this long without an answer a second server is asked too.
+    pub hedge_after: Time,
+    /// Users in one search.
+    pub batch: usize,
+    /// Searches at a time at one server.
+    pub at_once: usize,
+    /// Searches a second at all its servers.
+    pub rate: f64,
+    /// Failures in a row after which a server is left alone.
+    pub failures: u32,
+    /// For how long it is, at first and at the longest.
+    pub wait: (Time, Time),
+    /// A server that tells no mark must say a change twice, this far apart.
+    pub doubt: Time,
+    /// A daily peak ahead of which facts are refreshed.
+    pub peak: Option<Peak>,
+    /// Every so often, ask for what was changed since; 0: never.
+    pub poll: Time,
+}
+
+impl Default for DirectorySettings {
+    fn default() -> Self {
+        const S: Time = 1_000 * MS;
+        DirectorySettings {
+            servers: 1,
+            realms: Vec::new(),
+            lifetimes: Lifetimes { fresh: 600 * S, stale_most: 12 * 3_600 * S, negative: 30 * S },
+            timeout: 2 * S,
+            hedge_after: 50 * MS,
+            batch: 64,
+            at_once: 4,
+            rate: 50.0,
+            failures: 3,
+            wait: (S, 30 * S),
+            doubt: S,
+            peak: None,
+            poll: 0,
+        }
+    }
+}
+
+/// What a directory core is given at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The directories.
+    pub directories: Vec<DirectorySettings>,
+    /// The tenants, by [`TenantId`].
+    pub tenants: Vec<TenantBase>,
+    /// Users kept.
+    pub max_users: usize,
+    /// Users that wait to be asked for, at each directory.
+    pub max_queue: usize,
+    /// Its only chance: sets this front end's times apart from others'.
+    pub seed: u64,
+    /// Unix milliseconds at time 0.
+    pub wall_ms: i64,
+}
+
+/// Names a search.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SearchId(pub u64);
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    /// These users. The server's mark is to be read before them, on the same connection.
+    Users(Vec<User>),
+    /// How the server stands: whether its tree is there, and its mark.
+    State,
+    /// What was changed since this `modifyTimestamp`; `None`: how far its timestamps have come.
+    Since(Option<String>),
+}
+
+/// An entry that a directory told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// Its user's name, folded, with the realm as users give it.
+    pub user: User,
+    /// Where it stands.
+    pub dn: Dn,
+    /// Who it is.
+    pub person: Person,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// The entries.
+    pub found: Vec<Found>,
+    /// How far the server's copy had come before it searched, where it tells.
+    pub mark: Option<u64>,
+    /// The base of the tree is there. A server that is still loading answers that nobody exists.
+    pub loaded: bool,
+    /// The newest `modifyTimestamp` in it.
+    pub newest: Option<String>,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// None came in time.
+    TimedOut,
+    /// The server could not be reached, or the connection ended.
+    Lost,
+    /// The server says that it cannot now: busy, unavailable, limits.
+    Unable,
+    /// It refuses us: the bind, the rights.
+    Denied,
+    /// What it said is no answer.
+    Nonsense,
+    /// It says to ask elsewhere: at this one of the directory's servers, or at one that we do not know.
+    Elsewhere(Option<usize>),
+}
+
+/// What a followed directory says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// Everything is told from here on, or what changed since the last time.
+    Begun {
+        /// Everything.
+        whole: bool,
+    },
+    /// An entry is there, new or as it was.
+    Entry(Found),
+    /// An entry is gone.
+    Gone(Person),
+    /// An entry has not changed.
+    Kept(Person),
+    /// What was to be told is told; the connection was good just now.
+    Complete,
+    /// The connection was good just now.
+    Alive,
+    /// The connection is gone.
+    Lost,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// Only time has passed; every other input does this too.
+    Tick,
+    /// A call's user is to be known, or known anew.
+    Wanted {
+        /// The user.
+        user: User,
+        /// Somebody waits.
+        urgent: bool,
+    },
+    /// A search ended.
+    Ended {
+        /// Which.
+        search: SearchId,
+        /// How.
+        outcome: Result<Answer, Failure>,
+    },
+    /// News of a directory that is followed.
+    Told {
+        /// The directory.
+        directory: usize,
+        /// What it says.
+        news: News,
+    },
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Ask a server; one [`Input::Ended`] is owed unless it is given up.
+    Search {
+        /// Its id.
+        id: SearchId,
+        /// The directory.
+        directory: usize,
+        /// Which of its servers.
+        server: usize,
+        /// What.
+        what: What,
+    },
+    /// Its answer is of no use any more.
+    GiveUp(SearchId),
+    /// There is news of a user that was asked for: the roster holds it, or nobody can say.
+    News(User),
+    /// A user is another tenant's now, or nobody's, or another person: what runs for them must end.
+    Changed(User),
+}
+
+/// What was done so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Searches for users.
+    pub searches: u64,
+    /// Users in them.
+    pub asked: u64,
+    /// Of the searches, second ones for the same users.
+    pub hedges: u64,
+    /// Searches for a server's state, and for what changed.
+    pub probes: u64,
+    /// Searches that failed.
+    pub failures: u64,
+    /// Wants for which there was no room.
+    pub dropped: u64,
+    /// Entries told that were not asked for, or are below no tenant's base.
+    pub odd: u64,
+    /// Answers older than what was known.
+    pub behind: u64,
+    /// Users who changed.
+    pub changed: u64,
+}
+
+/// A refresh of a followed directory that is over: who was not told in it is looked for, some at a time.
+struct Sweep {
+    directory: usize,
+    began: i64,
+    /// Everybody, as long as those who were not told are not gathered.
+    all: Option<imbl::HashMap<User, Claims>>,
+    missed: Vec<User>,
+}
+
+struct Out {
+    directory: usize,
+    server: usize,
+    what: What,
+    began: Time,
+    deadline: Time,
+    /// When a second server is asked; `None`: it was, or is not.
+    hedge: Option<Time>,
+    /// The other search for the same users.
+    twin: Option<SearchId>,
+    tries: u8,
+}
+
+struct Site {
+    settings: DirectorySettings,
+    servers: Vec<Server>,
+    /// Users to ask for, each with the times it was tried: first those of whom nothing is known and a call waits, then
+    /// those who are to be confirmed before a call, then all others.
+    queues: [VecDeque<(User, u8)>; 3],
+    /// When the last of these is asked for, unless a search that goes out before has room for it.
+    calm_due: Time,
+    /// Users that are queued or asked for: nobody is asked for twice at a time.
+    pending: HashSet<User>,
+    /// Users wanted while no server could be asked: asked for together when one can.
+    missed: HashSet<User>,
+    tokens: f64,
+    filled: Time,
+    hedges: f64,
+    /// Marks from the oldest to the newest, and when each was first seen.
+    marks: VecDeque<(u64, i64)>,
+    /// Changes told once by a server without marks.
+    doubts: BTreeMap<User, (Told, Time)>,
+    later: BTreeSet<(Time, User)>,
+    poll_due: Option<Time>,
+    /// When each server is asked how it stands, if it is not asked for anything else: one that is never the fastest is
+    /// heard all the same, and only by comparing can one that is behind be told.
+    state_due: Vec<Time>,
+    newest: Option<String>,
+    /// Of a followed directory: whose entry is whose, and when the telling under way began.
+    persons: HashMap<Person, User>,
+    telling: Option<(i64, bool)>,
+}
+
+/// The directories of a front end, and what is known through them.
+pub struct Directory {
+    tenants: Vec<TenantBase>,
+    max_users: usize,
+    max_queue: usize,
+    seed: u64,
+    wall_ms: i64,
+    sites: Vec<Site>,
+    roster: Roster,
+    out: BTreeMap<SearchId, Out>,
+    next: u64,
+    chance: u64,
+    /// When users are looked at again, by second; one place each.
+    wheel: BTreeMap<i64, Vec<User>>,
+    /// The days on which users were last wanted.
+    seen: HashMap<User, u16>,
+    sweep: Option<Sweep>,
+    stats: Stats,
+}
+
+impl Directory {
+    /// A core that knows nothing but its settings.
+    pub fn new(settings: Settings) -> Self {
+        let mut realms: HashMap<Box<str>, Vec<u16>> = HashMap::new();
+        let mut others = Vec::new();
+        for (n, directory) in settings.directories.iter().enumerate() {
+            let n = n as u16;
+            if directory.realms.is_empty() {
+                others.push(n);
+            }
+            for realm in &directory.realms {
+                realms.entry(pipithub_ldap::dn::fold(realm).into()).or_default().push(n);
+            }
+        }
+        let facts = |d: &DirectorySettings| Facts { lifetimes: d.lifetimes, followed: None };
+        let site = |(n, d): (usize, &DirectorySettings)| Site {
+            servers: vec![Server::new(); d.servers.max(1)],
+            queues: Default::default(),
+            calm_due: 0,
+            pending: HashSet::new(),
+            missed: HashSet::new(),
+            tokens: (d.rate / 4.0).max(1.0),
+            filled: 0,
+            hedges: 1.0,
+            marks: VecDeque::new(),
+            doubts: BTreeMap::new(),
+            later: BTreeSet::new(),
+            // Front ends that start together do not poll together.
+            poll_due: (d.poll > 0).then(|| (d.poll as f64 * share("poll", settings.seed ^ n as u64)) as Time),
+            state_due: (0..d.servers.max(1))
+                .map(|s| (state_gap(d) as f64 * share("state", settings.seed ^ (n * 64 + s) as u64)) as Time)
+                .collect(),
+            newest: None,
+            persons: HashMap::new(),
+            telling: None,
+            settings: d.clone(),
+        };
+        Directory {
+            sites: settings.directories.iter().enumerate().map(site).collect(),
+            roster: Roster {
+                users: imbl::HashMap::new(),
+                directories: settings.directories.iter().map(facts).collect(),
+                realms: Arc::new(realms),
+                others: others.into(),
+            },
+            tenants: settings.tenants,
+            max_users: settings.max_users.max(1),
+            max_queue: settings.max_queue.max(1),
+            seed: settings.seed,
+            wall_ms: settings.wall_ms,
+            out: BTreeMap::new(),
+            next: 0,
+            chance: settings.seed | 1,
+            wheel: BTreeMap::new(),
+            seen: HashMap::new(),
+            sweep: None,
+            stats: Stats::default(),
+        }
+    }
+
+    /// What is known now; it shares everything with what is kept here.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// What was done so far.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Whether a server of the directory is being asked.
+    pub fn is_up(&self, directory: usize) -> bool {
+        self.sites.get(directory).is_some_and(|s| s.servers.iter().any(|s| s.breaker == Breaker::Closed))
+    }
+
+    /// Searches under way.
+    pub fn searching(&self) -> usize {
+        self.out.len()
+    }
+
+    /// Takes what a snapshot holds. Facts past their bound were left out of it; none of them is asked for at once.
+    pub fn restore(&mut self, now: Time, facts: Vec<(User, Claim)>) {
+        for (user, claim) in facts {
+            if usize::from(claim.directory) < self.sites.len() && self.roster.users.len() < self.max_users {
+                self.set(now, &user, claim);
+            }
+        }
+    }
+
+    /// When [`Input::Tick`] is due next.
+    pub fn next_due(&self, now: Time) -> Option<Time> {
+        let mut due = Vec::new();
+        for out in self.out.values() {
+            due.push(out.deadline);
+            due.extend(out.hedge);
+        }
+        for site in &self.sites {
+            for server in &site.servers {
+                if let Breaker::Open { until, .. } = server.breaker {
+                    due.push(until);
+                }
+            }
+            due.extend(site.poll_due);
+            due.extend(site.state_due.iter().min());
+            due.extend(site.later.first().map(|l| l.0));
+            let limits = site.limits();
+            if !site.queues[2].is_empty() {
+                due.push(site.calm_due.max(now + MS));
+            }
+            if site.waits(now) && site.tokens < 1.0 && site.servers.iter().any(|s| s.has_room(&limits)) {
+                let missing = (1.0 - site.tokens) / site.settings.rate.max(0.01);
+                due.push(site.filled.saturating_add((missing * 1e9) as Time + MS));
+            }
+        }
+        due.extend(self.wheel.keys().next().map(|s| u64::try_from(s.saturating_mul(1000)).unwrap_or(0) * MS));
+        if self.sweep.is_some() {
+            due.push(now);
+        }
+        due.into_iter().min()
+    }
+
+    fn chance(&mut self) -> f64 {
+        // xorshift64*: nothing hangs on its quality, only that front ends differ.
+        self.chance ^= self.chance >> 12;
+        self.chance ^= self.chance << 25;
+        self.chance ^= self.chance >> 27;
+        (self.chance.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Takes one input and appends what to do about it.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Tick => {}
+            Input::Wanted { user, urgent } => self.wanted(now, user, urgent, out),
+            Input::Ended { search, outcome } => self.ended(now, search, outcome, out),
+            Input::Told { directory, news } if directory < self.sites.len() => {
+                self.told(now, directory, news, out)
+            }
+            Input::Told { .. } => {}
+        }
+        self.overdue(now, out);
+        self.turn_wheel(now);
+        self.go_on_sweeping(now, out);
+        for directory in 0..self.sites.len() {
+            self.pump(now, directory, out);
+        }
+    }
+
+    // ---- wants ----
+
+    fn day(&self, now: Time) -> u16 {
+        self.wall_ms.saturating_add(ms(now)).div_euclid(DAY).rem_euclid(60_000) as u16
+    }
+
+    fn wanted(&mut self, now: Time, user: User, urgent: bool, out: &mut Vec<Output>) {
+        let relevant: Vec<u16> = self.roster.relevant(&user).to_vec();
+        if relevant.is_empty() || user.is_empty() || user.len() > NAME_MOST {
+            return out.push(Output::News(user));
+        }
+        let day = self.day(now);
+        if let Some(seen) = self.seen.get_mut(&user) {
+            *seen = day;
+        }
+        let queue = match (urgent, self.roster.look(&user, now)) {
+            (true, View::Unknown) => 0,
+            (true, _) => 1,
+            (false, _) => 2,
+        };
+        let mut asked = false;
+        for directory in relevant {
+            asked |= self.queue(now, usize::from(directory), user.clone(), queue);
+        }
+        if !asked {
+            // Nobody will ask: whoever waits must not.
+            out.push(Output::News(user));
+        }
+    }
+
+    /// Whether the user will be asked for.
+    fn queue(&mut self, now: Time, directory: usize, user: User, queue: usize) -> bool {
+        let most = self.max_queue;
+        let site = &mut self.sites[directory];
+        if site.pending.contains(&user) {
+            // A call waits now for one that was queued at leisure.
+            let behind = &mut site.queues[2];
+            if queue < 2
+                && let Some(at) = behind.iter().take(256).position(|(u, _)| *u == user)
+            {
+                let moved = behind.remove(at);
+                site.queues[queue].extend(moved);
+            }
+            return true;
+        }
+        if site.queues[queue].len() >= most {
+            self.stats.dropped += 1;
+            return false;
+        }
+        if queue == 2 && site.queues[2].is_empty() {
+            // What nobody waits for is gathered into one search.
+            site.calm_due = now.saturating_add((site.settings.lifetimes.fresh / 16).min(LINGER_MOST));
+        }
+        site.queues[queue].push_back((user.clone(), 0));
+        site.pending.insert(user);
+        true
+    }
+
+    /// Tells of a user when no directory is being asked for them any more: an answer from one of several is not yet one.
+    fn tell(&self, user: User, out: &mut Vec<Output>) {
+        let pending = |d: &u16| self.sites[usize::from(*d)].pending.contains(&user);
+        if !self.roster.relevant(&user).iter().any(pending) {
+            out.push(Output::News(user));
+        }
+    }
+
+    // ---- searches ----
+
+    fn pump(&mut self, now: Time, directory: usize, out: &mut Vec<Output>) {
+        let site = &mut self.sites[directory];
+        let passed = now.saturating_sub(site.filled) as f64 / 1e9;
+        site.filled = site.filled.max(now);
+        let burst = (site.settings.rate / 4.0).max(1.0);
+        site.tokens = (site.tokens + passed * site.settings.rate).min(burst);
+        while let Some((_, user)) = self.sites[directory].later.first().filter(|l| l.0 <= now).cloned() {
+            let site = &mut self.sites[directory];
+            let first = site.later.pop_first();
+            if first.is_some() {
+                self.queue(now, directory, user, 2);
+            }
+        }
+        self.probe(now, directory, out);
+        let site = &mut self.sites[directory];
+        if !site.servers.iter().any(|s| s.breaker == Breaker::Closed) {
+            // Nobody can say: whoever waits is told so at once, and what is asked at leisure is asked by its next call.
+            let users: Vec<User> =
+                site.queues.iter_mut().flat_map(|q| q.drain(..)).map(|(user, _)| user).collect();
+            for user in &users {
+                site.pending.remove(user);
+                if site.missed.len() < self.max_queue {
+                    site.missed.insert(user.clone());
+                }
+            }
+            return users.into_iter().for_each(|user| self.tell(user, out));
+        }
+        // It is back: whoever called meanwhile is asked for in few searches, not each by their next call.
+        for user in std::mem::take(&mut site.missed) {
+            self.queue(now, directory, user, 2);
+        }
+        loop {
+            let site = &mut self.sites[directory];
+            if site.tokens < 1.0 || !site.waits(now) {
+                return;
+            }
+            let Some(server) = site.choose(None) else { return };
+            let mut users = Vec::new();
+            let mut tries = 0;
+            while users.len() < site.settings.batch.max(1) {
+                // Those that were tried before go without others: what failed may be of their making.
+                let Some(queue) = site.queues.iter_mut().find(|q| !q.is_empty()) else { break };
+                match queue.front() {
+                    Some((_, t)) if users.is_empty() || *t == tries => tries = *t,
+                    _ => break,
+                }
+                users.extend(queue.pop_front().map(|(user, _)| user));
+            }
+            site.tokens -= 1.0;
+            site.hedges = (site.hedges + HEDGE_SHARE).min(4.0);
+            self.stats.searches += 1;
+            self.stats.asked += users.len() as u64;
+            self.begin(now, directory, server, What::Users(users), tries, out);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        now: Time,
+        directory: usize,
+        server: usize,
+        what: What,
+        tries: u8,
+        out: &mut Vec<Output>,
+    ) -> SearchId {
+        let id = SearchId(self.next);
+        self.next += 1;
+        let site = &mut self.sites[directory];
+        site.servers[server].out += 1;
+        // A server that is slow as a rule is not asked twice for that.
+        let usual = site.servers[server].pace().unwrap_or(0).saturating_mul(3);
+        let hedge = now.saturating_add(site.settings.hedge_after.max(usual.min(site.settings.timeout / 2)));
+        let begun = Out {
+            directory,
+            server,
+            began: now,
+            deadline: now.saturating_add(site.settings.timeout),
+            hedge: matches!(what, What::Users(_)).then_some(hedge),
+            twin: None,
+            tries,
+            what: what.clone(),
+        };
+        self.out.insert(id, begun);
+        out.push(Output::Search { id, directory, server, what });
+        id
+    }
+
+    /// Tries servers that were left alone, and asks for what changed.
+    fn probe(&mut self, now: Time, directory: usize, out: &mut Vec<Output>) {
+        for server in 0..self.sites[directory].servers.len() {
+            if let Breaker::Open { until, wait } = self.sites[directory].servers[server].breaker
+                && now >= until
+            {
+                self.stats.probes += 1;
+                let probe = self.begin(now, directory, server, What::State, 0, out);
+                self.sites[directory].servers[server].breaker = Breaker::Trying { probe, wait };
+            }
+            let site = &mut self.sites[directory];
+            if now >= site.state_due[server] {
+                site.state_due[server] = now.saturating_add(state_gap(&site.settings));
+                if site.servers[server].breaker == Breaker::Closed {
+                    self.stats.probes += 1;
+                    self.begin(now, directory, server, What::State, 0, out);
+                }
+            }
+        }
+        let site = &mut self.sites[directory];
+        if site.poll_due.is_some_and(|due| now >= due) {
+            site.poll_due = Some(now + site.settings.poll);
+            if let Some(server) = site.choose(None) {
+                let since = site.newest.clone();
+                self.stats.probes += 1;
+                self.begin(now, directory, server, What::Since(since), 0, out);
+            }
+        }
+    }
+
+    /// Searches whose time is up, and those for which a second server is asked.
+    fn overdue(&mut self, now: Time, out: &mut Vec<Output>) {
+        let late: Vec<SearchId> =
+            self.out.iter().filter(|(_, o)| o.deadline <= now).map(|(id, _)| *id).collect();
+        for id in late {
+            if self.out.contains_key(&id) {
+                out.push(Output::GiveUp(id));
+                self.ended(now, id, Err(Failure::TimedOut), out);
+            }
+        }
+        let slow = self.out.iter().filter(|(_, o)| o.hedge.is_some_and(|at| at <= now));
+        let slow: Vec<SearchId> = slow.map(|(id, _)| *id).collect();
+        for id in slow {
+            let Some(search) = self.out.get_mut(&id) else { continue };
+            search.hedge = None;
+            let (directory, server, tries, what) =
+                (search.directory, search.server, search.tries, search.what.clone());
+            let site = &mut self.sites[directory];
+            if site.hedges < 1.0 {
+                continue;
+            }
+            let Some(other) = site.choose(Some(server)) else { continue };
+            site.hedges -= 1.0;
+            self.stats.hedges += 1;
+            let twin = self.begin(now, directory, other, what, tries, out);
+            if let Some(twin) = self.out.get_mut(&twin) {
+                (twin.hedge, twin.twin) = (None, Some(id));
+            }
+            if let Some(search) = self.out.get_mut(&id) {
+                search.twin = Some(twin);
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Time, id: SearchId, outcome: Result<Answer, Failure>, out: &mut Vec<Output>) {
+        // One that was given up has ended before.
+        let Some(search) = self.out.remove(&id) else { return };
+        let directory = search.directory;
+        let jitter = self.chance();
+        let site = &mut self.sites[directory];
+        let limits = site.limits();
+        let server = &mut site.servers[search.server];
+        server.out = server.out.saturating_sub(1);
+        let outcome = match outcome {
+            // Without its base it is still loading: that it knows nobody means nothing.
+            Ok(answer) if !answer.loaded => Err(Failure::Unable),
+            other => other,
+        };
+        let answer = match outcome {
+            Ok(answer) => answer,
+            Err(failure) => {
+                self.stats.failures += 1;
+                let hard = matches!(failure, Failure::Unable | Failure::Denied | Failure::Elsewhere(_));
+                server.failed(now, hard, jitter, &limits);
+                if let Some(twin) = search.twin.and_then(|t| self.out.get_mut(&t)) {
+                    twin.twin = None;
+                } else if let What::Users(users) = search.what {
+                    self.again(directory, users, search.tries, out);
+                }
+                return;
+            }
+        };
+        server.answered(now.saturating_sub(search.began), &limits);
+        let current = site.heard(search.server, answer.mark, ms(search.began));
+        // What is told is as of before the question was asked, or as of when this copy was the newest there was.
+        let confirmed = current.unwrap_or(ms(search.began));
+        if current.is_some() {
+            self.stats.behind += 1;
+        }
+        match search.what {
+            What::State => {}
+            What::Since(_) => {
+                for found in answer.found {
+                    // Only of those that are known: who was never here is asked for when they are.
+                    if self.roster.users.contains_key(&found.user) {
+                        let told = self.place(directory, &found.dn);
+                        self.claim(
+                            now,
+                            directory,
+                            &found.user,
+                            told,
+                            found.person,
+                            confirmed,
+                            answer.mark,
+                            out,
+                        );
+                    }
+                }
+                let site = &mut self.sites[directory];
+                site.newest = answer.newest.max(site.newest.take());
+            }
+            What::Users(users) => {
+                if let Some(twin) = search.twin
+                    && let Some(other) = self.out.remove(&twin)
+                {
+                    let site = &mut self.sites[directory];
+                    let server = &mut site.servers[other.server];
+                    server.out = server.out.saturating_sub(1);
+                    out.push(Output::GiveUp(twin));
+                }
+                let mut told: HashMap<&User, Vec<&Found>> = HashMap::new();
+                for found in &answer.found {
+                    told.entry(&found.user).or_default().push(found);
+                }
+                let asked: HashSet<&User> = users.iter().collect();
+                self.stats.odd += told.keys().filter(|u| !asked.contains(*u)).count() as u64;
+                let mut unsure = Vec::new();
+                for user in &users {
+                    let (told, person) = match told.get(user).map(Vec::as_slice) {
+                        None | Some([]) => (Told::Absent, Person::default()),
+                        Some([one]) => (self.place(directory, &one.dn), one.person),
+                        Some(_) => (Told::Twice, Person::default()),
+                    };
+                    // That a copy which is behind does not know somebody says nothing of now.
+                    if current.is_some() && told == Told::Absent {
+                        unsure.push(user.clone());
+                        continue;
+                    }
+                    self.sites[directory].pending.remove(user);
+                    self.claim(now, directory, user, told, person, confirmed, answer.mark, out);
+                    self.tell(user.clone(), out);
+                }
+                if !unsure.is_empty() {
+                    self.again(directory, unsure, search.tries, out);
+                }
+            }
+        }
+    }
+
+    /// Asks again for users whose search came to nothing, if they may be.
+    fn again(&mut self, directory: usize, users: Vec<User>, tries: u8, out: &mut Vec<Output>) {
+        let site = &mut self.sites[directory];
+        let mut ended = Vec::new();
+        for user in users.into_iter().rev() {
+            if tries + 1 < TRIES_MOST {
+                site.queues[0].push_front((user, tries + 1));
+            } else {
+                site.pending.remove(&user);
+                ended.push(user);
+            }
+        }
+        ended.into_iter().for_each(|user| self.tell(user, out));
+    }
+
+    // ---- facts ----
+
+    fn place(&mut self, directory: usize, dn: &Dn) -> Told {
+        let within = |(_, t): &(usize, &TenantBase)| t.directory == directory && dn.is_within(&t.base);
+        let found = self.tenants.iter().enumerate().filter(within).max_by_key(|(_, t)| t.base.depth());
+        match found {
+            Some((n, _)) => Told::Tenant(TenantId(n as u16)),
+            None => {
+                self.stats.odd += 1;
+                Told::Absent
+            }
+        }
+    }
+
+    /// Weighs what a server said against what is known, and keeps it if it is the better.
+    #[allow(clippy::too_many_arguments, reason = "one fact with its circumstances")]
+    fn claim(
+        &mut self,
+        now: Time,
+        directory: usize,
+        user: &User,
+        told: Told,
+        person: Person,
+        confirmed: i64,
+        mark: Option<u64>,
+        out: &mut Vec<Output>,
+    ) {
+        let spread = (self.chance() * 256.0) as u8;
+        let claim =
+            Claim { directory: directory as u16, told, person, confirmed, mark: mark.unwrap_or(0), spread };
+        let old = self.roster.users.get(user).and_then(|c| c.of(claim.directory)).copied();
+        if let Some(old) = old {
+            // A copy that is behind what was said before, or an answer that was overtaken by a later one.
+            if claim.mark < old.mark || claim.confirmed < old.confirmed {
+                self.stats.behind += 1;
+                return;
+            }
+            let differs = old.told != told || old.person != person;
+            let positive = matches!(old.told, Told::Tenant(_)) && self.is_held(&old, now);
+            let site = &mut self.sites[directory];
+            if !differs {
+                site.doubts.remove(user);
+            } else if positive && mark.is_none() {
+                // Nothing tells whether this server is behind: it must say so twice.
+                let doubt = site.settings.doubt;
+                match site.doubts.get(user) {
+                    Some((before, at)) if *before == told && now >= at.saturating_add(doubt) => {
+                        site.doubts.remove(user);
+                    }
+                    Some((before, _)) if *before == told => return,
+                    _ if site.doubts.len() < self.max_queue => {
+                        site.doubts.insert(user.clone(), (told, now));
+                        site.later.insert((now.saturating_add(doubt), user.clone()));
+                        return;
+                    }
+                    // With no room for doubts, what is new goes before what is old.
+                    _ => {}
+                }
+            }
+        }
+        let before = self.roster.look(user, now);
+        self.set(now, user, claim);
+        let after = self.roster.look(user, now);
+        let side = |v: &View| match v {
+            View::Tenant { tenant, person, .. } => Some((*tenant, *person)),
+            _ => None,
+        };
+        if side(&before).is_some() && side(&before) != side(&after) {
+            self.stats.changed += 1;
+            out.push(Output::Changed(user.clone()));
+        }
+    }
+
+    fn is_held(&self, claim: &Claim, now: Time) -> bool {
+        let most = self.sites[usize::from(claim.directory)].settings.lifetimes.stale_most;
+        ms(now).saturating_sub(claim.confirmed) < ms(most)
+    }
+
+    fn set(&mut self, now: Time, user: &User, claim: Claim) {
+        let claims = match self.roster.users.get(user) {
+            Some(claims) => claims.with(claim),
+            None => {
+                while self.roster.users.len() >= self.max_users && self.evict() {}
+                let due = self.look_again(now, user, &claim);
+                self.wheel.entry(due).or_default().push(user.clone());
+                self.seen.insert(user.clone(), self.day(now));
+                Claims::One(claim)
+            }
+        };
+        self.roster.users.insert(user.clone(), claims);
+    }
+
+    /// The second at which a user is looked at again: to be asked for ahead of the peak, or to go.
+    fn look_again(&self, now: Time, user: &User, claim: &Claim) -> i64 {
+        let settings = &self.sites[usize::from(claim.directory)].settings;
+        let most = match claim.told {
+            Told::Tenant(_) => settings.lifetimes.stale_most,
+            Told::Absent | Told::Twice => settings.lifetimes.negative,
+        };
+        let gone = claim.confirmed.saturating_add(ms(most));
+        let slot = settings.peak.map(|peak| {
+            let confirmed = self.wall_ms.saturating_add(claim.confirmed);
+            peak.slot(confirmed, share(user, self.seed)).saturating_sub(self.wall_ms)
+        });
+        let due = slot.filter(|_| matches!(claim.told, Told::Tenant(_))).map_or(gone, |s| s.min(gone));
+        due.max(ms(now).saturating_add(1000)).div_euclid(1000).saturating_add(1)
+    }
+
+    /// Lets go of the user whose turn would be next: the oldest, or one who is nobody's.
+    fn evict(&mut self) -> bool {
+        let Some(mut first) = self.wheel.first_entry() else { return false };
+        let user = first.get_mut().pop();
+        if first.get().is_empty() {
+            first.remove();
+        }
+        if let Some(user) = user {
+            self.forget(&user);
+        }
+        true
+    }
+
+    fn forget(&mut self, user: &User) {
+        if let Some(claims) = self.roster.users.remove(user) {
+            for claim in claims.as_slice() {
+                self.sites[usize::from(claim.directory)].persons.remove(&claim.person);
+            }
+        }
+        self.seen.remove(user);
+    }
+
+    fn turn_wheel(&mut self, now: Time) {
+        let second = ms(now).div_euclid(1000);
+        for _ in 0..SWEEP {
+            let Some(mut first) = self.wheel.first_entry().filter(|e| *e.key() <= second) else { return };
+            let user = first.get_mut().pop();
+            if first.get().is_empty() {
+                first.remove();
+            }
+            let Some(user) = user else { continue };
+            let Some(claims) = self.roster.users.get(&user) else { continue };
+            let claims = claims.as_slice().to_vec();
+            let held = |c: &Claim| {
+                let site = &self.sites[usize::from(c.directory)];
+                let followed = self.roster.directories[usize::from(c.directory)].followed.is_some();
+                let most = match c.told {
+                    Told::Tenant(_) => site.settings.lifetimes.stale_most,
+                    _ => site.settings.lifetimes.negative,
+                };
+                followed || ms(now).saturating_sub(c.confirmed) < ms(most)
+            };
+            if !claims.iter().any(held) {
+                self.forget(&user);
+                continue;
+            }
+            let day = self.day(now);
+            let recent = self.seen.get(&user).is_some_and(|s| i64::from(day.wrapping_sub(*s)) <= SEEN_DAYS);
+            for claim in &claims {
+                let directory = usize::from(claim.directory);
+                let settings = &self.sites[directory].settings;
+                let followed = self.roster.directories[directory].followed.is_some();
+                let old = ms(now).saturating_sub(claim.confirmed) >= ms(settings.lifetimes.fresh);
+                if recent
+                    && !followed
+                    && old
+                    && settings.peak.is_some()
+                    && matches!(claim.told, Told::Tenant(_))
+                {
+                    self.queue(now, directory, user.clone(), 2);
+                }
+            }
+            // As if confirmed now, so that the next place is in the next window, unless it goes before.
+            let due = claims.iter().map(|c| {
+                let again = Claim { confirmed: ms(now), ..*c };
+                let gone = self.look_again(now, &user, c);
+                let slot = self.look_again(now, &user, &again);
+                if gone > second + 2 { gone.min(slot) } else { slot }
+            });
+            let due = due.min().unwrap_or(second + 60);
+            self.wheel.entry(due).or_default().push(user);
+        }
+    }
+
+    // ---- followed directories ----
+
+    fn told(&mut self, now: Time, directory: usize, news: News, out: &mut Vec<Output>) {
+        let now_ms = ms(now);
+        match news {
+            News::Begun { whole } => self.sites[directory].telling = Some((now_ms, whole)),
+            News::Entry(found) => {
+                let told = self.place(directory, &found.dn);
+                let renamed =
+                    self.sites[directory].persons.get(&found.person).filter(|u| **u != found.user).cloned();
+                if let Some(old) = renamed {
+                    self.gone(now, directory, &old, out);
+                }
+                if told == Told::Absent {
+                    if self.roster.users.contains_key(&found.user) {
+                        self.gone(now, directory, &found.user, out);
+                    }
+                    return;
+                }
+                if self.roster.users.len() < self.max_users || self.roster.users.contains_key(&found.user) {
+                    if found.person != Person::default() {
+                        self.sites[directory].persons.insert(found.person, found.user.clone());
+                    }
+                    // Changes come in their order: there is nothing to doubt.
+                    let mark = self.known_mark(directory, &found.user);
+                    self.claim(now, directory, &found.user, told, found.person, now_ms, Some(mark), out);
+                }
+            }
+            News::Gone(person) => {
+                if let Some(user) = self.sites[directory].persons.get(&person).cloned() {
+                    self.gone(now, directory, &user, out);
+                }
+            }
+            News::Kept(person) => {
+                let Some(user) = self.sites[directory].persons.get(&person).cloned() else { return };
+                let old = self.roster.users.get(&user).and_then(|c| c.of(directory as u16)).copied();
+                if let Some(old) = old {
+                    self.set(now, &user, Claim { confirmed: now_ms, ..old });
+                }
+            }
+            News::Complete => {
+                if let Some((began, true)) = self.sites[directory].telling.take() {
+                    // Who was not told is not there. They are looked for in turns; readers see the old until then.
+                    let all = Some(self.roster.users.clone());
+                    self.sweep = Some(Sweep { directory, began, all, missed: Vec::new() });
+                }
+                self.follow(directory, Some(now_ms));
+            }
+            News::Alive => {
+                if self.roster.directories[directory].followed.is_some() {
+                    self.follow(directory, Some(now_ms));
+                }
+            }
+            News::Lost => {
+                // What was known is as of the last good moment: each claim gets that age, then ages like any other.
+                self.sites[directory].telling = None;
+            }
+        }
+    }
+
+    fn known_mark(&self, directory: usize, user: &User) -> u64 {
+        let claim = self.roster.users.get(user).and_then(|c| c.of(directory as u16));
+        claim.map_or(0, |c| c.mark)
+    }
+
+    fn gone(&mut self, now: Time, directory: usize, user: &User, out: &mut Vec<Output>) {
+        let mark = self.known_mark(directory, user);
+        if let Some(claim) = self.roster.users.get(user).and_then(|c| c.of(directory as u16)) {
+            self.sites[directory].persons.remove(&claim.person);
+        }
+        self.claim(now, directory, user, Told::Absent, Person::default(), ms(now), Some(mark), out);
+    }
+
+    fn follow(&mut self, directory: usize, at: Option<i64>) {
+        let mut facts = self.roster.directories.to_vec();
+        facts[directory].followed = at;
+        self.roster.directories = facts.into();
+    }
+
+    /// Goes on with those who were not told in a refresh, some at a time.
+    fn go_on_sweeping(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(mut sweep) = self.sweep.take() else { return };
+        let (directory, began) = (sweep.directory, sweep.began);
+        if let Some(all) = sweep.all.take() {
+            // Walking a shared map copies nothing and changes nothing.
+            let missed = |(_, c): &(&User, &Claims)| {
+                let claim = c.of(directory as u16);
+                claim.is_some_and(|c| c.confirmed < began && matches!(c.told, Told::Tenant(_)))
+            };
+            sweep.missed = all.iter().filter(missed).map(|(u, _)| u.clone()).collect();
+        }
+        for user in sweep.missed.split_off(sweep.missed.len().saturating_sub(SWEEP)) {
+            let still = self.roster.users.get(&user).and_then(|c| c.of(directory as u16));
+            if still.is_some_and(|c| c.confirmed < began) {
+                self.gone(now, directory, &user, out);
+            }
+        }
+        if !sweep.missed.is_empty() {
+            self.sweep = Some(sweep);
+        }
+    }
+}
+
+/// How often a server is asked how it stands.
+fn state_gap(settings: &DirectorySettings) -> Time {
+    (settings.lifetimes.fresh / 2).clamp(50 * MS, 300_000 * MS)
+}
+
+impl Site {
+    /// Whether somebody is to be asked for now.
+    fn waits(&self, now: Time) -> bool {
+        let [unknown, confirm, calm] = &self.queues;
+        let calm = calm.len() >= self.settings.batch || (!calm.is_empty() && now >= self.calm_due);
+        calm || !unknown.is_empty() || !confirm.is_empty()
+    }
+
+    fn limits(&self) -> Limits {
+        let s = &self.settings;
+        Limits { failures: s.failures.max(1), wait: s.wait, at_once: s.at_once }
+    }
+
+    /// The server to ask, if there is one with room.
+    fn choose(&self, except: Option<usize>) -> Option<usize> {
+        let limits = self.limits();
+        let open = self.servers.iter().enumerate().filter(|(n, s)| Some(*n) != except && s.has_room(&limits));
+        open.min_by(|a, b| a.1.cost().total_cmp(&b.1.cost())).map(|(n, _)| n)
+    }
+
+    /// Notes how far a server has come. If another had come further before, since when it is behind.
+    fn heard(&mut self, server: usize, mark: Option<u64>, at: i64) -> Option<i64> {
+        let Some(mark) = mark else {
+            self.servers[server].behind = false;
+            return None;
+        };
+        let newest = self.marks.back().map(|m| m.0);
+        if newest.is_none_or(|newest| mark > newest) {
+            if self.marks.len() >= MARKS_MOST {
+                self.marks.pop_front();
+            }
+            self.marks.push_back((mark, at));
+        }
+        let passed = self.marks.iter().find(|(m, _)| *m > mark).map(|(_, since)| *since);
+        self.servers[server].behind = passed.is_some();
+        passed
+    }
+}
--- /dev/null
+++ b/crates/pipithub-directory/src/facts.rs
@@ -0,0 +1,249 @@
+//! What is known of users, and how it is weighed.
+
+use std::collections::HashMap;
+use std::hash::BuildHasher;
+use std::sync::Arc;
+
+use crate::Time;
+
+/// A tenant, by its place in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub u16);
+
+/// A user's name as calls give it, folded.
+pub type User = Arc<str>;
+
+/// Tells a person from another of the same name: their entry's `entryUUID`, hashed; 0: not told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Person(pub u64);
+
+impl Person {
+    /// From the entry's id.
+    pub fn of(uuid: &[u8]) -> Person {
+        let hash = uuid
+            .iter()
+            .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
+        Person((hash ^ hash >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9).max(1))
+    }
+}
+
+/// What a directory says of a user.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// One entry, below this tenant's base.
+    Tenant(TenantId),
+    /// No entry below any tenant's base.
+    Absent,
+    /// Several entries of the name.
+    Twice,
+}
+
+/// What a directory said of a user, and as of when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Which directory.
+    pub directory: u16,
+    /// What it said.
+    pub told: Told,
+    /// Of whom.
+    pub person: Person,
+    /// As of when it is true, in milliseconds on the caller's clock; what is older than the process is negative.
+    pub confirmed: i64,
+    /// How far the server's own copy had come; 0: it does not tell.
+    pub mark: u64,
+    /// By chance: facts that were told together are not asked for anew together.
+    pub spread: u8,
+}
+
+/// All claims on one user.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Claims {
+    One(Claim),
+    More(Box<[Claim]>),
+}
+
+impl Claims {
+    pub(crate) fn as_slice(&self) -> &[Claim] {
+        match self {
+            Claims::One(claim) => std::slice::from_ref(claim),
+            Claims::More(claims) => claims,
+        }
+    }
+
+    pub(crate) fn of(&self, directory: u16) -> Option<&Claim> {
+        self.as_slice().iter().find(|c| c.directory == directory)
+    }
+
+    /// The same with this claim in place of the directory's earlier one.
+    pub(crate) fn with(&self, claim: Claim) -> Claims {
+        match self {
+            Claims::One(old) if old.directory == claim.directory => Claims::One(claim),
+            _ => {
+                let others = self.as_slice().iter().filter(|c| c.directory != claim.directory).copied();
+                Claims::More(others.chain([claim]).collect())
+            }
+        }
+    }
+}
+
+/// For how long what a directory said counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lifetimes {
+    /// A positive fact is used up to half of this age without more ado. From some age between the half and the whole it is
+    /// used while it is asked for again, and from twice this age on a call waits a little for the answer.
+    pub fresh: Time,
+    /// The hard bound: from this age on a positive fact is as if it were not there.
+    pub stale_most: Time,
+    /// The same for `Absent` and `Twice`: there is nothing between.
+    pub negative: Time,
+}
+
+/// What to do about a fact beside using it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refresh {
+    /// Nothing.
+    No,
+    /// Ask again, without waiting.
+    Behind,
+    /// Ask again and wait for the answer as long as may be; then use the fact.
+    First,
+}
+
+/// What a user is, as far as is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum View {
+    /// A tenant's.
+    Tenant {
+        /// Whose.
+        tenant: TenantId,
+        /// Which person.
+        person: Person,
+        /// The age of the fact.
+        age: Time,
+        /// What to do beside using it.
+        refresh: Refresh,
+    },
+    /// No tenant's.
+    Nobody,
+    /// More than one tenant's, or several people's of one name: nobody may choose between them.
+    Twice,
+    /// Not known: to be asked.
+    Unknown,
+}
+
+/// What is known, at one time. Cloning shares everything.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    pub(crate) users: imbl::HashMap<User, Claims>,
+    pub(crate) directories: Arc<[Facts]>,
+    pub(crate) realms: Arc<HashMap<Box<str>, Vec<u16>>>,
+    /// Directories for names without a realm that any directory has.
+    pub(crate) others: Arc<[u16]>,
+}
+
+/// What a roster knows of a directory itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Facts {
+    pub(crate) lifetimes: Lifetimes,
+    /// It is followed, and what is known of it was complete then, in milliseconds.
+    pub(crate) followed: Option<i64>,
+}
+
+const MS: Time = 1_000_000;
+
+pub(crate) fn ms(now: Time) -> i64 {
+    i64::try_from(now / MS).unwrap_or(i64::MAX)
+}
+
+impl Roster {
+    /// How many users it holds.
+    pub fn len(&self) -> usize {
+        self.users.len()
+    }
+
+    /// Whether it holds none.
+    pub fn is_empty(&self) -> bool {
+        self.users.is_empty()
+    }
+
+    /// The directories that may know a user: by realm where the name has one (`mai@north.example`), else those that take
+    /// names without.
+    pub fn relevant(&self, user: &str) -> &[u16] {
+        match user.rsplit_once('@').and_then(|(_, realm)| self.realms.get(realm)) {
+            Some(directories) => directories,
+            None if user.contains('@') => &[],
+            None => &self.others,
+        }
+    }
+
+    fn age(&self, claim: &Claim, now_ms: i64) -> Time {
+        let followed = self.directories.get(usize::from(claim.directory)).and_then(|d| d.followed);
+        let confirmed = claim.confirmed.max(followed.unwrap_or(i64::MIN));
+        u64::try_from(now_ms.saturating_sub(confirmed)).unwrap_or(0).saturating_mul(MS)
+    }
+
+    /// What a user is now.
+    ///
+    /// One tenant's claim that is not past the hard bound decides, also while other directories have not answered: a
+    /// directory that is down must not stall those that are up. Two claims that are not past it decide for nobody, however
+    /// old one of them is: its directory may merely be out of reach, and to choose would let whoever creates an entry in
+    /// the other have the user's calls.
+    pub fn look(&self, user: &str, now: Time) -> View {
+        let now_ms = ms(now);
+        let claims = self.users.get(user).map_or(&[][..], Claims::as_slice);
+        let mut found: Option<(Claim, TenantId, Time, Lifetimes)> = None;
+        let mut absent = 0;
+        for claim in claims {
+            let Some(facts) = self.directories.get(usize::from(claim.directory)) else { continue };
+            let age = self.age(claim, now_ms);
+            match claim.told {
+                Told::Tenant(tenant) if age < facts.lifetimes.stale_most => match found {
+                    Some((_, other, ..)) if other != tenant => return View::Twice,
+                    Some((.., known, _)) if known <= age => {}
+                    _ => found = Some((*claim, tenant, age, facts.lifetimes)),
+                },
+                Told::Twice if age < facts.lifetimes.negative => return View::Twice,
+                Told::Absent if age < facts.lifetimes.negative => absent += 1,
+                _ => {}
+            }
+        }
+        if let Some((claim, tenant, age, lifetimes)) = found {
+            let person = claim.person;
+            let early = lifetimes.fresh / 512 * u64::from(claim.spread);
+            let refresh = match age {
+                a if a < lifetimes.fresh / 2 + early => Refresh::No,
+                a if a < lifetimes.fresh.saturating_mul(2) => Refresh::Behind,
+                _ => Refresh::First,
+            };
+            return View::Tenant { tenant, person, age, refresh };
+        }
+        let relevant = self.relevant(user);
+        // A directory that is followed and complete knows of everybody whom it does not name that they are not there.
+        let complete = |d: &u16| {
+            let facts = &self.directories[usize::from(*d)];
+            let age = |at: i64| u64::try_from(now_ms.saturating_sub(at)).unwrap_or(0).saturating_mul(MS);
+            facts.followed.is_some_and(|at| age(at) < facts.lifetimes.negative)
+                && !claims.iter().any(|c| c.directory == *d)
+        };
+        let known = absent + relevant.iter().filter(|d| complete(d)).count();
+        if known >= relevant.len() { View::Nobody } else { View::Unknown }
+    }
+
+    /// All claims on a user, with their ages, for operators.
+    pub fn explain(&self, user: &str, now: Time) -> Vec<(Claim, Time)> {
+        let claims = self.users.get(user).map_or(&[][..], Claims::as_slice);
+        claims.iter().map(|c| (*c, self.age(c, ms(now)))).collect()
+    }
+}
+
+/// A place between 0 and 1 for a user that no other front end gives them.
+pub(crate) fn share(user: &str, seed: u64) -> f64 {
+    struct Fixed;
+    impl BuildHasher for Fixed {
+        type Hasher = std::hash::DefaultHasher;
+        fn build_hasher(&self) -> Self::Hasher {
+            std::hash::DefaultHasher::new()
+        }
+    }
+    (Fixed.hash_one((user, seed)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/pipithub-directory/src/snapshot.rs
@@ -0,0 +1,161 @@
+//! What is known, kept over a restart.
+//!
+//! A snapshot is sealed with HMAC-SHA256 over everything in it: one that was changed, was written under another key, or
+//! belongs to other directories is refused whole. Facts carry their age when written; the time since then is added, so
+//! that nothing becomes younger by a restart. A clock that was set back cannot be told from a snapshot of the future:
+//! both are refused.
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::{Digest, Sha256};
+
+use crate::facts::{Claim, Person, TenantId, Told, User, ms};
+use crate::{Roster, Time};
+
+const MAGIC: &[u8; 8] = b"pphroste";
+const VERSION: u16 = 1;
+const SEAL: usize = 32;
+const HEAD: usize = 8 + 2 + 32 + 8 + 8;
+/// A snapshot from further ahead than this is of the future.
+const AHEAD_MOST: i64 = 60_000;
+
+/// Why a snapshot is not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// It is none.
+    #[error("this is no snapshot of version {VERSION}")]
+    NoSnapshot,
+    /// Its seal does not fit.
+    #[error("its seal does not fit: it was changed, cut off, or written under another key")]
+    Tampered,
+    /// It is of other directories or tenants.
+    #[error("it was written for other directories or tenants")]
+    Foreign,
+    /// It is from the future.
+    #[error("it was written {0} ms ahead of now: a clock was set")]
+    Future(i64),
+}
+
+/// Tells one set of directories and tenants from another.
+pub fn fingerprint<'a>(parts: impl Iterator<Item = &'a str>) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part.as_bytes());
+    }
+    hash.finalize().into()
+}
+
+fn seal(key: &[u8], bytes: &[u8]) -> Hmac<Sha256> {
+    // Keys of any length are taken (RFC 2104); the error is for other kinds of MAC.
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).unwrap_or_else(|_| Hmac::new(&Default::default()));
+    mac.update(bytes);
+    mac
+}
+
+/// Writes what is known and not past its bound.
+pub fn write(roster: &Roster, now: Time, wall_ms: i64, of: [u8; 32], key: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(HEAD + roster.len() * 64 + SEAL);
+    out.extend(MAGIC);
+    out.extend(VERSION.to_be_bytes());
+    out.extend(of);
+    out.extend(wall_ms.to_be_bytes());
+    let count_at = out.len();
+    out.extend(0u64.to_be_bytes());
+    let mut count = 0u64;
+    for (user, claims) in &roster.users {
+        for claim in claims.as_slice() {
+            let Some(facts) = roster.directories.get(usize::from(claim.directory)) else { continue };
+            let Told::Tenant(tenant) = claim.told else { continue };
+            let confirmed = claim.confirmed.max(facts.followed.unwrap_or(i64::MIN));
+            let age = ms(now).saturating_sub(confirmed);
+            if age >= ms(facts.lifetimes.stale_most) {
+                continue;
+            }
+            count += 1;
+            out.extend((user.len() as u16).to_be_bytes());
+            out.extend(user.as_bytes());
+            out.extend(claim.directory.to_be_bytes());
+            out.extend(tenant.0.to_be_bytes());
+            out.extend(claim.person.0.to_be_bytes());
+            out.extend(claim.mark.to_be_bytes());
+            out.extend(age.max(0).to_be_bytes());
+        }
+    }
+    out[count_at..count_at + 8].copy_from_slice(&count.to_be_bytes());
+    let tag = seal(key, &out).finalize().into_bytes();
+    out.extend(tag);
+    out
+}
+
+struct Bytes<'a>(&'a [u8]);
+
+impl Bytes<'_> {
+    fn take<const N: usize>(&mut self) -> Option<[u8; N]> {
+        let (head, rest) = self.0.split_first_chunk::<N>()?;
+        self.0 = rest;
+        Some(*head)
+    }
+
+    fn text(&mut self) -> Option<User> {
+        let length = usize::from(u16::from_be_bytes(self.take()?));
+        let (head, rest) = self.0.split_at_checked(length)?;
+        self.0 = rest;
+        std::str::from_utf8(head).ok().map(Into::into)
+    }
+}
+
+/// Reads a snapshot: facts with their age by now. `tenants` and `directories` bound what it may name; facts older than
+/// `most` are left out.
+pub fn read(
+    bytes: &[u8],
+    now: Time,
+    wall_ms: i64,
+    of: [u8; 32],
+    key: &[u8],
+    most: impl Fn(u16) -> Option<Time>,
+) -> Result<Vec<(User, Claim)>, Refused> {
+    if bytes.len() < HEAD + SEAL || &bytes[..8] != MAGIC || bytes[8..10] != VERSION.to_be_bytes() {
+        return Err(Refused::NoSnapshot);
+    }
+    let (body, tag) = bytes.split_at(bytes.len() - SEAL);
+    seal(key, body).verify_slice(tag).map_err(|_| Refused::Tampered)?;
+    let mut rest = Bytes(&body[10..]);
+    let (Some(written_for), Some(at), Some(count)) = (rest.take::<32>(), rest.take(), rest.take()) else {
+        return Err(Refused::NoSnapshot);
+    };
+    if written_for != of {
+        return Err(Refused::Foreign);
+    }
+    let passed = wall_ms.saturating_sub(i64::from_be_bytes(at));
+    if passed < -AHEAD_MOST {
+        return Err(Refused::Future(-passed));
+    }
+    let mut facts = Vec::new();
+    for number in 0..u64::from_be_bytes(count) {
+        let fact = (|| {
+            let user = rest.text()?;
+            let directory = u16::from_be_bytes(rest.take()?);
+            let told = Told::Tenant(TenantId(u16::from_be_bytes(rest.take()?)));
+            let person = Person(u64::from_be_bytes(rest.take()?));
+            let mark = u64::from_be_bytes(rest.take()?);
+            let age = i64::from_be_bytes(rest.take()?).saturating_add(passed.max(0));
+            Some((
+                user,
+                Claim {
+                    directory,
+                    told,
+                    person,
+                    mark,
+                    confirmed: ms(now).saturating_sub(age),
+                    spread: number as u8,
+                },
+                age,
+            ))
+        })();
+        let (user, claim, age) = fact.ok_or(Refused::NoSnapshot)?;
+        if most(claim.directory).is_some_and(|most| age < ms(most)) {
+            facts.push((user, claim));
+        }
+    }
+    Ok(facts)
+}
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -14,6 +14,7 @@
     AttemptEnd, AttemptId, Call, Cause, Input, Output, Reply, Served, SourceId, Ticket, Trigger, Verdict,
     function_id,
 };
+use crate::owners::Owners;
 use crate::timers::Timers;
 
 /// What an engine is given at its start, beside the module's own settings.
@@ -35,6 +36,8 @@
     pub max_deliveries: u32,
     /// Function names kept for orders.
     pub max_names: usize,
+    /// Which functions are whose.
+    pub owners: Arc<Owners>,
 }
 
 impl Default for EngineSettings {
@@ -48,10 +51,26 @@
             remember_for: 600_000_000_000,
             max_deliveries: 20,
             max_names: 16_384,
+            owners: Arc::default(),
         }
     }
 }
 
+/// An attempt that the module ordered and that was not made; its request is over.
+fn not_sent(request: RequestId, id: AttemptId, worker: Worker) -> Event {
+    Event::Finished(Finished {
+        request,
+        attempt: id.number,
+        worker,
+        outcome: Outcome::NotSent,
+        took: 0,
+        settled: true,
+        note: None,
+        alike: None,
+        load: Default::default(),
+    })
+}
+
 /// Decides: the module, or in drills a policy to compare it with.
 pub trait Decide: std::fmt::Debug + Send {
     /// Takes one event and appends what to do about it.
@@ -209,7 +228,11 @@
         }
         match input {
             Input::Tick => {}
-            Input::Trigger(trigger) => self.trigger(now, trigger, out),
+            Input::Trigger(trigger) => self.trigger(now, trigger, None, out),
+            Input::Refuse { trigger, cause, retry_after } => {
+                self.trigger(now, trigger, Some((cause, retry_after)), out);
+            }
+            Input::Moved(user) => self.moved(now, &user, out),
             Input::SourceLost(source) => self.source_lost(now, source, out),
             Input::Settled(ticket) => self.settled(now, ticket),
             Input::Attempt(end) => self.attempt(now, end, out),
@@ -241,7 +264,15 @@
 
     // ---- triggers ----
 
-    fn trigger(&mut self, now: Time, trigger: Trigger, out: &mut Vec<Output>) {
+    /// `refused`: it is not to run. What came before is looked up first all the same: a call that runs here, or was
+    /// answered, must not be refused on top of that, and one that may have run elsewhere must not be called harmless.
+    fn trigger(
+        &mut self,
+        now: Time,
+        trigger: Trigger,
+        refused: Option<(Cause, Option<Time>)>,
+        out: &mut Vec<Output>,
+    ) {
         self.stats.taken += 1;
         let Trigger { ticket, identity, redelivered, deliveries, mut call } = trigger;
         call.class = call.class.min(self.settings.policy.classes.len() - 1);
@@ -283,6 +314,13 @@
                 open.identity = None;
             }
         }
+        if let Some((cause, retry_after)) = refused {
+            let request = self.insert(now, ticket, identity, Call::default());
+            return self.answer(request, Verdict::Refused, cause, retry_after, None, out);
+        }
+        if !self.settings.owners.allow(call.tenant, &call.function) {
+            return self.at_once(now, ticket, identity, Verdict::Refused, Cause::OtherTenant, out);
+        }
         let bytes = call.body.len();
         if self.draining {
             return self.at_once(now, ticket, identity, Verdict::Refused, Cause::Draining, out);
@@ -397,6 +435,34 @@
         }
     }
 
+    /// Ends what is open for a user who is not whose they were. What was never sent is refused. For the rest nothing is
+    /// promised: it may have run for the old tenant, whose answer must not reach the user any more.
+    fn moved(&mut self, now: Time, user: &str, out: &mut Vec<Output>) {
+        let of = |o: &Open| o.call.user.as_deref() == Some(user);
+        let theirs: Vec<_> = self.open.iter().filter(|(_, o)| of(o)).map(|(id, _)| *id).collect();
+        for request in theirs {
+            let Some(open) = self.open.get(&request) else { continue };
+            if open.reply.as_ref().is_some_and(|r| r.verdict != Verdict::Served) {
+                continue;
+            }
+            if open.reply.is_some() {
+                // Served, but not yet told to anybody: its message is gone, and may come back.
+                if open.ticket.is_none() {
+                    self.abandon(now, request, out);
+                }
+                continue;
+            }
+            let verdict = if open.attempts == 0 { Verdict::Refused } else { Verdict::Failed };
+            self.answer(request, verdict, Cause::UserMoved, None, None, out);
+            self.decide(now, Event::Left { request }, out);
+        }
+    }
+
+    /// Whether a message of this name is open here or was settled here lately: what comes of it is decided by that.
+    pub fn knows(&self, identity: &Arc<str>, now: Time) -> bool {
+        self.memory.again(Some(identity), now).is_some()
+    }
+
     /// Ends a request to which no answer is owed any more.
     fn abandon(&mut self, now: Time, request: RequestId, out: &mut Vec<Output>) {
         let Some(open) = self.open.remove(&request) else { return };
@@ -480,17 +546,7 @@
         if let Some(identity) = &open.identity {
             self.memory.abandon(identity, request);
         }
-        self.events.push_back(Event::Finished(Finished {
-            request,
-            attempt: id.number,
-            worker,
-            outcome: Outcome::NotSent,
-            took: 0,
-            settled: true,
-            note: None,
-            alike: None,
-            load: Default::default(),
-        }));
+        self.events.push_back(not_sent(request, id, worker));
     }
 
     /// Lets go of an answered request whose message did not come back in its time: it went elsewhere.
@@ -547,6 +603,13 @@
                     // answer. What is out already may end, for the message may still come back here.
                     return self.let_go(request, id, worker);
                 }
+                if !self.settings.owners.allow(open.call.tenant, &open.call.function) {
+                    // Looked at when it came; looked at again where it would leave, whatever happened between.
+                    let verdict = if open.attempts == 0 { Verdict::Refused } else { Verdict::Failed };
+                    self.answer(request, verdict, Cause::OtherTenant, None, None, out);
+                    self.events.push_back(not_sent(request, id, worker));
+                    return;
+                }
                 open.attempts += 1;
                 self.out.insert(id, worker.clone());
                 self.stats.sends += 1;
--- a/crates/pipithub-engine/src/model.rs
+++ b/crates/pipithub-engine/src/model.rs
@@ -29,6 +29,10 @@
     Function(mixed ^ (mixed >> 32))
 }
 
+/// A tenant, by its place in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Tenant(pub u16);
+
 /// A call as its trigger states it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Call {
@@ -58,6 +62,10 @@
     pub content_type: Option<Arc<str>>,
     /// Handed to the worker as it is.
     pub body: Bytes,
+    /// The tenant whose call it is; `None`: nobody's, where functions belong to nobody either.
+    pub tenant: Option<Tenant>,
+    /// The user who made it, where one did.
+    pub user: Option<Arc<str>>,
 }
 
 /// A call that has come in.
@@ -164,6 +172,17 @@
         /// The workers in it.
         entries: Vec<Entry>,
     },
+    /// A call came in that is not to run: it gets its one answer like any other, unless it is known already.
+    Refuse {
+        /// The call.
+        trigger: Trigger,
+        /// Why.
+        cause: Cause,
+        /// How long the caller should stay away.
+        retry_after: Option<Time>,
+    },
+    /// A user is not the tenant's any more whose calls are open: these end now.
+    Moved(Arc<str>),
     /// Take nothing new from now on; what is open is finished.
     Drain,
 }
@@ -209,6 +228,22 @@
     NoRoom,
     /// The front end is being stopped.
     Draining,
+    /// It does not say whose it is.
+    NoUser,
+    /// Nobody could say in time whose its user is.
+    UserUnknown,
+    /// Its user is no tenant's.
+    NoTenant,
+    /// More than one tenant claims its user.
+    ClaimedTwice,
+    /// Its function or route is not its tenant's.
+    OtherTenant,
+    /// Its user moved while it was open.
+    UserMoved,
+    /// Its tenant has as much as is its share.
+    OverShare,
+    /// Its tenant calls more often than it may.
+    OverRate,
 }
 
 impl Cause {
@@ -223,6 +258,14 @@
             Cause::TooOften => "redelivered-too-often",
             Cause::NoRoom => "no-room",
             Cause::Draining => "draining",
+            Cause::NoUser => "no-user",
+            Cause::UserUnknown => "user-unknown",
+            Cause::NoTenant => "no-tenant",
+            Cause::ClaimedTwice => "claimed-twice",
+            Cause::OtherTenant => "other-tenant",
+            Cause::UserMoved => "user-moved",
+            Cause::OverShare => "over-share",
+            Cause::OverRate => "over-rate",
         }
     }
 }
--- a/crates/pipithub-gateway/src/amqp.rs
+++ b/crates/pipithub-gateway/src/amqp.rs
@@ -39,6 +39,7 @@
         qos: queue.qos,
         dead_letter: queue.dead_letter.clone(),
         retry: broker.retry,
+        identity: queue.identity.clone(),
     }
 }
 
--- a/crates/pipithub-gateway/src/cron.rs
+++ b/crates/pipithub-gateway/src/cron.rs
@@ -101,6 +101,8 @@
         key: Some(name.clone()),
         content_type: Some("application/json".into()),
         body: Bytes::from(config.body.clone()),
+        tenant: route.tenant,
+        user: None,
     };
     Trigger { ticket, identity: Some(name), redelivered: false, deliveries: 0, call }
 }
--- a/crates/pipithub-gateway/src/front.rs
+++ b/crates/pipithub-gateway/src/front.rs
@@ -13,6 +13,7 @@
 use tracing::{debug, info, warn};
 
 use crate::Snapshot;
+use crate::tenancy::Tenancy;
 use crate::workers::Pool;
 
 /// Inputs that wait for the engine; sources and workers wait in turn when it is full.
@@ -54,6 +55,9 @@
     cancels: BTreeMap<AttemptId, oneshot::Sender<()>>,
     snapshot: watch::Sender<Snapshot>,
     out: Vec<Output>,
+    tenancy: Option<Tenancy>,
+    /// What the gate hands to the engine.
+    inward: Vec<Input>,
 }
 
 impl Front {
@@ -87,10 +91,16 @@
             cancels: BTreeMap::new(),
             snapshot: watch::channel(Snapshot::default()).0,
             out: Vec::new(),
+            tenancy: None,
+            inward: Vec::new(),
         };
         (front, sender)
     }
 
+    pub(crate) fn keep_tenants(&mut self, tenancy: Tenancy) {
+        self.tenancy = Some(tenancy);
+    }
+
     pub(crate) fn add_source(&mut self, id: SourceId) -> SourceHandle {
         let (orders, receiver) = mpsc::unbounded_channel();
         let (room, watched) = watch::channel(self.engine.room());
@@ -124,11 +134,26 @@
         loop {
             self.carry_out();
             self.tell();
-            if end.is_some_and(|end| self.engine.open() == 0 || self.clock.now() >= end) {
+            let pending = self.tenancy.as_ref().map_or(0, Tenancy::pending);
+            if end.is_some_and(|end| self.engine.open() + pending == 0 || self.clock.now() >= end) {
                 break;
             }
-            let due = [self.engine.next_due(), end].into_iter().flatten().min();
+            let gate_due = self.tenancy.as_ref().and_then(Tenancy::next_due);
+            let due = [self.engine.next_due(), end, gate_due].into_iter().flatten().min();
+            let word = async {
+                match &mut self.tenancy {
+                    Some(tenancy) => tenancy.word().await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
+                word = word => {
+                    let Some(word) = word else { break };
+                    let now = self.clock.now();
+                    if let Some(tenancy) = &mut self.tenancy {
+                        tenancy.told(now, word, &mut self.inward);
+                    }
+                }
                 count = self.inputs.recv_many(&mut batch, 256) => {
                     if count == 0 {
                         break;
@@ -146,7 +171,7 @@
                 if let Input::Attempt(done) = &input {
                     self.cancels.remove(&done.id);
                 }
-                self.engine.handle(self.clock.now(), input, &mut self.out);
+                self.input(input);
                 // Carried out at once: an answer must not wait for the rest of the batch.
                 self.carry_out();
             }
@@ -163,9 +188,32 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 
+    /// Hands an input to the engine, a new call to the gate first.
+    fn input(&mut self, input: Input) {
+        let now = self.clock.now();
+        let Some(tenancy) = &mut self.tenancy else { return self.engine.handle(now, input, &mut self.out) };
+        match input {
+            // What is open or was settled here is decided by that: the gate must not refuse what runs.
+            Input::Trigger(trigger)
+                if !(trigger.redelivered && trigger.identity.as_ref().is_some_and(|i| self.engine.knows(i, now))) =>
+            {
+                tenancy.arrive(now, trigger, &mut self.inward);
+            }
+            Input::SourceLost(source) => {
+                tenancy.lost(now, source, &mut self.inward);
+                self.engine.handle(now, Input::SourceLost(source), &mut self.out);
+            }
+            other => {
+                tenancy.tick(now, self.engine.open(), &mut self.inward);
+                self.engine.handle(now, other, &mut self.out);
+            }
+        }
+    }
+
     /// Tells sources how much room there is, and whoever looks how things stand.
     fn tell(&mut self) {
-        let room = self.engine.room();
+        let waiting = self.tenancy.as_ref().map_or(0, Tenancy::pending);
+        let room = self.engine.room().saturating_sub(waiting);
         for source in self.sources.values() {
             source.room.send_if_modified(|known| std::mem::replace(known, room) != room);
         }
@@ -174,16 +222,24 @@
             open: self.engine.open(),
             bytes: self.engine.bytes(),
             workers: self.engine.live_workers(),
+            waiting,
         };
         self.snapshot.send_if_modified(|known| std::mem::replace(known, snapshot) != snapshot);
     }
 
     fn carry_out(&mut self) {
-        let mut out = std::mem::take(&mut self.out);
-        for output in out.drain(..) {
-            self.one(output);
+        while !self.out.is_empty() || !self.inward.is_empty() {
+            for input in std::mem::take(&mut self.inward) {
+                self.engine.handle(self.clock.now(), input, &mut self.out);
+            }
+            let mut out = std::mem::take(&mut self.out);
+            for output in out.drain(..) {
+                self.one(output);
+            }
+            if self.out.is_empty() {
+                self.out = out;
+            }
         }
-        self.out = out;
     }
 
     fn one(&mut self, output: Output) {
@@ -194,6 +250,8 @@
                     request = id.request,
                     label = call.label.as_deref(),
                     class = self.classes.get(call.class).map(|c| c.0.as_str()),
+                    tenant = self.tenancy.as_ref().and_then(|t| t.name(call.tenant)),
+                    user = call.user.as_deref(),
                     function = &*call.function,
                     worker = &*worker.0,
                     attempt = id.number,
@@ -233,15 +291,19 @@
                 });
             }
             Output::Answer { ticket, reply } => {
+                let (tenant, user) = self.tenancy.as_ref().map_or((None, None), |t| t.of(ticket));
                 let worker = reply.worker.as_ref().map(|w| &*w.0);
                 if reply.verdict == Verdict::Failed {
                     info!(front_end = self.name, source = ticket.source.0, ticket = ticket.number,
-                        cause = reply.cause.as_str(), attempts = reply.attempts, worker, last = ?reply.last, "failed");
+                        tenant, user, cause = reply.cause.as_str(), attempts = reply.attempts, worker, last = ?reply.last,
+                        "failed");
                 } else {
                     debug!(
                         front_end = self.name,
                         source = ticket.source.0,
                         ticket = ticket.number,
+                        tenant,
+                        user,
                         verdict = reply.verdict.as_str(),
                         cause = reply.cause.as_str(),
                         attempts = reply.attempts,
@@ -249,9 +311,19 @@
                         "answer"
                     );
                 }
+                let now = self.clock.now();
+                if let Some(tenancy) = &mut self.tenancy {
+                    tenancy.answered(now, ticket, Some(&reply), &mut self.inward);
+                }
                 self.order(ticket.source, Order::Answer(ticket, reply));
             }
-            Output::Forget(ticket) => self.order(ticket.source, Order::Forget(ticket)),
+            Output::Forget(ticket) => {
+                let now = self.clock.now();
+                if let Some(tenancy) = &mut self.tenancy {
+                    tenancy.answered(now, ticket, None, &mut self.inward);
+                }
+                self.order(ticket.source, Order::Forget(ticket));
+            }
             // Lists are followed from the start here.
             Output::FollowList => {}
         }
--- a/crates/pipithub-gateway/src/lib.rs
+++ b/crates/pipithub-gateway/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod amqp;
 mod cron;
+pub mod directory;
 mod front;
 mod list;
+mod tenancy;
 mod workers;
 
 use std::sync::Arc;
@@ -30,6 +32,8 @@
     pub bytes: usize,
     /// Live workers, as told.
     pub workers: usize,
+    /// Calls that wait for their user to be known or for their tenant's turn.
+    pub waiting: usize,
 }
 
 /// A running gateway. Dropped, it ends at once, as if killed.
@@ -71,6 +75,11 @@
         let pool = Arc::new(workers::Pool::new(name, config.http, clock));
         let seed = name.bytes().fold(u64::from(std::process::id()), |h, b| h.wrapping_mul(31) + u64::from(b));
         let (mut front, inputs) = front::Front::new(name, config, clock, seed, pool.clone(), baseline);
+        if let Some(tenants) = &config.tenants {
+            let tenants = Arc::new(tenants.clone());
+            let handle = directory::start(tenants.clone(), name, clock, seed, &mut self.tasks);
+            front.keep_tenants(tenancy::Tenancy::new(tenants, handle, &config.engine.policy.classes, name));
+        }
         let mut number = 0;
         let mut source = || {
             number += 1;
--- a/crates/pipithub-ldap/src/client.rs
+++ b/crates/pipithub-ldap/src/client.rs
@@ -268,7 +268,7 @@
                 }
                 return;
             }
-            match self.framer.next() {
+            match self.framer.take() {
                 Ok(Some(message)) => self.message(message),
                 Ok(None) => return,
                 Err(error) => self.over(error.to_string()),
--- a/crates/pipithub-ldap/src/frame.rs
+++ b/crates/pipithub-ldap/src/frame.rs
@@ -120,7 +120,7 @@
     }
 
     /// The next whole message.
-    pub fn next(&mut self) -> Result<Option<LdapMessage>, Malformed> {
+    pub fn take(&mut self) -> Result<Option<LdapMessage>, Malformed> {
         match self.buffer.first() {
             None => return Ok(None),
             Some(0x30) => {}
@@ -156,10 +156,10 @@
     fn nothing_is_kept_for_a_claimed_length() {
         let mut framer = Framer::new(1 << 20);
         framer.push(&[0x30, 0x84, 0x7f, 0xff, 0xff, 0xff, 2]);
-        assert!(matches!(framer.next(), Err(Malformed::TooLong { .. })));
+        assert!(matches!(framer.take(), Err(Malformed::TooLong { .. })));
         let mut framer = Framer::new(1 << 20);
         framer.push(&[0x30, 0x80]);
-        assert_eq!(framer.next(), Err(Malformed::Length));
+        assert_eq!(framer.take(), Err(Malformed::Length));
     }
 
     /// The decoder recurses for filters: without the walk before it a message of 200 kB ended the process.
@@ -181,6 +181,6 @@
         message.extend(&filter);
         let mut framer = Framer::new(1 << 20);
         framer.push(&message);
-        assert_eq!(framer.next(), Err(Malformed::TooDeep));
+        assert_eq!(framer.take(), Err(Malformed::TooDeep));
     }
 }
--- a/crates/pipithub-ldap/tests/connection.rs
+++ b/crates/pipithub-ldap/tests/connection.rs
@@ -20,7 +20,7 @@
 fn asked(client: &mut Client) -> Vec<LdapMessage> {
     let mut framer = Framer::new(1 << 20);
     framer.push(&client.take_output());
-    std::iter::from_fn(|| framer.next().expect("what a client writes is well formed")).collect()
+    std::iter::from_fn(|| framer.take().expect("what a client writes is well formed")).collect()
 }
 
 fn answer(client: &mut Client, id: u32, op: ProtocolOp) {
@@ -166,7 +166,7 @@
     fn any_bytes_are_borne(noise in proptest::collection::vec(any::<u8>(), 0..300), at in 0usize..200, byte: u8) {
         let mut framer = Framer::new(4096);
         framer.push(&noise);
-        while let Ok(Some(_)) = framer.next() {}
+        while let Ok(Some(_)) = framer.take() {}
         let mut client = ready();
         let id = client.search(search("mai")).expect("ready");
         let mut good = encode(&LdapMessage::new(id.0, entry("uid=mai,ou=north,dc=example")));
--- a/crates/pipithub-settings/src/lib.rs
+++ b/crates/pipithub-settings/src/lib.rs
@@ -5,13 +5,16 @@
 //! every node with its default and range.
 
 mod read;
+mod tenants;
 
 use std::path::PathBuf;
 use std::sync::Arc;
 
 use miette::{Diagnostic, NamedSource, SourceSpan};
 use pipithub_amqp::Login;
+pub use tenants::{DirectoryConfig, ServerConfig, SnapshotConfig, TenantConfig, TenantsConfig, Tls};
 use pipithub_consumer::Qos;
+use pipithub_consumer::identity::Rule;
 use pipithub_consumer::message::Route;
 use pipithub_engine::{EngineSettings, Time};
 
@@ -72,6 +75,8 @@
     pub route: Route,
     /// Where copies of unreadable messages go.
     pub dead_letter: Option<(String, String)>,
+    /// How its messages prove whose they are.
+    pub identity: Rule,
 }
 
 /// A broker.
@@ -159,6 +164,8 @@
     pub classes: Vec<(String, bool)>,
     /// The engine's settings, the module's included.
     pub engine: EngineSettings,
+    /// The tenants and their directories; `None`: there are none, and every call may run every function.
+    pub tenants: Option<TenantsConfig>,
     /// Brokers.
     pub amqp: Vec<AmqpConfig>,
     /// Timers.
--- a/crates/pipithub-settings/src/read.rs
+++ b/crates/pipithub-settings/src/read.rs
@@ -13,33 +13,34 @@
 use pipithub_engine::policy::{Class, Effect, Group, Limits, Loading, Ration, Rules, Settings};
 use pipithub_engine::{EngineSettings, Time};
 
+use crate::tenants::{self, Tenants};
 use crate::{
     AmqpConfig, Config, CronConfig, Fault, HttpConfig, LogConfig, QueueConfig, WorkersConfig, arc, duration,
 };
 
-const MS: Time = 1_000_000;
-const SECOND: Time = 1_000 * MS;
+pub(crate) const MS: Time = 1_000_000;
+pub(crate) const SECOND: Time = 1_000 * MS;
 
 /// Gathers faults, so that all are told at once.
 #[derive(Default)]
-struct Faulty(RefCell<Vec<Fault>>);
+pub(crate) struct Faulty(RefCell<Vec<Fault>>);
 
 impl Faulty {
-    fn add(&self, span: SourceSpan, message: impl Into<String>, help: Option<&str>) {
+    pub(crate) fn add(&self, span: SourceSpan, message: impl Into<String>, help: Option<&str>) {
         let (message, help) = (message.into(), help.map(str::to_string));
         self.0.borrow_mut().push(Fault { message, span, help });
     }
 }
 
 /// A node that is being read.
-struct Reader<'a> {
-    node: &'a KdlNode,
-    faults: &'a Faulty,
+pub(crate) struct Reader<'a> {
+    pub(crate) node: &'a KdlNode,
+    pub(crate) faults: &'a Faulty,
     seen: RefCell<BTreeSet<String>>,
 }
 
 impl<'a> Reader<'a> {
-    fn new(node: &'a KdlNode, faults: &'a Faulty) -> Self {
+    pub(crate) fn new(node: &'a KdlNode, faults: &'a Faulty) -> Self {
         Reader { node, faults, seen: RefCell::default() }
     }
 
@@ -52,14 +53,14 @@
     }
 
     /// All children of a name.
-    fn all(&self, name: &str) -> Vec<Reader<'a>> {
+    pub(crate) fn all(&self, name: &str) -> Vec<Reader<'a>> {
         self.mark(name);
         let named = self.children().filter(|n| n.name().value() == name);
         named.map(|n| Reader::new(n, self.faults)).collect()
     }
 
     /// The child of a name; a second one is a fault.
-    fn one(&self, name: &str) -> Option<Reader<'a>> {
+    pub(crate) fn one(&self, name: &str) -> Option<Reader<'a>> {
         let mut all = self.all(name).into_iter();
         let first = all.next();
         for more in all {
@@ -69,7 +70,7 @@
     }
 
     /// The node's only argument, as a value.
-    fn argument(&self) -> Option<(&'a KdlValue, SourceSpan)> {
+    pub(crate) fn argument(&self) -> Option<(&'a KdlValue, SourceSpan)> {
         let mut entries = self.node.entries().iter().filter(|e| e.name().is_none());
         let first = entries.next();
         if let Some(more) = entries.next() {
@@ -83,7 +84,7 @@
         first.map(|e| (e.value(), e.span()))
     }
 
-    fn name(&self) -> String {
+    pub(crate) fn name(&self) -> String {
         match self.argument() {
             Some((KdlValue::String(text), span)) => {
                 if text.is_empty() || text.len() > 200 {
@@ -100,7 +101,7 @@
     }
 
     /// A value given as a child node or as a property.
-    fn value(&self, name: &str) -> Option<(&'a KdlValue, SourceSpan)> {
+    pub(crate) fn value(&self, name: &str) -> Option<(&'a KdlValue, SourceSpan)> {
         let child = self.one(name);
         let property = self.node.entries().iter().find(|e| e.name().is_some_and(|n| n.value() == name));
         match (child, property) {
@@ -125,15 +126,15 @@
         taken
     }
 
-    fn text(&self, name: &str) -> Option<String> {
+    pub(crate) fn text(&self, name: &str) -> Option<String> {
         self.typed(name, "a text", |v| v.as_string().map(str::to_string))
     }
 
-    fn flag(&self, name: &str, default: bool) -> bool {
+    pub(crate) fn flag(&self, name: &str, default: bool) -> bool {
         self.typed(name, "#true or #false", KdlValue::as_bool).unwrap_or(default)
     }
 
-    fn whole(&self, name: &str, default: u64, least: u64, most: u64) -> u64 {
+    pub(crate) fn whole(&self, name: &str, default: u64, least: u64, most: u64) -> u64 {
         let what = format!("a whole number from {least} to {most}");
         let take = |v: &KdlValue| {
             v.as_integer().and_then(|n| u64::try_from(n).ok()).filter(|n| (least..=most).contains(n))
@@ -141,7 +142,7 @@
         self.typed(name, &what, take).unwrap_or(default)
     }
 
-    fn number(&self, name: &str, default: f64, least: f64, most: f64) -> f64 {
+    pub(crate) fn number(&self, name: &str, default: f64, least: f64, most: f64) -> f64 {
         let what = format!("a number from {least} to {most}");
         let take = |v: &KdlValue| {
             let number = v.as_float().or(v.as_integer().map(|n| n as f64));
@@ -150,17 +151,17 @@
         self.typed(name, &what, take).unwrap_or(default)
     }
 
-    fn maybe_time(&self, name: &str, least: Time, most: Time) -> Option<Time> {
+    pub(crate) fn maybe_time(&self, name: &str, least: Time, most: Time) -> Option<Time> {
         let what = format!("a time from {} to {}, as \"250ms\" or \"2s\"", written(least), written(most));
         let take = |v: &KdlValue| v.as_string().and_then(duration).filter(|t| (least..=most).contains(t));
         self.typed(name, &what, take)
     }
 
-    fn time(&self, name: &str, default: Time, least: Time, most: Time) -> Time {
+    pub(crate) fn time(&self, name: &str, default: Time, least: Time, most: Time) -> Time {
         self.maybe_time(name, least, most).unwrap_or(default)
     }
 
-    fn choice<T: Copy>(&self, name: &str, default: T, choices: &[(&str, T)]) -> T {
+    pub(crate) fn choice<T: Copy>(&self, name: &str, default: T, choices: &[(&str, T)]) -> T {
         let names: Vec<&str> = choices.iter().map(|(n, _)| *n).collect();
         let take = |v: &KdlValue| choices.iter().find(|(n, _)| Some(*n) == v.as_string()).map(|(_, t)| *t);
         self.typed(name, &format!("one of {}", names.join(", ")), take).unwrap_or(default)
@@ -185,7 +186,7 @@
         }
     }
 
-    fn finish(&self) {
+    pub(crate) fn finish(&self) {
         self.finish_with(&[]);
     }
 }
@@ -246,12 +247,14 @@
     front.finish();
 
     let mut classes = Vec::new();
+    let mut worths = Vec::new();
     let mut names: Vec<(String, bool)> = Vec::new();
     for node in root.all("class") {
         let name = node.name();
         if names.iter().any(|(n, _)| *n == name) {
             root.faults.add(node.node.span(), format!("class '{name}' is given twice"), None);
         }
+        worths.push(node.number("worth", 1.0, 0.0, 1e6));
         let class = class(&node);
         names.push((name, class.effect == Effect::Keyed));
         classes.push(class);
@@ -261,6 +264,7 @@
         root.faults.add((0, 0).into(), "no class is given", Some("class \"view\" { effect \"safe\" }"));
         classes.push(Class::default());
         names.push((String::new(), false));
+        worths.push(1.0);
     }
     let longest = classes.iter().map(|c| c.give_up).max().unwrap_or(SECOND);
 
@@ -319,11 +323,16 @@
         max_deliveries: bounds.whole("max-deliveries", u64::from(defaults.max_deliveries), 1, 1_000_000)
             as u32,
         max_names: bounds.whole("max-names", defaults.max_names as u64, 16, 10_000_000) as usize,
+        owners: Default::default(),
     };
     bounds.finish();
 
-    let amqp: Vec<AmqpConfig> = root.all("amqp").iter().map(|node| broker(node, &names, &engine)).collect();
-    let cron: Vec<CronConfig> = root.all("cron").iter().map(|node| timer(node, &names)).collect();
+    let (tenants, owners) = tenants::read(root, &names, worths);
+    let engine = EngineSettings { owners: owners.into(), ..engine };
+
+    let amqp: Vec<AmqpConfig> = 
+        root.all("amqp").iter().map(|node| broker(node, &names, &engine, &tenants)).collect();
+    let cron: Vec<CronConfig> = root.all("cron").iter().map(|node| timer(node, &names, &tenants)).collect();
     let workers = root.one("workers");
     if workers.is_none() {
         root.faults.add((0, 0).into(), "no workers are given", Some("workers { worker \"127.0.0.1:9000\" }"));
@@ -344,7 +353,19 @@
     let log = LogConfig { json, level: node.text("level").unwrap_or_else(|| "info".into()) };
     node.finish();
     root.finish();
-    Config { name, instances, classes: names, engine, amqp, cron, workers, http, log, drain }
+    Config {
+        name,
+        instances,
+        classes: names,
+        engine,
+        tenants: tenants.config,
+        amqp,
+        cron,
+        workers,
+        http,
+        log,
+        drain,
+    }
 }
 
 fn class(node: &Reader<'_>) -> Class {
@@ -397,10 +418,16 @@
         load_time: node.maybe_time("load-time", MS, 3_600 * SECOND),
         expected: node.maybe_time("expected", MS / 1_000, 3_600 * SECOND),
         budget: node.maybe_time("budget", MS, 3_600 * SECOND),
+        tenant: None,
     }
 }
 
-fn broker(node: &Reader<'_>, classes: &[(String, bool)], engine: &EngineSettings) -> AmqpConfig {
+fn broker(
+    node: &Reader<'_>,
+    classes: &[(String, bool)],
+    engine: &EngineSettings,
+    tenants: &Tenants,
+) -> AmqpConfig {
     let name = node.name();
     let addresses: Vec<String> = node.all("address").iter().map(|a| address(a, a.argument())).collect();
     if addresses.is_empty() {
@@ -434,8 +461,9 @@
             declare: q.flag("declare", true),
             prefetch,
             qos: q.choice("qos", Qos::Channel, &[("channel", Qos::Channel), ("consumer", Qos::Consumer)]),
-            route: route(&q, classes),
+            route: Route { tenant: tenants.named(&q), ..route(&q, classes) },
             dead_letter,
+            identity: tenants.identity(&q),
         };
         q.finish();
         config
@@ -448,7 +476,7 @@
     AmqpConfig { name, addresses, login, heartbeat, retry, queues }
 }
 
-fn address(node: &Reader<'_>, value: Option<(&KdlValue, SourceSpan)>) -> String {
+pub(crate) fn address(node: &Reader<'_>, value: Option<(&KdlValue, SourceSpan)>) -> String {
     let Some((value, span)) = value else { return String::new() };
     let text = value.as_string().unwrap_or_default();
     let good =
@@ -459,7 +487,7 @@
     text.to_string()
 }
 
-fn timer(node: &Reader<'_>, classes: &[(String, bool)]) -> CronConfig {
+fn timer(node: &Reader<'_>, classes: &[(String, bool)], tenants: &Tenants) -> CronConfig {
     let name = node.name();
     let schedule = node.value("schedule").map(|(value, span)| {
         let text = value.as_string().unwrap_or_default();
@@ -475,7 +503,12 @@
     if schedule.is_none() {
         node.faults.add(node.node.span(), format!("cron '{name}' needs a 'schedule'"), None);
     }
-    let route = route(node, classes);
+    let mut route = route(node, classes);
+    route.tenant = tenants.named(node);
+    if !tenants.is_empty() && route.tenant.is_none() {
+        let help = "a timer has no user: say whose it is";
+        node.faults.add(node.node.span(), format!("cron '{name}' needs 'tenant'"), Some(help));
+    }
     if route.class.is_none() || route.function.is_none() {
         node.faults.add(node.node.span(), format!("cron '{name}' needs 'class' and 'function'"), None);
     }
--- a/crates/pipithub-standin/src/lib.rs
+++ b/crates/pipithub-standin/src/lib.rs
@@ -1,10 +1,11 @@
 //! Stand-ins for what the gateway meets in service, each a core without I/O and a thin shell on loopback sockets:
 //! an AMQP broker ([`broker`]), workers that load models on demand ([`worker`]), their shared model store ([`store`]),
-//! the worker list ([`list`]), and a proxy that does damage between them ([`proxy`]).
+//! the worker list ([`list`]), an LDAP directory server ([`directory`]), and a proxy that does damage between them ([`proxy`]).
 //!
 //! They are test tools: they keep nothing on disk and trust whoever reaches them, so they listen on loopback alone.
 
 pub mod broker;
+pub mod directory;
 pub mod list;
 pub mod proxy;
 pub mod recorder;
