--- a/crates/pipithub-consumer/src/identity.rs
+++ b/crates/pipithub-consumer/src/identity.rs
@@ -75,7 +75,8 @@
 pub fn signed_text(content: &Content, queue: &str) -> Vec<u8> {
     let p = &content.properties;
     let header = |name| text(content, name).unwrap_or_default();
-    let sent = p.headers.as_ref().and_then(|h| h.get("pipithub-sent-ms")).and_then(|v| v.as_i64()).unwrap_or(-1);
+    let sent =
+        p.headers.as_ref().and_then(|h| h.get("pipithub-sent-ms")).and_then(|v| v.as_i64()).unwrap_or(-1);
     let sent = sent.to_string();
     let parts = [
         "pipithub-v1",
@@ -136,7 +137,9 @@
         let no = |why: &str| Err(Unreadable(why.to_string()));
         let named = text(content, "pipithub-user");
         let user = match &self.rule {
-            Rule::None if named.is_some() => return no("this queue takes no word on users: header pipithub-user"),
+            Rule::None if named.is_some() => {
+                return no("this queue takes no word on users: header pipithub-user");
+            }
             Rule::None => return Ok(None),
             Rule::Broker => match content.properties.user_id.as_deref().filter(|u| !u.is_empty()) {
                 None => return no("no user: property user_id is missing"),
@@ -274,7 +277,7 @@
 
     fn set(content: &mut Content, name: &str, value: &str) {
         let headers = content.properties.headers.take().unwrap_or_default();
-        let others = headers.iter().filter(|(n, _)| *n != name);
+        let others = headers.iter().filter(|(n, _)| n.to_string() != name);
         let kept = others.fold(FieldTable::new(), |t, (n, v)| t.with(n, v.clone()));
         content.properties.headers = Some(kept.with(name, value));
     }
@@ -284,7 +287,10 @@
         let mut content = message("m", WALL);
         assert!(Identity::new(Rule::Broker).user(&content, "q", false, WALL).is_err(), "no user_id");
         content.properties.user_id = Some(ShortStr::truncated("lan"));
-        assert!(Identity::new(Rule::Broker).user(&content, "q", false, WALL).is_err(), "and another in the header");
+        assert!(
+            Identity::new(Rule::Broker).user(&content, "q", false, WALL).is_err(),
+            "and another in the header"
+        );
         set(&mut content, "pipithub-user", "lan");
         assert_eq!(Identity::new(Rule::Broker).user(&content, "q", false, WALL), Ok(Some("lan".into())));
         assert!(Identity::new(Rule::None).user(&content, "q", false, WALL).is_err(), "a name nobody checked");
--- a/crates/pipithub-consumer/src/message.rs
+++ b/crates/pipithub-consumer/src/message.rs
@@ -169,6 +169,7 @@
         body: content.body.clone(),
         tenant: route.tenant,
         user: None,
+        person: 0,
     };
     let deliveries = headers.and_then(|h| h.get("x-delivery-count")).and_then(FieldValue::as_i64);
     Ok(Read { call, identity, deliveries: deliveries.unwrap_or(0).clamp(0, i64::from(u32::MAX)) as u32 })
--- a/crates/pipithub-consumer/tests/with_broker.rs
+++ b/crates/pipithub-consumer/tests/with_broker.rs
@@ -147,6 +147,7 @@
             qos: self.qos,
             dead_letter: Some((String::new(), "dead".into())),
             retry: (10 * MS, 100 * MS),
+            identity: Default::default(),
         };
         Front {
             consumer: Consumer::new(consumer, self.now, which as u64 * 100 + life),
--- a/crates/pipithub-drill/src/client.rs
+++ b/crates/pipithub-drill/src/client.rs
@@ -5,9 +5,10 @@
 
 use bytes::{Buf, BytesMut};
 use pipithub_amqp::{
-    Endpoint, Event, FieldTable, FieldValue, Login, Method, Properties, ShortStr, Time, Tuning,
+    Content, Endpoint, Event, FieldTable, FieldValue, Login, Method, Properties, ShortStr, Time, Tuning,
 };
 use pipithub_clock::{Clock, wall_ms};
+use pipithub_consumer::identity::sign;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -34,6 +35,19 @@
     pub lanes: u32,
     /// Its body.
     pub body: Vec<u8>,
+    /// Whose call it is, and the key that signs it.
+    pub signed: Option<Signed>,
+}
+
+/// A user's signature under a key.
+#[derive(Clone, Debug, Default)]
+pub struct Signed {
+    /// The user.
+    pub user: String,
+    /// The key's id.
+    pub key_id: String,
+    /// The key.
+    pub key: Vec<u8>,
 }
 
 /// A final answer.
@@ -216,6 +230,10 @@
         if call.lanes > 0 {
             headers = headers.with("pipithub-lanes", i64::from(call.lanes));
         }
+        if let Some(signed) = &call.signed {
+            headers = headers.with("pipithub-user", signed.user.as_str());
+            headers = headers.with("pipithub-key-id", signed.key_id.as_str());
+        }
         let properties = Properties {
             content_type: Some(short("application/json")),
             message_id: Some(short(&call.id)),
@@ -225,13 +243,19 @@
             headers: Some(headers),
             ..Properties::default()
         };
+        let mut content = Content { properties, body: call.body.into() };
+        if let Some(signed) = &call.signed {
+            let signature = sign(&signed.key, &content, &call.queue);
+            let headers = content.properties.headers.take().unwrap_or_default();
+            content.properties.headers = Some(headers.with("pipithub-signature", signature.as_str()));
+        }
         let method = Method::BasicPublish {
             exchange: short(""),
             routing_key: short(&call.queue),
             mandatory: false,
             immediate: false,
         };
-        let _ = endpoint.send_content(channel, method, properties, &call.body);
+        let _ = endpoint.send_content(channel, method, content.properties, &content.body);
     }
 }
 
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -11,8 +11,8 @@
 
 use crate::memory::{Again, Memory, unknown_earlier};
 use crate::model::{
-    AttemptEnd, AttemptId, Call, Cause, Input, Output, Reply, Served, SourceId, Ticket, Trigger, Verdict,
-    function_id,
+    AttemptEnd, AttemptId, Call, Cause, Input, Output, Reply, Served, SourceId, Tenant, Ticket, Trigger,
+    Verdict, function_id,
 };
 use crate::owners::Owners;
 use crate::timers::Timers;
@@ -232,7 +232,7 @@
             Input::Refuse { trigger, cause, retry_after } => {
                 self.trigger(now, trigger, Some((cause, retry_after)), out);
             }
-            Input::Moved(user) => self.moved(now, &user, out),
+            Input::Moved { user, now: side } => self.moved(now, &user, side, out),
             Input::SourceLost(source) => self.source_lost(now, source, out),
             Input::Settled(ticket) => self.settled(now, ticket),
             Input::Attempt(end) => self.attempt(now, end, out),
@@ -437,8 +437,10 @@
 
     /// Ends what is open for a user who is not whose they were. What was never sent is refused. For the rest nothing is
     /// promised: it may have run for the old tenant, whose answer must not reach the user any more.
-    fn moved(&mut self, now: Time, user: &str, out: &mut Vec<Output>) {
-        let of = |o: &Open| o.call.user.as_deref() == Some(user);
+    fn moved(&mut self, now: Time, user: &str, side: Option<(Tenant, u64)>, out: &mut Vec<Output>) {
+        // Calls that came after the move are the new side's already, though the word of it is handled only now.
+        let is = |o: &Open| o.call.tenant.map(|t| (t, o.call.person));
+        let of = |o: &Open| o.call.user.as_deref() == Some(user) && (side.is_none() || is(o) != side);
         let theirs: Vec<_> = self.open.iter().filter(|(_, o)| of(o)).map(|(id, _)| *id).collect();
         for request in theirs {
             let Some(open) = self.open.get(&request) else { continue };
--- a/crates/pipithub-engine/src/model.rs
+++ b/crates/pipithub-engine/src/model.rs
@@ -66,6 +66,8 @@
     pub tenant: Option<Tenant>,
     /// The user who made it, where one did.
     pub user: Option<Arc<str>>,
+    /// Tells that user from another person of the same name; 0: not known.
+    pub person: u64,
 }
 
 /// A call that has come in.
@@ -181,8 +183,13 @@
         /// How long the caller should stay away.
         retry_after: Option<Time>,
     },
-    /// A user is not the tenant's any more whose calls are open: these end now.
-    Moved(Arc<str>),
+    /// A user is not whose they were, or not who they were: what is open for the user as they were ends now.
+    Moved {
+        /// The user.
+        user: Arc<str>,
+        /// Whose they are, and which person; `None`: nobody's.
+        now: Option<(Tenant, u64)>,
+    },
     /// Take nothing new from now on; what is open is finished.
     Drain,
 }
--- a/crates/pipithub-engine/src/owners.rs
+++ b/crates/pipithub-engine/src/owners.rs
@@ -72,7 +72,10 @@
         assert_eq!(owners.insert("north-*", Owner::Tenant(south)), Some(Owner::Tenant(north)));
         owners.insert("north-*", Owner::Tenant(north));
         assert!(owners.allow(Some(north), "north-roster") && !owners.allow(Some(south), "north-roster"));
-        assert!(owners.allow(Some(south), "north-and-south-map") && !owners.allow(Some(north), "north-and-south-map"));
+        assert!(
+            owners.allow(Some(south), "north-and-south-map")
+                && !owners.allow(Some(north), "north-and-south-map")
+        );
         assert!(owners.allow(Some(south), "holidays") && !owners.allow(None, "holidays"));
         assert!(!owners.allow(Some(north), "unnamed"));
     }
--- a/crates/pipithub-engine/tests/engine.rs
+++ b/crates/pipithub-engine/tests/engine.rs
@@ -8,8 +8,8 @@
     Class, Effect, Entry, Group, Limits, ListKind, Load, Outcome, Settings, State, Worker,
 };
 use pipithub_engine::{
-    AttemptEnd, AttemptId, Call, Cause, Engine, EngineSettings, Input, Output, Owner, Owners, Reply, Served, SourceId, Tenant,
-    Ticket, Time, Trigger, Verdict,
+    AttemptEnd, AttemptId, Call, Cause, Engine, EngineSettings, Input, Output, Owner, Owners, Reply, Served,
+    SourceId, Tenant, Ticket, Time, Trigger, Verdict,
 };
 
 const MS: Time = 1_000_000;
@@ -408,15 +408,24 @@
 fn a_moved_users_calls_end_at_once() {
     let mut bed = Bed::new(owned());
     let (_, out) = bed.trigger(UNSAFE, of("north-map", 0, "mai"));
-    let Some(Output::Send { id, .. }) = out.iter().find(|o| matches!(o, Output::Send { .. })) else { panic!("a send") };
+    let Some(Output::Send { id, .. }) = out.iter().find(|o| matches!(o, Output::Send { .. })) else {
+        panic!("a send")
+    };
     let (_, other) = bed.trigger(SAFE, of("north-map", 0, "lan"));
     assert!(other.iter().any(|o| matches!(o, Output::Send { .. })));
-    let out = bed.input(Input::Moved("mai".into()));
+    // A call of the new side that came before the word of the move was handled goes on.
+    let (_, new) = bed.trigger(SAFE, of("south-map", 1, "mai"));
+    assert!(new.iter().any(|o| matches!(o, Output::Send { .. })));
+    let out = bed.input(Input::Moved { user: "mai".into(), now: Some((Tenant(1), 0)) });
     assert_eq!(verdicts(&out), [(Verdict::Failed, Cause::UserMoved)], "it may have run");
     assert!(out.iter().any(|o| matches!(o, Output::Cancel(c) if c == id)), "{out:?}");
     let out = bed.end(*id, Outcome::Served);
     assert_eq!(verdicts(&out), [], "one answer");
-    assert!(!bed.pass(5_000 * MS).iter().any(|o| matches!(o, Output::Send { id: again, .. } if again.request == id.request)));
+    assert!(
+        !bed.pass(5_000 * MS)
+            .iter()
+            .any(|o| matches!(o, Output::Send { id: again, .. } if again.request == id.request))
+    );
 }
 
 /// A message that is open here is delivered again while its tenant is over its share: it keeps its one run and answer.
@@ -424,7 +433,9 @@
 fn a_refusal_of_what_is_open_already_only_takes_the_new_ticket() {
     let mut bed = Bed::new(owned());
     let (_, out) = bed.trigger(SAFE, of("north-map", 0, "mai"));
-    let Some(Output::Send { id, .. }) = out.iter().find(|o| matches!(o, Output::Send { .. })) else { panic!("a send") };
+    let Some(Output::Send { id, .. }) = out.iter().find(|o| matches!(o, Output::Send { .. })) else {
+        panic!("a send")
+    };
     bed.input(Input::SourceLost(SourceId(1)));
     let call = Call { function: "north-map".into(), tenant: Some(Tenant(0)), ..Call::default() };
     let ticket = Ticket { source: SourceId(1), number: 99 };
@@ -440,7 +451,12 @@
         identity: Some("other".into()),
         redelivered: true,
         deliveries: 1,
-        call: Call { function: "north-map".into(), class: UNSAFE, tenant: Some(Tenant(0)), ..Call::default() },
+        call: Call {
+            function: "north-map".into(),
+            class: UNSAFE,
+            tenant: Some(Tenant(0)),
+            ..Call::default()
+        },
     };
     let out = bed.input(Input::Refuse { trigger, cause: Cause::OverShare, retry_after: None });
     assert_eq!(verdicts(&out), [(Verdict::Failed, Cause::MayHaveRunBefore)]);
--- a/crates/pipithub-gateway/src/cron.rs
+++ b/crates/pipithub-gateway/src/cron.rs
@@ -103,6 +103,7 @@
         body: Bytes::from(config.body.clone()),
         tenant: route.tenant,
         user: None,
+        person: 0,
     };
     Trigger { ticket, identity: Some(name), redelivered: false, deliveries: 0, call }
 }
--- a/crates/pipithub-gateway/src/directory.rs
+++ b/crates/pipithub-gateway/src/directory.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use pipithub_clock::{Clock, wall_ms};
 use pipithub_directory::{
-    Answer, Directory, Failure, Found, Input, News, Output, Person, Roster, SearchId, Settings, User, What, snapshot,
+    Answer, Directory, Failure, Found, Input, News, Output, Person, Roster, SearchId, Settings, User, What,
+    snapshot,
 };
 use pipithub_ldap::client::Entry;
 use pipithub_ldap::message::{Filter, ResultCode, SearchRequestScope};
@@ -128,7 +129,12 @@
 }
 
 impl Shell {
-    async fn run(mut self, mut inputs: mpsc::Receiver<Input>, inputs_in: mpsc::Sender<Input>, front_end: String) {
+    async fn run(
+        mut self,
+        mut inputs: mpsc::Receiver<Input>,
+        inputs_in: mpsc::Sender<Input>,
+        front_end: String,
+    ) {
         let mut tasks = tokio::task::JoinSet::new();
         for (n, directory) in self.config.directories.iter().enumerate() {
             let tls = match connector(directory) {
@@ -142,12 +148,21 @@
             for server in 0..directory.servers.len() {
                 let (commands, receiver) = mpsc::channel(COMMANDS);
                 self.links.insert((n, server), commands);
-                let link = Link { directory: directory.clone(), server, tls: tls.clone(), front_end: front_end.clone() };
+                let link = Link {
+                    directory: directory.clone(),
+                    server,
+                    tls: tls.clone(),
+                    front_end: front_end.clone(),
+                };
                 tasks.spawn(link.run(receiver, inputs_in.clone()));
             }
             if directory.follow {
-                let follower =
-                    Follower { directory: directory.clone(), number: n, tls: tls.clone(), inputs: inputs_in.clone() };
+                let follower = Follower {
+                    directory: directory.clone(),
+                    number: n,
+                    tls: tls.clone(),
+                    inputs: inputs_in.clone(),
+                };
                 tasks.spawn(follower.run());
             }
         }
@@ -245,7 +260,8 @@
     let other = |e: String| std::io::Error::other(e);
     let mut roots = RootCertStore::empty();
     if let Some(path) = &directory.ca {
-        let certificates = CertificateDer::pem_file_iter(path).map_err(|e| other(format!("{}: {e}", path.display())))?;
+        let certificates =
+            CertificateDer::pem_file_iter(path).map_err(|e| other(format!("{}: {e}", path.display())))?;
         for certificate in certificates {
             let certificate = certificate.map_err(|e| other(format!("{}: {e}", path.display())))?;
             roots.add(certificate).map_err(|e| other(e.to_string()))?;
@@ -266,17 +282,24 @@
 }
 
 impl Connection {
-    async fn open(directory: &DirectoryConfig, server: usize, tls: Option<&TlsConnector>) -> Result<Self, String> {
+    async fn open(
+        directory: &DirectoryConfig,
+        server: usize,
+        tls: Option<&TlsConnector>,
+    ) -> Result<Self, String> {
         let server = &directory.servers[server];
         let opening = async {
             let plain = TcpStream::connect(&server.address).await.map_err(|e| e.to_string())?;
             let _ = plain.set_nodelay(true);
             let name = ServerName::try_from(server.name.clone()).map_err(|e| e.to_string());
             let mut stream: Box<dyn Transport> = match (directory.tls, tls) {
-                (Tls::Ldaps, Some(tls)) => Box::new(tls.connect(name?, plain).await.map_err(|e| e.to_string())?),
+                (Tls::Ldaps, Some(tls)) => {
+                    Box::new(tls.connect(name?, plain).await.map_err(|e| e.to_string())?)
+                }
                 (Tls::Start, Some(tls)) => {
                     let mut plain = plain;
-                    let settings = ClientSettings { start_tls: true, bind: None, ..ClientSettings::default() };
+                    let settings =
+                        ClientSettings { start_tls: true, bind: None, ..ClientSettings::default() };
                     let mut first = Client::new(settings);
                     drive(&mut plain, &mut first, |e| matches!(e, Event::BeginTls)).await?;
                     // What follows is a connection of its own over TLS.
@@ -597,7 +620,12 @@
             let mut questions: BTreeMap<SearchId, Question> = BTreeMap::new();
             let why = match Connection::open(directory, self.server, self.tls.as_ref()).await {
                 Ok(mut connection) => {
-                    debug!(front_end = self.front_end, directory = directory.name, address, "directory server reached");
+                    debug!(
+                        front_end = self.front_end,
+                        directory = directory.name,
+                        address,
+                        "directory server reached"
+                    );
                     let begun = Question::begin(directory, &mut connection.client, what);
                     questions.extend(begun.map(|q| (id, q)));
                     self.talk(&mut connection, &mut commands, &inputs, &mut questions).await
@@ -607,7 +635,13 @@
                     why
                 }
             };
-            warn!(front_end = self.front_end, directory = directory.name, address, why, "directory server lost");
+            warn!(
+                front_end = self.front_end,
+                directory = directory.name,
+                address,
+                why,
+                "directory server lost"
+            );
             for id in questions.into_keys() {
                 let _ = inputs.send(Input::Ended { search: id, outcome: Err(Failure::Lost) }).await;
             }
@@ -635,11 +669,18 @@
                     }
                     Event::Done(asked, outcome) => {
                         let question = questions.values_mut().find(|q| q.has(asked));
-                        let step = question.map_or(Ok(()), |q| q.done(directory, &mut connection.client, asked, &outcome));
+                        let step = question
+                            .map_or(Ok(()), |q| q.done(directory, &mut connection.client, asked, &outcome));
                         if step.is_err() {
                             let (code, words) = (outcome.code, outcome.message);
-                            warn!(front_end = self.front_end, directory = directory.name, server = self.server, ?code, words,
-                                "a directory server does not answer");
+                            warn!(
+                                front_end = self.front_end,
+                                directory = directory.name,
+                                server = self.server,
+                                ?code,
+                                words,
+                                "a directory server does not answer"
+                            );
                         }
                         (asked, step)
                     }
@@ -647,7 +688,8 @@
                     Event::Reference(..) | Event::Info(..) | Event::Ready | Event::BeginTls => continue,
                     Event::Over(why) => return why,
                 };
-                let Some(id) = questions.iter().find(|(_, q)| q.has(asked) || q.is_over()).map(|(id, _)| *id) else {
+                let Some(id) = questions.iter().find(|(_, q)| q.has(asked) || q.is_over()).map(|(id, _)| *id)
+                else {
                     continue;
                 };
                 let outcome = match step {
@@ -746,7 +788,8 @@
         let search = Search {
             base: directory.base.clone(),
             scope: SearchRequestScope::WholeSubtree,
-            filter: also(directory).unwrap_or_else(|| Filter::Present(directory.user_attribute.as_str().into())),
+            filter: also(directory)
+                .unwrap_or_else(|| Filter::Present(directory.user_attribute.as_str().into())),
             attributes: vec![directory.user_attribute.clone(), "entryUUID".into()],
             size_limit: 0,
             time_limit: 0,
@@ -767,7 +810,9 @@
             while let Some(event) = connection.client.poll() {
                 let news = match event {
                     Event::Entry(of, entry) if of == id => {
-                        let Some(state) = entry.state.clone() else { return "an entry without its state".into() };
+                        let Some(state) = entry.state.clone() else {
+                            return "an entry without its state".into();
+                        };
                         let person = Person::of(uuid_text(&state.uuid).as_bytes());
                         *cookie = state.cookie.map(|c| Bytes::copy_from_slice(&c)).or(cookie.take());
                         match state.state {
@@ -788,8 +833,10 @@
                             }
                             Info::Ids(ids) => {
                                 let person = |u: &_| Person::of(uuid_text(u).as_bytes());
-                                let news = |u| if ids.refresh_deletes { News::Gone(u) } else { News::Kept(u) };
-                                let all = ids.uuids.to_vec().into_iter().map(|u| news(person(&u[..]))).collect();
+                                let news =
+                                    |u| if ids.refresh_deletes { News::Gone(u) } else { News::Kept(u) };
+                                let all =
+                                    ids.uuids.to_vec().into_iter().map(|u| news(person(&u[..]))).collect();
                                 (ids.cookie, all)
                             }
                             _ => (None, Vec::new()),
@@ -802,7 +849,11 @@
                     }
                     Event::Done(of, outcome) if alive == Some(of) => {
                         alive = None;
-                        if outcome.code == ResultCode::Success && complete { vec![News::Alive] } else { Vec::new() }
+                        if outcome.code == ResultCode::Success && complete {
+                            vec![News::Alive]
+                        } else {
+                            Vec::new()
+                        }
                     }
                     Event::Over(why) => return why,
                     _ => Vec::new(),
--- a/crates/pipithub-gateway/src/front.rs
+++ b/crates/pipithub-gateway/src/front.rs
@@ -195,7 +195,8 @@
         match input {
             // What is open or was settled here is decided by that: the gate must not refuse what runs.
             Input::Trigger(trigger)
-                if !(trigger.redelivered && trigger.identity.as_ref().is_some_and(|i| self.engine.knows(i, now))) =>
+                if !(trigger.redelivered
+                    && trigger.identity.as_ref().is_some_and(|i| self.engine.knows(i, now))) =>
             {
                 tenancy.arrive(now, trigger, &mut self.inward);
             }
--- a/crates/pipithub-gateway/src/tenancy.rs
+++ b/crates/pipithub-gateway/src/tenancy.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use pipithub_admission::{Arrival, End, Gate, Output, Why};
-use pipithub_directory::{Input as Wanted, Roster, TenantId, User};
+use pipithub_directory::{Input as Wanted, Roster, TenantId, User, View};
 use pipithub_engine::policy::Class;
 use pipithub_engine::{Cause, Input, Reply, SourceId, Tenant, Ticket, Time, Trigger, Verdict};
 use pipithub_settings::TenantsConfig;
@@ -49,7 +49,12 @@
 }
 
 impl Tenancy {
-    pub(crate) fn new(config: Arc<TenantsConfig>, handle: Handle, classes: &[Class], front_end: &str) -> Self {
+    pub(crate) fn new(
+        config: Arc<TenantsConfig>,
+        handle: Handle,
+        classes: &[Class],
+        front_end: &str,
+    ) -> Self {
         let Handle { roster, wants, words } = handle;
         Tenancy {
             gate: Gate::new(config.gate.clone()),
@@ -114,7 +119,13 @@
     }
 
     /// A call has had its final answer; without one it was settled as one that had it before.
-    pub(crate) fn answered(&mut self, now: Time, ticket: Ticket, reply: Option<&Reply>, inputs: &mut Vec<Input>) {
+    pub(crate) fn answered(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        reply: Option<&Reply>,
+        inputs: &mut Vec<Input>,
+    ) {
         let end = match reply.map(|r| (r.verdict, r.cause)) {
             Some((Verdict::Served, _)) => End::Served,
             Some((_, Cause::NoWorkerInTime)) => End::NoWorkerInTime,
@@ -135,7 +146,13 @@
     pub(crate) fn told(&mut self, now: Time, word: Word, inputs: &mut Vec<Input>) {
         match word {
             Word::News(user) => self.gate.news(now, &self.roster.load(), &user, &mut self.out),
-            Word::Changed(user) => inputs.push(Input::Moved(user)),
+            Word::Changed(user) => {
+                let side = match self.roster.load().look(&user, now) {
+                    View::Tenant { tenant, person, .. } => Some((Tenant(tenant.0), person.0)),
+                    _ => None,
+                };
+                inputs.push(Input::Moved { user, now: side });
+            }
         }
         self.carry_out(now, inputs);
     }
@@ -158,6 +175,7 @@
             match output {
                 Output::Admit(mut trigger, admitted) => {
                     trigger.call.tenant = Some(Tenant(admitted.tenant.0));
+                    trigger.call.person = admitted.person.map_or(0, |p| p.0);
                     trigger.call.budget = trigger.call.budget.map(|b| b.saturating_sub(admitted.waited));
                     trigger.call.waited = trigger.call.waited.saturating_add(admitted.waited);
                     let user = trigger.call.user.clone();
--- a/crates/pipithub-settings/src/lib.rs
+++ b/crates/pipithub-settings/src/lib.rs
@@ -12,11 +12,11 @@
 
 use miette::{Diagnostic, NamedSource, SourceSpan};
 use pipithub_amqp::Login;
-pub use tenants::{DirectoryConfig, ServerConfig, SnapshotConfig, TenantConfig, TenantsConfig, Tls};
 use pipithub_consumer::Qos;
 use pipithub_consumer::identity::Rule;
 use pipithub_consumer::message::Route;
 use pipithub_engine::{EngineSettings, Time};
+pub use tenants::{DirectoryConfig, ServerConfig, SnapshotConfig, TenantConfig, TenantsConfig, Tls};
 
 /// One fault of a settings file.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Diagnostic)]
--- a/crates/pipithub-settings/src/read.rs
+++ b/crates/pipithub-settings/src/read.rs
@@ -330,7 +330,7 @@
     let (tenants, owners) = tenants::read(root, &names, worths);
     let engine = EngineSettings { owners: owners.into(), ..engine };
 
-    let amqp: Vec<AmqpConfig> = 
+    let amqp: Vec<AmqpConfig> =
         root.all("amqp").iter().map(|node| broker(node, &names, &engine, &tenants)).collect();
     let cron: Vec<CronConfig> = root.all("cron").iter().map(|node| timer(node, &names, &tenants)).collect();
     let workers = root.one("workers");
--- a/crates/pipithub-settings/src/tenants.rs
+++ b/crates/pipithub-settings/src/tenants.rs
@@ -140,7 +140,8 @@
         let way = node.choice("identity", Way::None, &ways);
         let owned = node.node.get("tenant").is_some() || !node.all("tenant").is_empty();
         if !self.is_empty() && way == Way::None && !owned {
-            let help = "identity \"broker\" or \"signed\", or 'tenant' for a queue that is one tenant's alone";
+            let help =
+                "identity \"broker\" or \"signed\", or 'tenant' for a queue that is one tenant's alone";
             node.faults.add(node.node.span(), "nothing says whose the calls of this queue are", Some(help));
         }
         match (way, &self.keys) {
@@ -218,7 +219,8 @@
     if servers.is_empty() || servers.len() > 32 {
         node.faults.add(node.node.span(), format!("directory '{name}' needs one to 32 'server'"), None);
     }
-    let tls = node.choice("tls", Tls::Start, &[("none", Tls::None), ("start", Tls::Start), ("ldaps", Tls::Ldaps)]);
+    let tls =
+        node.choice("tls", Tls::Start, &[("none", Tls::None), ("start", Tls::Start), ("ldaps", Tls::Ldaps)]);
     let ca = node.text("ca").map(PathBuf::from);
     if tls != Tls::None && ca.is_none() {
         let help = "the file of the authority that signed the servers' certificates";
@@ -242,19 +244,20 @@
         text
     });
     let defaults = DirectorySettings::default();
-    let fresh = node.time("fresh", defaults.lifetimes.fresh, SECOND, 86_400 * SECOND);
+    let fresh = node.time("fresh", defaults.lifetimes.fresh, 100 * MS, 86_400 * SECOND);
     let most = defaults.lifetimes.stale_most.max(2 * fresh);
     let lifetimes = Lifetimes {
         fresh,
-        stale_most: node.time("stale-most", most, SECOND, 86_400 * SECOND),
-        negative: node.time("negative", defaults.lifetimes.negative, SECOND, 3_600 * SECOND),
+        stale_most: node.time("stale-most", most, 200 * MS, 86_400 * SECOND),
+        negative: node.time("negative", defaults.lifetimes.negative, 100 * MS, 3_600 * SECOND),
     };
     if lifetimes.stale_most < 2 * fresh {
         let help = "a fact is used while it is asked for again: the bound is at least twice 'fresh'";
         node.faults.add(node.node.span(), "'stale-most' is less than twice 'fresh'", Some(help));
     }
     let peak = node.one("peak").map(|p| {
-        let (text, span) = p.argument().map_or(("", p.node.span()), |(v, s)| (v.as_string().unwrap_or_default(), s));
+        let (text, span) =
+            p.argument().map_or(("", p.node.span()), |(v, s)| (v.as_string().unwrap_or_default(), s));
         let at = time_of_day(text).unwrap_or_else(|| {
             p.faults.add(span, "no time of day", Some("as \"05:30\", in UTC"));
             0
--- a/crates/pipithub-standin/src/directory.rs
+++ b/crates/pipithub-standin/src/directory.rs
@@ -13,8 +13,8 @@
 use pipithub_ldap::frame::{Framer, encode};
 use pipithub_ldap::message::{
     AuthenticationChoice, BindResponse, Control, ExtendedRequest, Filter, IntermediateResponse, LdapMessage,
-    LdapResult, PartialAttribute, ProtocolOp, ResultCode, SearchRequest, SearchRequestScope, SearchResultDone,
-    SearchResultEntry, SubstringChoice,
+    LdapResult, PartialAttribute, ProtocolOp, ResultCode, SearchRequest, SearchRequestScope,
+    SearchResultDone, SearchResultEntry, SubstringChoice,
 };
 use pipithub_ldap::{Dn, dn, ldif, oid, sync};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -129,8 +129,13 @@
         let made = made.map_err(invalid)?;
         let key = PrivateKeyDer::try_from(made.signing_key.serialize_der()).map_err(invalid)?;
         let provider = Arc::new(tokio_rustls::rustls::crypto::ring::default_provider());
-        let tls = ServerConfig::builder_with_provider(provider).with_safe_default_protocol_versions().map_err(invalid)?;
-        let tls = tls.with_no_client_auth().with_single_cert(vec![made.cert.der().clone()], key).map_err(invalid)?;
+        let tls = ServerConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .map_err(invalid)?;
+        let tls = tls
+            .with_no_client_auth()
+            .with_single_cert(vec![made.cert.der().clone()], key)
+            .map_err(invalid)?;
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -219,9 +224,14 @@
         self.tree().mark
     }
 
-    /// Says how far it has come, as a replica that got changes which touch nothing here.
-    pub fn set_mark(&self, mark: u64) {
-        self.tree().mark = mark;
+    /// Catches up with another server, at once and whole.
+    pub fn copy_from(&self, other: &DirectoryServer) {
+        let (entries, mark) = {
+            let tree = other.tree();
+            (tree.entries.clone(), tree.mark)
+        };
+        let mut tree = self.tree();
+        (tree.entries, tree.mark) = (entries, mark);
     }
 
     /// Does what a line says: `delay MS`, `silent on|off`, `drop N`, `wrong on|off`, `loading on|off`, `busy on|off`, `cut`,
@@ -254,7 +264,9 @@
         uuid[..8].copy_from_slice(&self.made.to_be_bytes());
         // The same name entered anew is another entry, as in a real directory; it differs between servers only where
         // their histories do.
-        uuid[8..].copy_from_slice(&record.dn.to_string().bytes().fold(7u64, |h, b| h.wrapping_mul(31) + u64::from(b)).to_be_bytes());
+        uuid[8..].copy_from_slice(
+            &record.dn.to_string().bytes().fold(7u64, |h, b| h.wrapping_mul(31) + u64::from(b)).to_be_bytes(),
+        );
         let entry =
             Entry { written: record.written, attributes: record.attributes, uuid, changed: self.mark };
         self.entries.insert(record.dn, entry);
@@ -280,12 +292,15 @@
 
     fn matches(&self, filter: &Filter) -> bool {
         let folded = |v: &[u8]| dn::fold(&String::from_utf8_lossy(v));
-        let any = |name: &str, test: &dyn Fn(&str) -> bool| self.values(name).iter().any(|v| test(&folded(v)));
+        let any =
+            |name: &str, test: &dyn Fn(&str) -> bool| self.values(name).iter().any(|v| test(&folded(v)));
         match filter {
             Filter::And(all) => all.to_vec().iter().all(|f| self.matches(f)),
             Filter::Or(all) => all.to_vec().iter().any(|f| self.matches(f)),
             Filter::Not(inner) => !self.matches(inner),
-            Filter::Present(name) => name.eq_ignore_ascii_case("objectClass") || !self.values(name).is_empty(),
+            Filter::Present(name) => {
+                name.eq_ignore_ascii_case("objectClass") || !self.values(name).is_empty()
+            }
             Filter::EqualityMatch(a) | Filter::ApproxMatch(a) => {
                 let wanted = folded(&a.assertion_value);
                 any(&a.attribute_desc, &|v| v == wanted)
@@ -301,7 +316,9 @@
             Filter::Substrings(s) => any(&s.r#type, &|value| {
                 let mut rest = value;
                 s.substrings.iter().all(|piece| match piece {
-                    SubstringChoice::Initial(p) => rest.strip_prefix(folded(p).as_str()).map(|r| rest = r).is_some(),
+                    SubstringChoice::Initial(p) => {
+                        rest.strip_prefix(folded(p).as_str()).map(|r| rest = r).is_some()
+                    }
                     SubstringChoice::Any(p) => {
                         let piece = folded(p);
                         rest.find(&piece).map(|at| rest = &rest[at + piece.len()..]).is_some()
@@ -322,7 +339,8 @@
                 attributes.entry(name.clone()).or_default().push(value.clone());
             }
         }
-        let operational = [("entryUUID", uuid_text(&self.uuid)), ("modifyTimestamp", timestamp(self.changed))];
+        let operational =
+            [("entryUUID", uuid_text(&self.uuid)), ("modifyTimestamp", timestamp(self.changed))];
         for (name, value) in operational {
             if wanted.iter().any(|w| w.eq_ignore_ascii_case(name) || w == "+") {
                 attributes.entry(name.to_string()).or_default().push(value.into_bytes());
@@ -357,7 +375,9 @@
         if tree.faults.busy {
             return vec![done(ResultCode::Busy)];
         }
-        let Ok(base) = Dn::parse(&request.base_object) else { return vec![done(ResultCode::InvalidDnSyntax)] };
+        let Ok(base) = Dn::parse(&request.base_object) else {
+            return vec![done(ResultCode::InvalidDnSyntax)];
+        };
         let wanted: Vec<String> = request.attributes.iter().map(|a| a.0.clone()).collect();
         if tree.faults.loading || (!tree.entries.contains_key(&base) && base != Dn::default()) {
             return vec![done(ResultCode::NoSuchObject)];
@@ -373,12 +393,14 @@
         }
         let sync = sync::read_request(controls);
         let page = sync::read_paged(controls);
-        let from = page.as_ref().and_then(|(_, c)| std::str::from_utf8(c).ok()?.parse::<usize>().ok()).unwrap_or(0);
+        let from =
+            page.as_ref().and_then(|(_, c)| std::str::from_utf8(c).ok()?.parse::<usize>().ok()).unwrap_or(0);
         let inside = |dn: &Dn| match request.scope {
             SearchRequestScope::SingleLevel => dn.parent().as_ref() == Some(&base),
             _ => dn.is_within(&base),
         };
-        let wrong = tree.faults.wrong.then(|| tree.entries.iter().next_back().map(|(d, e)| (d.clone(), e.clone())));
+        let wrong =
+            tree.faults.wrong.then(|| tree.entries.iter().next_back().map(|(d, e)| (d.clone(), e.clone())));
         let found = tree.entries.iter().filter(|(dn, e)| inside(dn) && e.matches(&request.filter));
         let mut found: Vec<Entry> = found.map(|(_, e)| e.clone()).collect();
         if let Some(Some((_, entry))) = wrong {
@@ -469,7 +491,8 @@
                     let code = match (&shared.settings.login, &bind.authentication) {
                         (None, _) => ResultCode::Success,
                         (Some((name, password)), AuthenticationChoice::Simple(given))
-                            if Dn::parse(name).ok() == Dn::parse(&bind.name).ok() && given[..] == *password.as_bytes() =>
+                            if Dn::parse(name).ok() == Dn::parse(&bind.name).ok()
+                                && given[..] == *password.as_bytes() =>
                         {
                             ResultCode::Success
                         }
@@ -559,7 +582,9 @@
         let wanted: Vec<String> = request.attributes.iter().map(|a| a.0.clone()).collect();
         let (entry, state, uuid) = match &change {
             Change::Is(dn) => {
-                let Some(entry) = tree.entries.get(dn).filter(|e| e.matches(&request.filter)) else { continue };
+                let Some(entry) = tree.entries.get(dn).filter(|e| e.matches(&request.filter)) else {
+                    continue;
+                };
                 (entry.told(&wanted), sync::State::Modify, entry.uuid)
             }
             Change::Gone(uuid) => (SearchResultEntry::new("".into(), Vec::new()), sync::State::Delete, *uuid),
--- a/crates/pipithub/src/main.rs
+++ b/crates/pipithub/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod publish;
 mod standin;
+mod tenants;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -46,6 +47,11 @@
         #[command(subcommand)]
         command: standin::Standin,
     },
+    /// Shows tenants, checks their directories, explains whose a user is.
+    Tenants {
+        #[command(subcommand)]
+        command: tenants::Tenants,
+    },
     /// Publishes calls to a queue and shows their answers.
     Publish(publish::Publish),
     /// Runs everything on loopback for some seconds and shows what comes of it.
@@ -147,6 +153,7 @@
             standin::run(command).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Tenants { command } => tenants::run(command).await,
         Command::Publish(publish) => publish::run(publish).await,
         Command::Demo => demo::run().await,
         Command::Drill { file, seed, json, folder, baseline } => {
--- a/crates/pipithub/src/publish.rs
+++ b/crates/pipithub/src/publish.rs
@@ -6,7 +6,7 @@
 use clap::Args;
 use miette::{IntoDiagnostic, Result};
 use pipithub_amqp::Login;
-use pipithub_drill::client::{Publish as Call, QueueClient};
+use pipithub_drill::client::{Publish as Call, QueueClient, Signed};
 
 /// Publishes calls to a queue and shows their answers.
 #[derive(Args)]
@@ -44,6 +44,15 @@
     /// Milliseconds to wait for answers after the last call.
     #[arg(long, default_value_t = 10_000)]
     wait_ms: u64,
+    /// Sign the calls for this user; needs `--key-file` and `--key-id`.
+    #[arg(long, requires_all = ["key_file", "key_id"])]
+    for_user: Option<String>,
+    /// The file of the key that signs.
+    #[arg(long)]
+    key_file: Option<std::path::PathBuf>,
+    /// The key's id, as the gateway's settings have it.
+    #[arg(long)]
+    key_id: Option<String>,
     /// The body.
     #[arg(long, default_value = "{\"inputs\":[]}")]
     body: String,
@@ -54,6 +63,13 @@
 
 pub async fn run(publish: Publish) -> Result<ExitCode> {
     let login = Login { user: publish.user, password: publish.password, virtual_host: publish.vhost };
+    let signed = match (publish.for_user, publish.key_file, publish.key_id) {
+        (Some(user), Some(file), Some(key_id)) => {
+            let key = std::fs::read(&file).into_diagnostic()?;
+            Some(Signed { user, key_id, key: key.trim_ascii_end().to_vec() })
+        }
+        _ => None,
+    };
     let me = format!("{}-{}", std::process::id(), pipithub_clock::wall_ms());
     let mut client = QueueClient::start(&publish.broker, login, &format!("pipithub-publish-{me}"));
     let mut sent: HashMap<String, u64> = HashMap::new();
@@ -83,6 +99,7 @@
                     memory_mb: 0,
                     lanes: 0,
                     body: publish.body.clone().into_bytes(),
+                    signed: signed.clone(),
                 };
                 client.calls.send(call).await.into_diagnostic()?;
             }
--- a/crates/pipithub/src/standin.rs
+++ b/crates/pipithub/src/standin.rs
@@ -9,6 +9,7 @@
 use miette::{IntoDiagnostic, Result, miette};
 use pipithub_amqp::FieldTable;
 use pipithub_standin::broker::{BrokerServer, BrokerSettings};
+use pipithub_standin::directory::{DirectoryServer, DirectorySettings};
 use pipithub_standin::list::ListServer;
 use pipithub_standin::proxy::{Damage, Proxy};
 use pipithub_standin::recorder::Recorder;
@@ -47,6 +48,27 @@
         #[command(flatten)]
         common: Common,
     },
+    /// An LDAP directory server. Lines on standard input have it do wrong: `delay MS`, `silent on|off`, `drop N`,
+    /// `wrong on|off`, `loading on|off`, `busy on|off`, `cut`, `good`; or change its tree: `move DN > DN`, `delete DN`.
+    Directory {
+        #[command(flatten)]
+        common: Common,
+        /// Its tree, as LDIF.
+        #[arg(long)]
+        tree: PathBuf,
+        /// The name that clients must bind as.
+        #[arg(long, requires = "password")]
+        bind: Option<String>,
+        /// Its password.
+        #[arg(long)]
+        password: Option<String>,
+        /// Speak TLS from the first byte; otherwise StartTLS is offered.
+        #[arg(long)]
+        ldaps: bool,
+        /// Write its certificate to this file, as PEM.
+        #[arg(long)]
+        ca_out: Option<PathBuf>,
+    },
     /// A proxy that does damage: lines on standard input say which (`pass`, `delay MS`, `cut`, `half-close`, `swallow`,
     /// `corrupt`).
     Proxy {
@@ -206,6 +228,23 @@
             say(list.address());
             stop_or(commands(common.commands, |_| {})).await
         }
+        Standin::Directory { common, tree, bind, password, ldaps, ca_out } => {
+            common.check()?;
+            let text = std::fs::read_to_string(&tree).into_diagnostic()?;
+            let settings = DirectorySettings { tree: text, base: None, login: bind.zip(password), ldaps };
+            let server = DirectoryServer::start(common.listen, settings).await;
+            let server = server.map_err(|e| miette!("{}: {e}", tree.display()))?;
+            if let Some(file) = ca_out {
+                std::fs::write(file, server.ca()).into_diagnostic()?;
+            }
+            say(server.address());
+            let act = |line: &str| {
+                if !server.command(line) {
+                    tracing::warn!(line, "not done");
+                }
+            };
+            stop_or(commands(common.commands, act)).await
+        }
         Standin::Proxy { common, to } => {
             common.check()?;
             let proxy = Proxy::start(common.listen, to).await.into_diagnostic()?;
