--- a/crates/pipithub-admission/tests/hard_cases.rs
+++ b/crates/pipithub-admission/tests/hard_cases.rs
@@ -51,6 +51,8 @@
     admitted: BTreeMap<u64, (TenantId, Time)>,
     refused: BTreeMap<u64, (Why, Time)>,
     changed: Vec<(Time, User)>,
+    /// Told in place of whatever was asked for.
+    wrong: Option<(User, Vec<(Dn, u64)>)>,
 }
 
 fn lifetimes() -> Lifetimes {
@@ -102,6 +104,7 @@
             admitted: BTreeMap::new(),
             refused: BTreeMap::new(),
             changed: Vec::new(),
+            wrong: None,
         }
     }
 
@@ -138,7 +141,16 @@
                 person: Person(person),
             })
         };
-        let found = if server.loaded { users.iter().flat_map(entries).collect() } else { Vec::new() };
+        let mut found: Vec<Found> =
+            if server.loaded { users.iter().flat_map(entries).collect() } else { Vec::new() };
+        if let Some((user, entries)) = &self.wrong {
+            let told = |(dn, person): &(Dn, u64)| Found {
+                user: user.clone(),
+                dn: dn.clone(),
+                person: Person(*person),
+            };
+            found = entries.iter().map(told).collect();
+        }
         let answer = Answer { found, mark: server.mark, loaded: server.loaded, newest: None };
         let outcome = if server.refuses { Err(Failure::Unable) } else { Ok(answer) };
         self.number += 1;
@@ -374,6 +386,23 @@
     assert_eq!(world.admitted.get(&2).map(|a| a.0), Some(TenantId(1)), "the other server was asked");
 }
 
+/// A server that answers with entries nobody asked for: that it does not name a user means nothing.
+#[test]
+fn an_answer_of_other_entries_takes_nobody_their_tenant() {
+    let mut world = World::new(&[1], |_, _| {});
+    world.all(0, |s| {
+        s.mark = Some(1);
+        s.put("mai", "north", 1);
+    });
+    world.call(0, "mai");
+    world.run(61 * S);
+    let lan = vec![(dn("uid=lan,ou=south,dc=example"), 9)];
+    world.wrong = Some(("lan".into(), lan));
+    world.call(1, "mai");
+    world.run(world.now + 4 * S);
+    assert_eq!((world.tenant("mai"), world.tenant("lan")), (Some(0), None));
+}
+
 /// 130 front ends lose their directory for ten minutes in the morning; then it is back. They must not all ask at once.
 #[test]
 fn a_directory_that_is_back_meets_no_herd() {
--- a/crates/pipithub-bench/src/main.rs
+++ b/crates/pipithub-bench/src/main.rs
@@ -2,6 +2,7 @@
 //! consumer, a hyper client, round robin, no decisions). All are processes on loopback against the same stand-ins.
 
 mod baseline;
+mod roster;
 
 use std::collections::HashMap;
 use std::error::Error;
@@ -12,7 +13,7 @@
 use hdrhistogram::Histogram;
 use pipithub_amqp::Login;
 use pipithub_clock::Clock;
-use pipithub_drill::client::{Publish, QueueClient, consumers};
+use pipithub_drill::client::{Publish, QueueClient, Signed, consumers};
 use pipithub_drill::process::Process;
 
 type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
@@ -35,6 +36,26 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Look-ups among many users, and a refresh of all of them meanwhile.
+    Roster {
+        /// How many.
+        #[arg(long, default_value_t = 1_000_000)]
+        users: usize,
+    },
+    /// What mornings ask of a directory, in simulated time.
+    Morning {
+        /// Front ends.
+        #[arg(long, default_value_t = 130)]
+        fronts: u64,
+        /// Users.
+        #[arg(long, default_value_t = 2_000)]
+        users: usize,
+        /// Calls of each in the hour.
+        #[arg(long, default_value_t = 60)]
+        calls: usize,
+    },
+    /// What tenants add to a call, their directory being up, slow or dead.
+    Directories,
     /// The pass-through, as a process.
     Baseline {
         /// The broker.
@@ -49,15 +70,27 @@
 #[tokio::main]
 async fn main() -> Result<()> {
     let arguments = Arguments::parse();
-    if let Some(Command::Baseline { broker, worker }) = arguments.command {
-        return baseline::run(&broker, worker).await;
+    match arguments.command {
+        Some(Command::Baseline { broker, worker }) => return baseline::run(&broker, worker).await,
+        Some(Command::Roster { users }) => {
+            roster::roster(users);
+            return Ok(());
+        }
+        Some(Command::Morning { fronts, users, calls }) => {
+            roster::morning(fronts, users, calls);
+            return Ok(());
+        }
+        Some(Command::Directories) | None => {}
     }
     let me = std::env::current_exe()?;
     let binary = arguments.binary.unwrap_or_else(|| me.with_file_name("pipithub"));
     let folder = std::env::temp_dir().join(format!("pipithub-bench-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
     let bed = Bed { me, binary, folder, seconds: arguments.seconds, workers: arguments.workers };
-    bed.all().await?;
+    match arguments.command {
+        Some(Command::Directories) => bed.directories().await?,
+        _ => bed.all().await?,
+    }
     std::fs::remove_dir_all(&bed.folder)?;
     Ok(())
 }
@@ -219,6 +252,84 @@
     }
 }
 
+impl Bed {
+    /// The gateway without tenants, then with them: 100 users, of whom 30 are unknown when the directory turns slow or dies.
+    async fn directories(&self) -> Result<()> {
+        let mut workers = Vec::new();
+        for _ in 0..self.workers {
+            let worker =
+                ["standin", "worker", "--commands", "--cores", "1000", "--run-ms", "2", "--load-ms", "1"];
+            workers.push(
+                self.standin(&[&worker[..], &["--queue", "100000", "--keep-ms", "600000"]].concat()).await?,
+            );
+        }
+        let list: String = workers.iter().map(|w| format!("worker \"{}\"; ", w.address)).collect();
+        let mut tree = String::from(
+            "dn: dc=example\nobjectClass: domain\n\ndn: ou=north,dc=example\nobjectClass: organizationalUnit\n\n",
+        );
+        for n in 0..100 {
+            tree += &format!("dn: uid=u{n},ou=north,dc=example\nobjectClass: person\nuid: u{n}\n\n");
+        }
+        let file = self.folder.join("tree.ldif");
+        std::fs::write(&file, tree)?;
+        println!(
+            "{} workers that take 2 ms a call; 200 calls a second, {} s a part",
+            self.workers, self.seconds
+        );
+        for (what, trouble) in
+            [("no tenants", ""), ("up", "good"), ("slow", "delay 1990"), ("dead", "silent on")]
+        {
+            let broker = self.standin(&["standin", "broker", "--commands", "--queue", "calls"]).await?;
+            let mut server = self
+                .standin(&["standin", "directory", "--commands", "--tree", &file.display().to_string()])
+                .await?;
+            let tenants = format!(
+                "signatures {{ key \"desk\" text=\"{KEY}\" }}\n\
+                 directory \"campus\" {{ server \"{}\"; tls \"none\"; base \"dc=example\"; \
+                 mark-attribute \"contextCSN\"; fresh \"1s\" }}\n\
+                 tenant \"north\" {{ directory \"campus\" base=\"ou=north,dc=example\"; function \"*\" }}\n",
+                server.address
+            );
+            let with = !trouble.is_empty();
+            let text = format!(
+                "class \"view\" effect=\"safe\" aim=\"5s\" give-up=\"20s\" late-worth=0.5\n{}\
+                 amqp \"b\" {{ address \"{}\"; queue \"calls\" {{ prefetch 2000; lanes 64{} }} }}\n\
+                 workers {{ {list} }}\nlog level=\"error\"\n",
+                if with { &tenants } else { "" },
+                broker.address,
+                if with { "; identity \"signed\"" } else { "" },
+            );
+            let path = self.folder.join("serve.kdl");
+            std::fs::write(&path, text)?;
+            let arguments = ["serve".to_string(), "--config".into(), path.display().to_string()];
+            let process = Process::gateway(&self.binary, &arguments, &self.folder.join("log"))?;
+            while consumers(&broker.address, Login::default(), "calls").await != Some(1) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            let mut client = QueueClient::start(&broker.address, Login::default(), "answers");
+            let users = |to: u64| if with { Some((0, to)) } else { None };
+            load_by(&mut client, Load::Rate(200.0), 4, 1, users(70)).await?;
+            if with {
+                server.say(trouble).await?;
+            }
+            let known = load_by(&mut client, Load::Rate(200.0), self.seconds, 2, users(70)).await?;
+            show(&format!("{what}, known users"), &known.latency);
+            println!("  {} of {} not served", known.other, known.latency.len());
+            if with {
+                let all = load_by(&mut client, Load::Rate(200.0), self.seconds, 3, users(100)).await?;
+                show(&format!("{what}, 3 of 10 unknown"), &all.latency);
+                println!("  {} of {} not served", all.other, all.latency.len());
+            }
+            process.kill().await;
+            server.kill().await;
+            broker.kill().await;
+        }
+        Ok(())
+    }
+}
+
+const KEY: &str = "a key of sixteen bytes and more";
+
 enum Load {
     /// So many a second, answered or not.
     Rate(f64),
@@ -235,6 +346,17 @@
 }
 
 async fn load(client: &mut QueueClient, load: Load, seconds: u64, part: usize) -> Result<Loaded> {
+    load_by(client, load, seconds, part, None).await
+}
+
+/// `users`: the calls are signed for these, in turn.
+async fn load_by(
+    client: &mut QueueClient,
+    load: Load,
+    seconds: u64,
+    part: usize,
+    users: Option<(u64, u64)>,
+) -> Result<Loaded> {
     let clock = Clock::default();
     let mut sent: HashMap<String, u64> = HashMap::new();
     let mut loaded = Loaded { latency: histogram(), other: 0, took: 0.0 };
@@ -263,6 +385,11 @@
                 lanes: 64,
                 body: format!("{{\"inputs\":[],\"parameters\":{{\"work_ms\":{work}}}}}").into_bytes(),
                 id: id.clone(),
+                signed: users.map(|(from, to)| Signed {
+                    user: format!("u{}", from + number % (to - from)),
+                    key_id: "desk".into(),
+                    key: KEY.as_bytes().to_vec(),
+                }),
                 ..Publish::default()
             };
             client.calls.send(call).await?;
--- a/crates/pipithub-check/src/record.rs
+++ b/crates/pipithub-check/src/record.rs
@@ -144,6 +144,13 @@
         /// Unix milliseconds of its start, where told.
         started_ms: Option<u64>,
     },
+    /// A user is this tenant's from now on, by the newest server of its directory.
+    Moved {
+        /// The user.
+        user: String,
+        /// The tenant.
+        tenant: String,
+    },
     /// The drill did something, for the report alone: no rule is decided by it.
     Fault {
         /// What.
--- a/crates/pipithub-check/src/rules.rs
+++ b/crates/pipithub-check/src/rules.rs
@@ -1,4 +1,4 @@
-//! The five rules, decided from records of traffic.
+//! The five rules and that of tenants, decided from records of traffic.
 //!
 //! Times are those at which stand-ins saw things. A front end acts before a stand-in sees it and learns after one wrote
 //! it, so every comparison has a slack for the way ([`RuleBook::slack`]); the rules' own figures are added to it.
@@ -48,6 +48,9 @@
     pub drain_grace: u64,
     /// Orders to load: window in nanoseconds, base, share.
     pub ration: Option<(u64, f64, f64)>,
+    /// How long after a move a call may still reach the old side, in nanoseconds; `None`: there are no tenants. Functions
+    /// are named after their tenants, as in `north-map`.
+    pub move_bound: Option<u64>,
     /// Messages whose answers are not expected any more when the records end: published after this.
     pub until: Option<u64>,
 }
@@ -65,12 +68,20 @@
     ColdWorkers,
     /// Orders to load are rationed.
     LoadsRationed,
+    /// No call crosses tenants.
+    TenantsApart,
 }
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Rule; 5] =
-        [Rule::OneAnswer, Rule::NoEffectTwice, Rule::DrainsKept, Rule::ColdWorkers, Rule::LoadsRationed];
+    pub const ALL: [Rule; 6] = [
+        Rule::OneAnswer,
+        Rule::NoEffectTwice,
+        Rule::DrainsKept,
+        Rule::ColdWorkers,
+        Rule::LoadsRationed,
+        Rule::TenantsApart,
+    ];
 
     /// Its name in reports.
     pub fn name(self) -> &'static str {
@@ -80,6 +91,7 @@
             Rule::DrainsKept => "drains are kept",
             Rule::ColdWorkers => "no cold worker pushed over",
             Rule::LoadsRationed => "orders to load are rationed",
+            Rule::TenantsApart => "no call crosses tenants",
         }
     }
 }
@@ -116,6 +128,39 @@
     pub effects: Vec<u64>,
 }
 
+/// What a worker is sent is a function of the tenant whose its user is, or was until no longer ago than the bound. What
+/// a message says of its user is its signer's word, which the front end must have checked.
+fn tenants_apart(records: &[Record], book: &RuleBook, bound: u64, breaches: &mut Vec<Breach>) {
+    let mut sides: BTreeMap<&str, Vec<(u64, &str)>> = BTreeMap::new();
+    let mut users: BTreeMap<&str, &str> = BTreeMap::new();
+    for r in records {
+        match &r.seen {
+            Seen::Moved { user, tenant } => sides.entry(user).or_default().push((r.t, tenant)),
+            Seen::Published { queues, message_id: Some(id), headers, .. } if queues.contains(&book.queue) => {
+                if let Some(user) = headers.get("pipithub-user") {
+                    users.insert(id, user);
+                }
+            }
+            _ => {}
+        }
+    }
+    sides.values_mut().for_each(|spans| spans.sort_unstable());
+    for r in records {
+        let Seen::Call { request, function, .. } = &r.seen else { continue };
+        let user = users.get(request.as_str()).copied().unwrap_or_default();
+        let spans = sides.get(user).map_or(&[][..], Vec::as_slice);
+        let tenant = function.split('-').next().unwrap_or_default();
+        let there = spans.iter().enumerate().any(|(n, (from, side))| {
+            let until = spans.get(n + 1).map_or(u64::MAX, |next| next.0);
+            *side == tenant && *from <= r.t && r.t <= until.saturating_add(bound).saturating_add(book.slack)
+        });
+        if !there {
+            let what = format!("{request} of user '{user}' reached {} with {function}", r.at);
+            breaches.push(Breach { rule: Rule::TenantsApart, at: r.t, what });
+        }
+    }
+}
+
 /// Puts records together by call.
 pub fn stories(records: &[Record], book: &RuleBook) -> BTreeMap<String, Story> {
     let mut stories: BTreeMap<String, Story> = BTreeMap::new();
@@ -187,6 +232,9 @@
     drains(records, book, &mut breaches);
     cold(records, &mut breaches);
     rationed(records, book, &mut breaches);
+    if let Some(bound) = book.move_bound {
+        tenants_apart(records, book, bound, &mut breaches);
+    }
     breaches.sort();
     breaches
 }
--- a/crates/pipithub-check/tests/planted.rs
+++ b/crates/pipithub-check/tests/planted.rs
@@ -24,6 +24,7 @@
         slack: 50 * MS,
         drain_grace: 500 * MS,
         ration: Some((5_000 * MS, 1.0, 0.5)),
+        move_bound: None,
         until: None,
     }
 }
@@ -211,6 +212,39 @@
     assert_eq!(broken(with(vec![order(2_000, "w2")])), [Rule::LoadsRationed]);
 }
 
+#[test]
+fn calls_that_cross_tenants_are_found() {
+    let moved =
+        |ms: u64, tenant: &str| at(ms, "drill", Seen::Moved { user: "mai".into(), tenant: tenant.into() });
+    let crossed = |ms: u64, function: &str, user: &str| {
+        let mut publish = published(10, "b", "safe");
+        if let Seen::Published { headers, .. } = &mut publish.seen {
+            headers.insert("pipithub-user".into(), user.into());
+        }
+        let mut sent = call(ms, "b", "w1", 0);
+        if let Seen::Call { function: f, .. } = &mut sent.seen {
+            *f = function.into();
+        }
+        let records = vec![
+            moved(0, "north"),
+            moved(500, "south"),
+            publish,
+            delivered(11, "b", false),
+            sent,
+            answered(900, "b", "served"),
+        ];
+        let book = RuleBook { move_bound: Some(200 * MS), ..book() };
+        let all = pipithub_check::rules::check(&records, &book);
+        all.iter().filter(|b| b.rule == Rule::TenantsApart).count()
+    };
+    assert_eq!(crossed(400, "north-map", "mai"), 0);
+    assert_eq!(crossed(650, "north-map", "mai"), 0, "within the bound");
+    assert_eq!(crossed(800, "north-map", "mai"), 1);
+    assert_eq!(crossed(400, "south-map", "mai"), 1, "not there yet");
+    assert_eq!(crossed(800, "south-map", "mai"), 0);
+    assert_eq!(crossed(800, "south-map", "lan"), 1, "nobody's");
+}
+
 #[test]
 fn records_read_back_and_a_cut_line_is_passed_over() {
     let text: String = good().iter().map(Record::line).collect();
--- a/crates/pipithub-directory/src/core.rs
+++ b/crates/pipithub-directory/src/core.rs
@@ -3,10 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use pipithub_ldap::Dn;
 
 use crate::Time;
 use crate::facts::{Claim, Claims, Facts, Lifetimes, Person, Roster, TenantId, Told, User, View, ms, share};
+use crate::map::Map;
 use crate::peak::{DAY, Peak};
 use crate::servers::{Breaker, Limits, Server};
 
@@ -22,9 +24,9 @@
 /// Of all searches, those that may be made twice at once.
 const HEDGE_SHARE: f64 = 0.1;
 /// What nobody waits for is gathered for so long at the most.
-const LINGER_MOST: Time = 5_000 * MS;
+const LINGER_MOST: Time = 30_000 * MS;
 /// Days after which a user who was not seen is not asked for ahead of a peak.
-const SEEN_DAYS: i64 = 2;
+const SEEN_DAYS: u8 = 14;
 
 /// A tenant's place in a directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -119,6 +121,14 @@
     Since(Option<String>),
 }
 
+impl What {
+    fn is_answered_wrongly(&self, answer: &Answer) -> bool {
+        let What::Users(users) = self else { return false };
+        let asked: HashSet<&User> = users.iter().collect();
+        answer.found.iter().any(|f| !asked.contains(&f.user))
+    }
+}
+
 /// An entry that a directory told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Found {
@@ -260,7 +270,7 @@
     directory: usize,
     began: i64,
     /// Everybody, as long as those who were not told are not gathered.
-    all: Option<imbl::HashMap<User, Claims>>,
+    all: Option<Map<CompactString, Claims>>,
     missed: Vec<User>,
 }
 
@@ -320,9 +330,7 @@
     next: u64,
     chance: u64,
     /// When users are looked at again, by second; one place each.
-    wheel: BTreeMap<i64, Vec<User>>,
-    /// The days on which users were last wanted.
-    seen: HashMap<User, u16>,
+    wheel: BTreeMap<i64, Vec<CompactString>>,
     sweep: Option<Sweep>,
     stats: Stats,
 }
@@ -367,7 +375,7 @@
         Directory {
             sites: settings.directories.iter().enumerate().map(site).collect(),
             roster: Roster {
-                users: imbl::HashMap::new(),
+                users: Map::new(),
                 directories: settings.directories.iter().map(facts).collect(),
                 realms: Arc::new(realms),
                 others: others.into(),
@@ -381,7 +389,6 @@
             next: 0,
             chance: settings.seed | 1,
             wheel: BTreeMap::new(),
-            seen: HashMap::new(),
             sweep: None,
             stats: Stats::default(),
         }
@@ -409,7 +416,9 @@
 
     /// Takes what a snapshot holds. Facts past their bound were left out of it; none of them is asked for at once.
     pub fn restore(&mut self, now: Time, facts: Vec<(User, Claim)>) {
+        let seen = self.day(now);
         for (user, claim) in facts {
+            let claim = Claim { seen, ..claim };
             if usize::from(claim.directory) < self.sites.len() && self.roster.users.len() < self.max_users {
                 self.set(now, &user, claim);
             }
@@ -477,8 +486,8 @@
 
     // ---- wants ----
 
-    fn day(&self, now: Time) -> u16 {
-        self.wall_ms.saturating_add(ms(now)).div_euclid(DAY).rem_euclid(60_000) as u16
+    fn day(&self, now: Time) -> u8 {
+        self.wall_ms.saturating_add(ms(now)).div_euclid(DAY).rem_euclid(256) as u8
     }
 
     fn wanted(&mut self, now: Time, user: User, urgent: bool, out: &mut Vec<Output>) {
@@ -487,8 +496,12 @@
             return out.push(Output::News(user));
         }
         let day = self.day(now);
-        if let Some(seen) = self.seen.get_mut(&user) {
-            *seen = day;
+        let seen = |claims: &Claims| claims.as_slice().first().filter(|c| c.seen != day).copied();
+        if let Some(claims) = self.roster.users.get(&*user)
+            && let Some(claim) = seen(claims)
+        {
+            let claims = claims.with(Claim { seen: day, ..claim });
+            self.roster.users.insert((&*user).into(), claims);
         }
         let queue = match (urgent, self.roster.look(&user, now)) {
             (true, View::Unknown) => 0,
@@ -642,8 +655,14 @@
             }
             let site = &mut self.sites[directory];
             if now >= site.state_due[server] {
-                site.state_due[server] = now.saturating_add(state_gap(&site.settings));
-                if site.servers[server].breaker == Breaker::Closed {
+                let gap = state_gap(&site.settings);
+                // One that has just answered is known as it is, and one alone is never behind another.
+                let heard = site.servers[server].heard.filter(|at| now < at.saturating_add(gap));
+                site.state_due[server] = heard.unwrap_or(now).saturating_add(gap);
+                if heard.is_none()
+                    && site.servers.len() > 1
+                    && site.servers[server].breaker == Breaker::Closed
+                {
                     self.stats.probes += 1;
                     self.begin(now, directory, server, What::State, 0, out);
                 }
@@ -706,13 +725,21 @@
         let outcome = match outcome {
             // Without its base it is still loading: that it knows nobody means nothing.
             Ok(answer) if !answer.loaded => Err(Failure::Unable),
+            // Entries that nobody asked for: what it says of those who were asked for is worth as little.
+            Ok(answer) if search.what.is_answered_wrongly(&answer) => {
+                self.stats.odd += 1;
+                Err(Failure::Nonsense)
+            }
             other => other,
         };
         let answer = match outcome {
             Ok(answer) => answer,
             Err(failure) => {
                 self.stats.failures += 1;
-                let hard = matches!(failure, Failure::Unable | Failure::Denied | Failure::Elsewhere(_));
+                let hard = matches!(
+                    failure,
+                    Failure::Unable | Failure::Denied | Failure::Nonsense | Failure::Elsewhere(_)
+                );
                 server.failed(now, hard, jitter, &limits);
                 if let Some(twin) = search.twin.and_then(|t| self.out.get_mut(&t)) {
                     twin.twin = None;
@@ -722,7 +749,7 @@
                 return;
             }
         };
-        server.answered(now.saturating_sub(search.began), &limits);
+        server.answered(now, now.saturating_sub(search.began), &limits);
         let current = site.heard(search.server, answer.mark, ms(search.began));
         // What is told is as of before the question was asked, or as of when this copy was the newest there was.
         let confirmed = current.unwrap_or(ms(search.began));
@@ -734,7 +761,7 @@
             What::Since(_) => {
                 for found in answer.found {
                     // Only of those that are known: who was never here is asked for when they are.
-                    if self.roster.users.contains_key(&found.user) {
+                    if self.roster.users.contains_key(&*found.user) {
                         let told = self.place(directory, &found.dn);
                         self.claim(
                             now,
@@ -764,8 +791,6 @@
                 for found in &answer.found {
                     told.entry(&found.user).or_default().push(found);
                 }
-                let asked: HashSet<&User> = users.iter().collect();
-                self.stats.odd += told.keys().filter(|u| !asked.contains(*u)).count() as u64;
                 let mut unsure = Vec::new();
                 for user in &users {
                     let (told, person) = match told.get(user).map(Vec::as_slice) {
@@ -832,9 +857,17 @@
         out: &mut Vec<Output>,
     ) {
         let spread = (self.chance() * 256.0) as u8;
-        let claim =
-            Claim { directory: directory as u16, told, person, confirmed, mark: mark.unwrap_or(0), spread };
-        let old = self.roster.users.get(user).and_then(|c| c.of(claim.directory)).copied();
+        let claim = Claim {
+            directory: directory as u16,
+            told,
+            person,
+            confirmed,
+            mark: mark.unwrap_or(0),
+            spread,
+            seen: 0,
+        };
+        let old = self.roster.users.get(&**user).and_then(|c| c.of(claim.directory)).copied();
+        let claim = Claim { seen: old.map_or_else(|| self.day(now), |o| o.seen), ..claim };
         if let Some(old) = old {
             // A copy that is behind what was said before, or an answer that was overtaken by a later one.
             if claim.mark < old.mark || claim.confirmed < old.confirmed {
@@ -883,21 +916,20 @@
     }
 
     fn set(&mut self, now: Time, user: &User, claim: Claim) {
-        let claims = match self.roster.users.get(user) {
+        let claims = match self.roster.users.get(&**user) {
             Some(claims) => claims.with(claim),
             None => {
                 while self.roster.users.len() >= self.max_users && self.evict() {}
                 let due = self.look_again(now, user, &claim);
-                self.wheel.entry(due).or_default().push(user.clone());
-                self.seen.insert(user.clone(), self.day(now));
+                self.wheel.entry(due).or_default().push((&**user).into());
                 Claims::One(claim)
             }
         };
-        self.roster.users.insert(user.clone(), claims);
+        self.roster.users.insert((&**user).into(), claims);
     }
 
     /// The second at which a user is looked at again: to be asked for ahead of the peak, or to go.
-    fn look_again(&self, now: Time, user: &User, claim: &Claim) -> i64 {
+    fn look_again(&self, now: Time, user: &str, claim: &Claim) -> i64 {
         let settings = &self.sites[usize::from(claim.directory)].settings;
         let most = match claim.told {
             Told::Tenant(_) => settings.lifetimes.stale_most,
@@ -925,13 +957,12 @@
         true
     }
 
-    fn forget(&mut self, user: &User) {
+    fn forget(&mut self, user: &str) {
         if let Some(claims) = self.roster.users.remove(user) {
             for claim in claims.as_slice() {
                 self.sites[usize::from(claim.directory)].persons.remove(&claim.person);
             }
         }
-        self.seen.remove(user);
     }
 
     fn turn_wheel(&mut self, now: Time) {
@@ -943,7 +974,7 @@
                 first.remove();
             }
             let Some(user) = user else { continue };
-            let Some(claims) = self.roster.users.get(&user) else { continue };
+            let Some(claims) = self.roster.users.get(user.as_str()) else { continue };
             let claims = claims.as_slice().to_vec();
             let held = |c: &Claim| {
                 let site = &self.sites[usize::from(c.directory)];
@@ -959,7 +990,7 @@
                 continue;
             }
             let day = self.day(now);
-            let recent = self.seen.get(&user).is_some_and(|s| i64::from(day.wrapping_sub(*s)) <= SEEN_DAYS);
+            let recent = claims.iter().any(|c| day.wrapping_sub(c.seen) <= SEEN_DAYS);
             for claim in &claims {
                 let directory = usize::from(claim.directory);
                 let settings = &self.sites[directory].settings;
@@ -971,7 +1002,7 @@
                     && settings.peak.is_some()
                     && matches!(claim.told, Told::Tenant(_))
                 {
-                    self.queue(now, directory, user.clone(), 2);
+                    self.queue(now, directory, user.as_str().into(), 2);
                 }
             }
             // As if confirmed now, so that the next place is in the next window, unless it goes before.
@@ -1000,12 +1031,12 @@
                     self.gone(now, directory, &old, out);
                 }
                 if told == Told::Absent {
-                    if self.roster.users.contains_key(&found.user) {
+                    if self.roster.users.contains_key(&*found.user) {
                         self.gone(now, directory, &found.user, out);
                     }
                     return;
                 }
-                if self.roster.users.len() < self.max_users || self.roster.users.contains_key(&found.user) {
+                if self.roster.users.len() < self.max_users || self.roster.users.contains_key(&*found.user) {
                     if found.person != Person::default() {
                         self.sites[directory].persons.insert(found.person, found.user.clone());
                     }
@@ -1021,7 +1052,7 @@
             }
             News::Kept(person) => {
                 let Some(user) = self.sites[directory].persons.get(&person).cloned() else { return };
-                let old = self.roster.users.get(&user).and_then(|c| c.of(directory as u16)).copied();
+                let old = self.roster.users.get(&*user).and_then(|c| c.of(directory as u16)).copied();
                 if let Some(old) = old {
                     self.set(now, &user, Claim { confirmed: now_ms, ..old });
                 }
@@ -1047,13 +1078,13 @@
     }
 
     fn known_mark(&self, directory: usize, user: &User) -> u64 {
-        let claim = self.roster.users.get(user).and_then(|c| c.of(directory as u16));
+        let claim = self.roster.users.get(&**user).and_then(|c| c.of(directory as u16));
         claim.map_or(0, |c| c.mark)
     }
 
     fn gone(&mut self, now: Time, directory: usize, user: &User, out: &mut Vec<Output>) {
         let mark = self.known_mark(directory, user);
-        if let Some(claim) = self.roster.users.get(user).and_then(|c| c.of(directory as u16)) {
+        if let Some(claim) = self.roster.users.get(&**user).and_then(|c| c.of(directory as u16)) {
             self.sites[directory].persons.remove(&claim.person);
         }
         self.claim(now, directory, user, Told::Absent, Person::default(), ms(now), Some(mark), out);
@@ -1071,14 +1102,14 @@
         let (directory, began) = (sweep.directory, sweep.began);
         if let Some(all) = sweep.all.take() {
             // Walking a shared map copies nothing and changes nothing.
-            let missed = |(_, c): &(&User, &Claims)| {
+            let missed = |(_, c): &(&CompactString, &Claims)| {
                 let claim = c.of(directory as u16);
                 claim.is_some_and(|c| c.confirmed < began && matches!(c.told, Told::Tenant(_)))
             };
-            sweep.missed = all.iter().filter(missed).map(|(u, _)| u.clone()).collect();
+            sweep.missed = all.iter().filter(missed).map(|(u, _)| u.as_str().into()).collect();
         }
         for user in sweep.missed.split_off(sweep.missed.len().saturating_sub(SWEEP)) {
-            let still = self.roster.users.get(&user).and_then(|c| c.of(directory as u16));
+            let still = self.roster.users.get(&*user).and_then(|c| c.of(directory as u16));
             if still.is_some_and(|c| c.confirmed < began) {
                 self.gone(now, directory, &user, out);
             }
--- a/crates/pipithub-directory/src/facts.rs
+++ b/crates/pipithub-directory/src/facts.rs
@@ -4,7 +4,10 @@
 use std::hash::BuildHasher;
 use std::sync::Arc;
 
+use compact_str::CompactString;
+
 use crate::Time;
+use crate::map::Map;
 
 /// A tenant, by its place in the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,6 +56,8 @@
     pub mark: u64,
     /// By chance: facts that were told together are not asked for anew together.
     pub spread: u8,
+    /// The day on which the user was last wanted, modulo 256.
+    pub seen: u8,
 }
 
 /// All claims on one user.
@@ -89,8 +94,8 @@
 /// For how long what a directory said counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lifetimes {
-    /// A positive fact is used up to half of this age without more ado. From some age between the half and the whole it is
-    /// used while it is asked for again, and from twice this age on a call waits a little for the answer.
+    /// A positive fact is used up to three quarters of this age without more ado. From some age between that and the whole
+    /// it is used while it is asked for again, and from twice this age on a call waits a little for the answer.
     pub fresh: Time,
     /// The hard bound: from this age on a positive fact is as if it were not there.
     pub stale_most: Time,
@@ -134,7 +139,8 @@
 /// What is known, at one time. Cloning shares everything.
 #[derive(Clone, Debug)]
 pub struct Roster {
-    pub(crate) users: imbl::HashMap<User, Claims>,
+    /// Names of up to 24 bytes stand in their place: to look one up fetches nothing more from memory.
+    pub(crate) users: Map<CompactString, Claims>,
     pub(crate) directories: Arc<[Facts]>,
     pub(crate) realms: Arc<HashMap<Box<str>, Vec<u16>>>,
     /// Directories for names without a realm that any directory has.
@@ -209,9 +215,9 @@
         }
         if let Some((claim, tenant, age, lifetimes)) = found {
             let person = claim.person;
-            let early = lifetimes.fresh / 512 * u64::from(claim.spread);
+            let early = lifetimes.fresh / 1024 * u64::from(claim.spread);
             let refresh = match age {
-                a if a < lifetimes.fresh / 2 + early => Refresh::No,
+                a if a < lifetimes.fresh / 4 * 3 + early => Refresh::No,
                 a if a < lifetimes.fresh.saturating_mul(2) => Refresh::Behind,
                 _ => Refresh::First,
             };
--- a/crates/pipithub-directory/src/lib.rs
+++ b/crates/pipithub-directory/src/lib.rs
@@ -9,7 +9,9 @@
 
 mod core;
 mod facts;
+mod map;
 mod peak;
+mod publish;
 mod servers;
 pub mod snapshot;
 mod waiting;
@@ -20,6 +22,7 @@
 };
 pub use facts::{Claim, Lifetimes, Person, Refresh, Roster, TenantId, Told, User, View};
 pub use peak::Peak;
+pub use publish::Publisher;
 pub use waiting::{Waiting, Woken};
 
 /// Nanoseconds on the caller's clock.
--- a/crates/pipithub-directory/src/servers.rs
+++ b/crates/pipithub-directory/src/servers.rs
@@ -40,11 +40,21 @@
     fails: u32,
     /// Its copy is behind that of another.
     pub behind: bool,
+    /// When it answered last.
+    pub heard: Option<Time>,
 }
 
 impl Server {
     pub(crate) fn new() -> Self {
-        Server { breaker: Breaker::Closed, window: 1.0, out: 0, pace: None, fails: 0, behind: false }
+        Server {
+            breaker: Breaker::Closed,
+            window: 1.0,
+            out: 0,
+            pace: None,
+            fails: 0,
+            behind: false,
+            heard: None,
+        }
     }
 
     pub(crate) fn has_room(&self, limits: &Limits) -> bool {
@@ -62,7 +72,8 @@
         self.pace.map(|p| p as Time)
     }
 
-    pub(crate) fn answered(&mut self, took: Time, limits: &Limits) {
+    pub(crate) fn answered(&mut self, now: Time, took: Time, limits: &Limits) {
+        self.heard = Some(now);
         self.fails = 0;
         self.breaker = Breaker::Closed;
         self.window = (self.window + 1.0).min(limits.at_once.max(1) as f64);
@@ -104,7 +115,7 @@
         server.failed(0, false, 0.5, &limits);
         server.failed(0, false, 0.5, &limits);
         assert!(server.has_room(&limits));
-        server.answered(1, &limits);
+        server.answered(0, 1, &limits);
         server.failed(0, false, 0.5, &limits);
         server.failed(0, false, 0.5, &limits);
         assert_eq!(server.breaker, Breaker::Closed, "an answer between counts");
@@ -126,10 +137,10 @@
         let mut server = Server::new();
         server.failed(0, true, 0.0, &limits);
         assert!(matches!(server.breaker, Breaker::Open { .. }), "its own word opens it at once");
-        server.answered(1, &limits);
+        server.answered(0, 1, &limits);
         server.out = 2;
         assert!(!server.has_room(&limits));
-        server.answered(1, &limits);
+        server.answered(0, 1, &limits);
         assert!(server.has_room(&limits));
     }
 }
--- a/crates/pipithub-directory/src/snapshot.rs
+++ b/crates/pipithub-directory/src/snapshot.rs
@@ -62,7 +62,7 @@
     let count_at = out.len();
     out.extend(0u64.to_be_bytes());
     let mut count = 0u64;
-    for (user, claims) in &roster.users {
+    for (user, claims) in roster.users.iter() {
         for claim in claims.as_slice() {
             let Some(facts) = roster.directories.get(usize::from(claim.directory)) else { continue };
             let Told::Tenant(tenant) = claim.told else { continue };
@@ -148,6 +148,7 @@
                     mark,
                     confirmed: ms(now).saturating_sub(age),
                     spread: number as u8,
+                    seen: 0,
                 },
                 age,
             ))
--- a/crates/pipithub-drill/src/load.rs
+++ b/crates/pipithub-drill/src/load.rs
@@ -1,6 +1,6 @@
 //! The calls of a day, drawn from its seed before it begins.
 
-use crate::client::Publish;
+use crate::client::{Publish, Signed};
 use crate::scenario::{Scenario, Trouble};
 
 /// Chance that is equal for equal seeds (splitmix64).
@@ -32,9 +32,38 @@
     }
 }
 
+/// The tenants of a day.
+pub const TENANTS: [&str; 2] = ["north", "south"];
+/// The key that signs a day's calls.
+pub const KEY: &str = "the key of a day's desk";
+
+/// Moves of a day: when, which user, to which tenant.
+pub fn moves(day: &Scenario, seed: u64) -> Vec<(u64, usize, usize)> {
+    let Some(tenants) = &day.tenants else { return Vec::new() };
+    let mut chance = Chance::new(seed ^ 0x6d6f_7665);
+    let mut sides: Vec<usize> = (0..tenants.users).map(|n| n % 2).collect();
+    let mut moves = Vec::new();
+    for step in &day.steps {
+        let Trouble::MoveUsers { every } = step.trouble else { continue };
+        let mut at = step.at;
+        while at < step.at + step.length {
+            let user = chance.below(tenants.users);
+            sides[user] = 1 - sides[user];
+            moves.push((at, user, sides[user]));
+            at += every;
+        }
+    }
+    moves.sort_unstable();
+    moves
+}
+
 /// The calls, each with its time in nanoseconds from the first.
 pub fn calls(day: &Scenario, seed: u64, queue: &str) -> Vec<(u64, Publish)> {
     let mut chance = Chance::new(seed);
+    // Of its own chance, so that a day without tenants has the calls that it always had.
+    let mut whose = Chance::new(seed ^ 0x7573_6572);
+    let mut moves = moves(day, seed).into_iter().peekable();
+    let mut sides: Vec<usize> = (0..day.tenants.as_ref().map_or(0, |t| t.users)).map(|n| n % 2).collect();
     let mut calls = Vec::new();
     let mut at = 0.0f64;
     // A few functions draw a large part of all calls.
@@ -42,11 +71,19 @@
     let total: f64 = weights.iter().sum();
     let shares: f64 = day.classes.iter().map(|c| c.share).sum();
     loop {
-        at += -(1.0 - chance.unit()).ln() / day.rate * 1e9;
+        let storm = day.steps.iter().filter(|s| s.at as f64 <= at && at < (s.at + s.length) as f64);
+        let storm =
+            storm.filter_map(|s| if let Trouble::Storm { times } = s.trouble { Some(times) } else { None });
+        // Half of the calls are the second tenant's as a rule.
+        let storm = storm.fold(1.0, f64::max);
+        at += -(1.0 - chance.unit()).ln() / (day.rate * (1.0 + storm) / 2.0) * 1e9;
         if at >= day.length as f64 {
             return calls;
         }
         let now = at as u64;
+        while let Some((_, user, side)) = moves.next_if(|m| m.0 <= now) {
+            sides[user] = side;
+        }
         let share = |pick: fn(&Trouble) -> Option<f64>| {
             let active = day.steps.iter().filter(|s| s.at <= now && now < s.at + s.length);
             active.filter_map(|s| pick(&s.trouble)).fold(0.0, f64::max)
@@ -74,6 +111,17 @@
         } else {
             format!("model-{}", function.unwrap_or(0))
         };
+        let (function, signed) = match &day.tenants {
+            None => (function, None),
+            Some(tenants) => {
+                let wanted = usize::from(whose.unit() < storm / (1.0 + storm));
+                let user =
+                    (0..64).map(|_| whose.below(tenants.users)).find(|u| sides[*u] == wanted).unwrap_or(0);
+                let side = if whose.unit() < tenants.spies { 1 - sides[user] } else { sides[user] };
+                let signed = Signed { user: format!("u{user}"), key_id: "desk".into(), key: KEY.into() };
+                (format!("{}-{function}", TENANTS[side]), Some(signed))
+            }
+        };
         let budget_ms = (draw_little < little).then(|| 5 + chance.below(60) as u64);
         // Half to one and a half times the class's mean.
         let work_ms = class.work as f64 / 1e6 * (0.5 + chance.unit());
@@ -88,7 +136,7 @@
                 memory_mb: 0,
                 lanes: 4,
                 body: format!("{{\"inputs\":[],\"parameters\":{{\"work_ms\":{work_ms:.2}}}}}").into_bytes(),
-                signed: None,
+                signed,
             },
         ));
     }
--- a/crates/pipithub-drill/src/run.rs
+++ b/crates/pipithub-drill/src/run.rs
@@ -9,6 +9,7 @@
 use pipithub_check::report::{Report, report};
 use pipithub_check::rules::{Breach, ClassRules, Effect, RuleBook, check};
 use pipithub_clock::{Clock, wall_ms, wall_ns};
+use pipithub_standin::directory::{DirectoryServer, DirectorySettings};
 use pipithub_standin::list::{ListServer, Listed};
 use pipithub_standin::recorder::Recorder;
 use pipithub_standin::store::{StoreServer, StoreSettings};
@@ -53,6 +54,9 @@
     KillFront(usize),
     StartFront(usize),
     CutBroker,
+    Directory(usize, String),
+    Stale(usize, bool),
+    Move(usize, usize),
 }
 
 struct Slot {
@@ -74,11 +78,16 @@
     baseline: Option<String>,
     started: u64,
     faults: Vec<(u64, String)>,
+    directories: Vec<DirectoryServer>,
+    /// Which of them hear of no moves.
+    stale: Vec<bool>,
+    moved: Recorder,
 }
 
 /// The acts of a day, by time.
-fn acts(day: &Scenario) -> Vec<(u64, Act)> {
-    let mut acts: Vec<(u64, Act)> = Vec::new();
+fn acts(day: &Scenario, seed: u64) -> Vec<(u64, Act)> {
+    let moves = load::moves(day, seed).into_iter();
+    let mut acts: Vec<(u64, Act)> = moves.map(|(at, user, side)| (at, Act::Move(user, side))).collect();
     let dies = |acts: &mut Vec<(u64, Act)>, worker: usize, at: u64, length: u64| {
         acts.push((at, Act::Kill(worker)));
         acts.push((at + day.list_lag, Act::Gone(worker)));
@@ -123,7 +132,19 @@
                 let lost = (0..day.workers).filter(|w| w % day.zones == zone);
                 lost.for_each(|worker| dies(&mut acts, worker, at, step.length));
             }
-            Trouble::LittleTime { .. } | Trouble::OneOff { .. } | Trouble::Hot { .. } => {}
+            Trouble::Directory { server, ref fault } => {
+                acts.push((at, Act::Directory(server, fault.clone())));
+                acts.push((end, Act::Directory(server, "good".into())));
+            }
+            Trouble::StaleDirectory { server } => {
+                acts.push((at, Act::Stale(server, true)));
+                acts.push((end, Act::Stale(server, false)));
+            }
+            Trouble::LittleTime { .. }
+            | Trouble::OneOff { .. }
+            | Trouble::Hot { .. }
+            | Trouble::MoveUsers { .. }
+            | Trouble::Storm { .. } => {}
         }
     }
     acts.sort_by_key(|(at, _)| *at);
@@ -219,6 +240,27 @@
                 }
             }
             Act::CutBroker => self.broker.say("cut").await?,
+            Act::Directory(server, line) => drop(self.directories[server].command(&line)),
+            Act::Stale(server, stale) => {
+                self.stale[server] = stale;
+                if let Some(current) = (0..self.directories.len()).find(|n| !self.stale[*n] && *n != server)
+                    && !stale
+                {
+                    self.directories[server].copy_from(&self.directories[current]);
+                }
+            }
+            Act::Move(user, side) => {
+                // Noted first: a front end may act on it before the next line runs.
+                let (name, tenant) = (format!("u{user}"), load::TENANTS[side].to_string());
+                self.moved.note("directory", Seen::Moved { user: name, tenant });
+                let from = format!("uid=u{user},ou={},dc=example", load::TENANTS[1 - side]);
+                for (n, directory) in self.directories.iter().enumerate() {
+                    if !self.stale[n] {
+                        directory.move_to(&from, &format!("ou={},dc=example", load::TENANTS[side]));
+                    }
+                }
+                return Ok(());
+            }
         }
         info!(act = told, "drill");
         self.faults.push((wall_ns(), told));
@@ -227,7 +269,14 @@
 }
 
 /// The settings of a front end.
-fn settings(day: &Scenario, n: usize, broker: &str, list: &str, remember: &str) -> String {
+fn settings(
+    day: &Scenario,
+    n: usize,
+    broker: &str,
+    list: &str,
+    remember: &str,
+    directories: &[String],
+) -> String {
     let classes: String = day
         .classes
         .iter()
@@ -238,17 +287,37 @@
                 _ => String::new(),
             };
             format!(
-                "class {:?} effect={:?} aim=\"{}ms\" give-up=\"{}ms\" late-worth=0.3{dedup}\n",
+                "class {:?} worth={} effect={:?} aim=\"{}ms\" give-up=\"{}ms\" late-worth=0.3{dedup}\n",
                 c.name,
+                c.worth,
                 c.effect,
                 ms(c.aim),
                 ms(c.give_up)
             )
         })
         .collect();
+    let (tenants, identity) = match &day.tenants {
+        None => (String::new(), ""),
+        Some(spec) => {
+            let servers: String = directories.iter().map(|d| format!("    server {d:?}\n")).collect();
+            let each = |t: &str| {
+                format!(
+                    "tenant {t:?} {{ directory \"campus\" base=\"ou={t},dc=example\"; function \"{t}-*\" }}\n"
+                )
+            };
+            let tenants: String = load::TENANTS.iter().map(|t| each(t)).collect();
+            let text = format!(
+                "signatures {{ key \"desk\" text={:?} }}\ndirectory \"campus\" {{\n{servers}    tls \"none\"\n    \
+                 base \"dc=example\"\n    mark-attribute \"contextCSN\"\n{}\n}}\n{tenants}",
+                load::KEY,
+                spec.settings
+            );
+            (text, "; identity \"signed\"")
+        }
+    };
     format!(
-        "front-end \"front-{n}\" peers={}\n{classes}amqp \"broker\" {{\n    address {broker:?}\n    retry-first \"20ms\"\n    \
-         retry-most \"500ms\"\n    queue \"{QUEUE}\" {{ prefetch 100; lanes 4; memory-mb 4000 }}\n}}\n\
+        "front-end \"front-{n}\" peers={}\n{classes}{tenants}amqp \"broker\" {{\n    address {broker:?}\n    retry-first \"20ms\"\n    \
+         retry-most \"500ms\"\n    queue \"{QUEUE}\" {{ prefetch 100; lanes 4; memory-mb 4000{identity} }}\n}}\n\
          workers {{\n    list \"http://{list}\"\n    remember {remember:?}\n}}\nlog level=\"info\"\n{}\n",
         day.fronts, day.settings
     )
@@ -268,8 +337,10 @@
         worth: c.worth,
         dedup_window: c.dedup_window,
     };
-    let config =
-        pipithub_settings::Config::parse("drill", &settings(day, 0, "127.0.0.1:1", "127.0.0.1:1", "x"));
+    let config = pipithub_settings::Config::parse(
+        "drill",
+        &settings(day, 0, "127.0.0.1:1", "127.0.0.1:1", "x", &["127.0.0.1:1".into()]),
+    );
     let ration = config.ok().and_then(|c| c.engine.policy.loading.ration);
     RuleBook {
         classes: day.classes.iter().map(|c| (c.name.clone(), class(c))).collect(),
@@ -277,6 +348,7 @@
         slack: day.slack,
         drain_grace: day.drain_grace,
         ration: ration.map(|r| (r.window, r.base, r.share)),
+        move_bound: day.tenants.as_ref().map(|t| t.bound),
         until: None,
     }
 }
@@ -299,6 +371,24 @@
         ["standin", "broker", "--listen", "127.0.0.1:0", "--commands", "--queue", QUEUE, "--record", &record];
     let broker = Process::standin(binary, &arguments.map(String::from), &folder.join("broker.log")).await?;
     let address = broker.address.clone();
+    let moved = Recorder::file(&folder.join("directory.jsonl"))?;
+    let mut directories = Vec::new();
+    if let Some(tenants) = &day.tenants {
+        let mut tree = String::from("dn: dc=example\nobjectClass: domain\n\n");
+        for tenant in load::TENANTS {
+            tree += &format!("dn: ou={tenant},dc=example\nobjectClass: organizationalUnit\n\n");
+        }
+        for user in 0..tenants.users {
+            let tenant = load::TENANTS[user % 2];
+            tree += &format!("dn: uid=u{user},ou={tenant},dc=example\nobjectClass: person\nuid: u{user}\n\n");
+            moved.note("directory", Seen::Moved { user: format!("u{user}"), tenant: tenant.into() });
+        }
+        for _ in 0..tenants.servers {
+            let settings = DirectorySettings { tree: tree.clone(), ..DirectorySettings::default() };
+            directories.push(DirectoryServer::start(any, settings).await?);
+        }
+    }
+    let addresses: Vec<String> = directories.iter().map(|d| d.address().to_string()).collect();
     let slots = (0..day.workers).map(|_| Slot { process: None, listed: None, dead: Vec::new() }).collect();
     let mut stage = Stage {
         day,
@@ -312,13 +402,16 @@
         baseline: baseline.map(str::to_string),
         started: 0,
         faults: Vec::new(),
+        stale: vec![false; directories.len()],
+        directories,
+        moved,
     };
     for n in 0..day.workers {
         stage.start_worker(n, true).await?;
     }
     for n in 0..day.fronts {
         let remember = stage.path(&format!("front-{n}-list.json"));
-        let text = settings(day, n, &address, &stage.list.address().to_string(), &remember);
+        let text = settings(day, n, &address, &stage.list.address().to_string(), &remember, &addresses);
         // A file with a fault would only show as a front end that never comes.
         pipithub_settings::Config::parse("drill settings", &text)
             .map_err(|f| format!("{f}: {:?}", f.lines()))?;
@@ -335,7 +428,7 @@
 
     let calls = load::calls(day, seed, QUEUE);
     let total = calls.len();
-    let acts = acts(day);
+    let acts = acts(day, seed);
     let mut client = QueueClient::start(&address, Login::default(), "answers");
     let began = wall_ns();
     let start = Clock::default();
--- a/crates/pipithub-drill/src/scenario.rs
+++ b/crates/pipithub-drill/src/scenario.rs
@@ -92,6 +92,28 @@
         /// The share.
         share: f64,
     },
+    /// A directory server does wrong, as its stand-in's line says; at the end it is good again.
+    Directory {
+        /// Which.
+        server: usize,
+        /// The line.
+        fault: String,
+    },
+    /// A directory server hears of no moves; at the end it catches up.
+    StaleDirectory {
+        /// Which.
+        server: usize,
+    },
+    /// Users move to the other tenant.
+    MoveUsers {
+        /// Nanoseconds between two.
+        every: u64,
+    },
+    /// Of the second tenant come so many times its calls.
+    Storm {
+        /// How many times.
+        times: f64,
+    },
     /// A share of the calls is for one function.
     Hot {
         /// The share.
@@ -99,6 +121,21 @@
     },
 }
 
+/// Tenants of a day: two, with their users in one directory.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantSpec {
+    /// Users, half of each tenant at first.
+    pub users: usize,
+    /// The directory's servers.
+    pub servers: usize,
+    /// Of the calls, those that ask for the other tenant's functions.
+    pub spies: f64,
+    /// Further lines of the directory's settings.
+    pub settings: String,
+    /// How long after a move a call may still reach the old side, in nanoseconds.
+    pub bound: u64,
+}
+
 /// A trouble with its time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
@@ -137,6 +174,8 @@
     pub drain_grace: u64,
     /// Slack of the checker, in nanoseconds.
     pub slack: u64,
+    /// The tenants, where the day has any.
+    pub tenants: Option<TenantSpec>,
     /// The classes.
     pub classes: Vec<ClassSpec>,
     /// What goes wrong, by time.
@@ -221,6 +260,7 @@
             list_lag: 300_000_000,
             drain_grace: 1_000_000_000,
             slack: 300_000_000,
+            tenants: None,
             classes: Vec::new(),
             steps: Vec::new(),
         };
@@ -281,8 +321,34 @@
                 "settings" => {
                     day.settings = node.children().map(|d| d.to_string()).unwrap_or_default();
                 }
+                "tenants" => {
+                    n.allow(&["users", "servers", "spies", "bound"])?;
+                    day.tenants = Some(TenantSpec {
+                        users: (n.number("users", Some(60.0))? as usize).clamp(2, 1_000_000),
+                        servers: (n.number("servers", Some(2.0))? as usize).clamp(1, 8),
+                        spies: n.number("spies", Some(0.05))?.min(1.0),
+                        settings: node.children().map(|d| d.to_string()).unwrap_or_default(),
+                        bound: n.time("bound", None)?,
+                    });
+                }
                 name => {
                     let trouble = match name {
+                        "directory" => Trouble::Directory {
+                            server: n.number("server", Some(0.0))? as usize,
+                            fault: match n.text_of("fault") {
+                                Some(fault) => fault.to_string(),
+                                None => return n.fault("'directory' needs a 'fault', as \"silent on\""),
+                            },
+                        },
+                        "stale-directory" => {
+                            Trouble::StaleDirectory { server: n.number("server", Some(0.0))? as usize }
+                        }
+                        "move-users" => {
+                            Trouble::MoveUsers { every: n.time("every", Some(200_000_000))?.max(1_000_000) }
+                        }
+                        "storm" => {
+                            Trouble::Storm { times: n.number("times", Some(10.0))?.clamp(1.0, 1_000.0) }
+                        }
                         "crash" => Trouble::Crash { worker: n.number("worker", None)? as usize },
                         "deploy" => Trouble::Deploy {
                             every: n.time("every", Some(1_500_000_000))?,
@@ -302,12 +368,21 @@
                     };
                     n.allow(&[
                         "at", "for", "worker", "front", "zone", "share", "factor", "by", "every", "count",
+                        "server", "fault", "times",
                     ])?;
                     match trouble {
                         Trouble::Crash { worker } | Trouble::Silent { worker } if worker >= day.workers => {
                             return n
                                 .fault(format!("there are only {} workers, counted from 0", day.workers));
                         }
+                        Trouble::Directory { server, .. } | Trouble::StaleDirectory { server }
+                            if day.tenants.as_ref().is_none_or(|t| server >= t.servers) =>
+                        {
+                            return n.fault("there is no such directory server; 'tenants' comes first");
+                        }
+                        Trouble::MoveUsers { .. } | Trouble::Storm { .. } if day.tenants.is_none() => {
+                            return n.fault("this needs 'tenants', before it");
+                        }
                         Trouble::KillFront { front } if front >= day.fronts => {
                             return n
                                 .fault(format!("there are only {} front ends, counted from 0", day.fronts));
--- a/crates/pipithub-gateway/src/directory.rs
+++ b/crates/pipithub-gateway/src/directory.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use pipithub_clock::{Clock, wall_ms};
 use pipithub_directory::{
-    Answer, Directory, Failure, Found, Input, News, Output, Person, Roster, SearchId, Settings, User, What,
-    snapshot,
+    Answer, Directory, Failure, Found, Input, News, Output, Person, Publisher, Roster, SearchId, Settings,
+    User, What, snapshot,
 };
 use pipithub_ldap::client::Entry;
 use pipithub_ldap::message::{Filter, ResultCode, SearchRequestScope};
@@ -28,12 +28,17 @@
 
 /// Wants that wait for the core; a call whose want finds no room waits its time and is judged by what is known.
 const WANTS: usize = 8_192;
+/// Inputs taken in one go.
+const BATCH: usize = 256;
+/// How long inputs are taken before what came of them is published.
+const TURN: u64 = 20_000_000;
 /// Commands and events between core and links.
 const COMMANDS: usize = 1_024;
 /// A connection that is not up by then counts as lost.
 const CONNECT_MOST: Duration = Duration::from_secs(2);
-/// How often a followed connection is tried, and how long it may stay silent.
-const ALIVE: Duration = Duration::from_secs(5);
+/// How often a followed connection is tried, and how long it may stay silent: at the most, and of a fact's lifetime.
+const ALIVE_MOST: Duration = Duration::from_secs(30);
+const ALIVE_PART: u64 = 4;
 /// Entries of one answer; more cannot be an answer to what was asked.
 const ENTRIES_MOST: usize = 100_000;
 /// Page of a search that has no bound of its own.
@@ -89,10 +94,11 @@
     if let (Some(snapshot), Some(file)) = (&config.snapshot, &file) {
         recall(&config, &mut core, file, &snapshot.key, clock);
     }
-    let roster = Arc::new(ArcSwap::from_pointee(core.roster().clone()));
+    let publisher = Publisher::new(core.roster());
+    let roster = publisher.newest();
     let (wants, inputs) = mpsc::channel(WANTS);
     let (words, heard) = mpsc::channel(WANTS);
-    let shell = Shell { core, config, clock, roster: roster.clone(), words, links: BTreeMap::new(), file };
+    let shell = Shell { core, config, clock, publisher, words, links: BTreeMap::new(), file };
     tasks.spawn(shell.run(inputs, wants.clone(), front_end.to_string()));
     Handle { roster, wants, words: heard }
 }
@@ -117,7 +123,7 @@
     core: Directory,
     config: Arc<TenantsConfig>,
     clock: Clock,
-    roster: Arc<ArcSwap<Roster>>,
+    publisher: Publisher,
     words: mpsc::Sender<Word>,
     links: BTreeMap<(usize, usize), mpsc::Sender<Command>>,
     file: Option<std::path::PathBuf>,
@@ -171,13 +177,13 @@
         write.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         write.tick().await;
         let mut out = Vec::new();
-        let mut batch = Vec::with_capacity(256);
+        let mut batch = Vec::with_capacity(BATCH);
         let mut writing: Option<tokio::task::JoinHandle<()>> = None;
         loop {
             let now = self.clock.now();
             let due = self.core.next_due(now);
             tokio::select! {
-                count = inputs.recv_many(&mut batch, 256) => {
+                count = inputs.recv_many(&mut batch, BATCH) => {
                     if count == 0 {
                         return;
                     }
@@ -189,12 +195,24 @@
                     }
                 }
             }
-            let now = self.clock.now();
-            for input in batch.drain(..) {
-                self.core.handle(now, input, &mut out);
+            // Each version that is published costs copies of what changes next: while more waits, a while's is one version.
+            let began = self.clock.now();
+            loop {
+                let now = self.clock.now();
+                for input in batch.drain(..) {
+                    self.core.handle(now, input, &mut out);
+                }
+                match inputs.try_recv() {
+                    Ok(input) if now < began + TURN => batch.push(input),
+                    Ok(input) => {
+                        self.core.handle(now, input, &mut out);
+                        break;
+                    }
+                    Err(_) => break,
+                }
             }
             // Readers see the new facts before anybody is told that there are any.
-            self.roster.store(Arc::new(self.core.roster().clone()));
+            self.publisher.publish(self.core.roster());
             for output in out.drain(..) {
                 let word = match output {
                     Output::Search { id, directory, server, what } => {
@@ -766,7 +784,7 @@
             }
             // What a server says about a synchronisation that it cannot go on with is not one code of the core
             // protocol: whatever ended it, the next one begins anew where this one was short.
-            if began.elapsed() < ALIVE {
+            if began.elapsed() < self.alive() {
                 cookie = None;
             }
             server = (server + 1) % self.directory.servers.len();
@@ -775,6 +793,12 @@
         }
     }
 
+    fn alive(&self) -> Duration {
+        let lifetimes = self.directory.asking.lifetimes;
+        let shortest = lifetimes.fresh.min(lifetimes.negative);
+        Duration::from_nanos(shortest / ALIVE_PART).clamp(Duration::from_millis(100), ALIVE_MOST)
+    }
+
     async fn tell(&self, news: News) -> bool {
         self.inputs.send(Input::Told { directory: self.number, news }).await.is_ok()
     }
@@ -801,7 +825,7 @@
         }
         let mut complete = false;
         let mut alive: Option<Asked> = None;
-        let mut beat = tokio::time::interval(ALIVE);
+        let mut beat = tokio::time::interval(self.alive());
         beat.tick().await;
         loop {
             if let Err(why) = connection.flush().await {
