A storming tenant is held to its share of what is served; cores' own tests

Change: nothing is cut without a tenant that asks for far more than its share; others have their usual rate for certain; while calls find no worker or answers slow down, the storming one starts 0.9 of its share of what is served.

--- a/crates/pipithub-admission/src/shares.rs
+++ b/crates/pipithub-admission/src/shares.rs
@@ -1,9 +1,13 @@
 //! Tenants' rates and shares.
 //!
 //! A front end's limit on calls in service is not set but found: it is cut when the module finds no worker for a call in
-//! time, and grows slowly while it does not. Each tenant that has asked lately has its part of the limit for certain; what
-//! is left of the whole is lent, first to calls of the worthier classes. A tenant alone is not limited at all: the module
-//! decides, as without this.
+//! time while some tenant asks for far more than its share, and grows slowly while that is not so. Where nobody asks for
+//! more than their share, or a tenant is alone, nothing is cut: calls that find no worker then are for the module to
+//! refuse, and a limit would refuse more (loads that take long fill any limit on calls in service).
+//!
+//! For certain, a tenant has its part of the limit, and in any case as many calls a second as are its share of what is, or
+//! lately was, served: one that asks for no more than on any day is not held back because others storm, or because
+//! workers were lost; what it gets then is for the module to say. What is left of the limit is lent, first to calls of the worthier classes.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,7 +30,53 @@
 /// Nobody is told to stay away for longer.
 const STAY_AWAY_MOST: Time = 5 * SECOND;
 /// The newest call's weight in the mean time of service.
-const NEWEST: f64 = 0.05;
+const NEWEST: f64 = 0.01;
+/// Rates are means over about this long.
+const RATE_SPAN: f64 = 2e9;
+/// What was served lately is a mean over about this long.
+const LATELY: f64 = 30e9;
+/// Calls come unevenly: a tenant is within its share of them up to this many times.
+const UNEVEN: f64 = 1.25;
+/// A tenant that asks for this many times its share of all that is asked is why others find no worker.
+const HOG: f64 = 1.5;
+/// While calls find no worker, such a tenant starts this part of its share of what is served: what waits must go first.
+const HELD_BACK: f64 = 0.9;
+/// For how long after the last sign of it.
+const CONGESTED: Time = SECOND;
+/// Answers that take this many times their usual time are a sign that more is under way than is served.
+const SLOWER: f64 = 2.0;
+/// The newest call's weight in the time that shows this.
+const RECENT: f64 = 0.2;
+
+/// Events a second, as a mean that forgets.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    mean: f64,
+    at: Time,
+    /// The first event: a mean that has just begun is not that of a quiet time.
+    since: Option<Time>,
+}
+
+impl Rate {
+    fn over(&self, now: Time, span: f64) -> f64 {
+        let known = now.saturating_sub(self.since.unwrap_or(now)) as f64 / span;
+        // At least a tenth of the span: of one event no rate can be told.
+        self.raw(now, span) / (1.0 - (-known.max(0.1)).exp())
+    }
+
+    fn raw(&self, now: Time, span: f64) -> f64 {
+        self.mean * (-(now.saturating_sub(self.at) as f64) / span).exp()
+    }
+
+    fn now(&self, now: Time) -> f64 {
+        self.over(now, RATE_SPAN)
+    }
+
+    fn note(&mut self, now: Time, span: f64) {
+        let since = self.since.or(Some(now));
+        *self = Rate { mean: self.raw(now, span) + 1e9 / span, at: now, since };
+    }
+}
 
 /// What a tenant is due.
 #[derive(Clone, Debug, PartialEq)]
@@ -102,6 +152,8 @@
     filled: Time,
     in_service: usize,
     asked: Option<Time>,
+    rate: Rate,
+    started: Rate,
     /// By worth from the greatest, then in their order; each with the time until which it waits.
     queue: BTreeMap<(Reverse<u64>, u64), (Held<T>, Time)>,
 }
@@ -120,6 +172,10 @@
     cut: Option<Time>,
     in_service: usize,
     service: f64,
+    recent: f64,
+    congested: Option<Time>,
+    served: Rate,
+    lately: Rate,
     due: BTreeSet<(Time, usize, (Reverse<u64>, u64))>,
     next: u64,
 }
@@ -132,6 +188,8 @@
             filled: 0,
             in_service: 0,
             asked: None,
+            rate: Rate::default(),
+            started: Rate::default(),
             queue: BTreeMap::new(),
             share,
         };
@@ -148,6 +206,10 @@
             cut: None,
             in_service: 0,
             service: 50e6,
+            recent: 50e6,
+            congested: None,
+            served: Rate::default(),
+            lately: Rate::default(),
             due: BTreeSet::new(),
             next: 0,
         }
@@ -170,11 +232,30 @@
 
     /// The calls in service that a tenant has for certain now.
     pub fn part(&self, tenant: usize, now: Time) -> f64 {
+        // Never nothing: a share too small for a whole call is still a share.
+        (self.limit * self.fraction(tenant, now)).max(1.0)
+    }
+
+    /// A tenant's share among those that have asked lately, from 0 to 1.
+    fn fraction(&self, tenant: usize, now: Time) -> f64 {
         let Some(own) = self.tenants.get(tenant) else { return 0.0 };
         let active = |(n, t): &(usize, &Tenant<T>)| *n == tenant || t.is_active(now);
         let all: f64 = self.tenants.iter().enumerate().filter(active).map(|(_, t)| t.share.weight).sum();
-        // Never nothing: a share too small for a whole call is still a share.
-        (self.limit * own.share.weight / all.max(f64::MIN_POSITIVE)).max(1.0)
+        own.share.weight / all.max(f64::MIN_POSITIVE)
+    }
+
+    /// Whether some tenant asks for far more than its share while others ask too.
+    fn has_hog(&self, now: Time) -> bool {
+        (0..self.tenants.len()).any(|n| self.tenants[n].is_active(now) && self.is_hog(n, now))
+    }
+
+    fn is_hog(&self, tenant: usize, now: Time) -> bool {
+        let all: f64 = self.tenants.iter().map(|t| t.rate.now(now)).sum();
+        self.tenants[tenant].rate.now(now) > all * (HOG * self.fraction(tenant, now)).min(0.95)
+    }
+
+    fn is_congested(&self, now: Time) -> bool {
+        self.congested.is_some_and(|at| now < at + CONGESTED)
     }
 
     /// When a call that waits has waited as long as it may.
@@ -191,9 +272,17 @@
         if own.in_service >= own.share.most {
             return false;
         }
+        let share = self.served.now(now).max(self.lately.over(now, LATELY)) * self.fraction(tenant, now);
+        let hog = self.is_hog(tenant, now);
+        if hog && self.is_congested(now) {
+            return own.started.now(now) <= share * HELD_BACK;
+        }
         if ((own.in_service + 1) as f64) <= self.part(tenant, now) {
             return true;
         }
+        if !hog && own.started.now(now) <= share * UNEVEN {
+            return true;
+        }
         let alone = self.tenants.iter().enumerate().all(|(n, t)| n == tenant || !t.is_active(now));
         let loan = if self.worth(class) * 2.0 < self.best { LESSER_LOAN } else { 1.0 };
         alone || ((self.in_service + 1) as f64) <= self.limit * loan
@@ -206,6 +295,7 @@
             return out.push(Start::OverShare(held, STAY_AWAY_MOST));
         };
         tenant.asked = Some(now);
+        tenant.rate.note(now, RATE_SPAN);
         if let Some((rate, burst)) = tenant.share.rate {
             let passed = now.saturating_sub(tenant.filled) as f64 / 1e9;
             tenant.filled = now;
@@ -218,7 +308,7 @@
         }
         let (number, class) = (held.tenant, held.class);
         if self.tenants[number].queue.is_empty() && self.may_start(number, class, now) {
-            return self.start(held, out);
+            return self.start(now, held, out);
         }
         let wait = self.wait_most.min(left / 10);
         let worth = Reverse(self.worth(class).max(0.0).to_bits());
@@ -244,7 +334,8 @@
         self.fill(now, out);
     }
 
-    fn start(&mut self, held: Held<T>, out: &mut Vec<Start<T>>) {
+    fn start(&mut self, now: Time, held: Held<T>, out: &mut Vec<Start<T>>) {
+        self.tenants[held.tenant].started.note(now, RATE_SPAN);
         self.tenants[held.tenant].in_service += 1;
         self.in_service += 1;
         out.push(Start::Now(held));
@@ -265,11 +356,21 @@
         own.in_service = own.in_service.saturating_sub(1);
         self.in_service = self.in_service.saturating_sub(1);
         match end {
-            End::Served => self.service += NEWEST * (took as f64 - self.service),
+            End::Served => {
+                self.service += NEWEST * (took as f64 - self.service);
+                self.recent += RECENT * (took as f64 - self.recent);
+                if self.recent > SLOWER * self.service && self.has_hog(now) {
+                    self.congested = Some(now);
+                }
+                self.served.note(now, RATE_SPAN);
+                self.lately.note(now, LATELY);
+            }
             End::NoWorkerInTime => {
-                let alone = self.tenants.iter().enumerate().all(|(n, t)| n == tenant || !t.is_active(now));
-                // Alone, a tenant meets the module's own limit; nothing is to be shared.
-                if !alone && self.cut.is_none_or(|at| now >= at + CUT_GAP) {
+                let hog = self.has_hog(now);
+                if hog {
+                    self.congested = Some(now);
+                }
+                if hog && self.cut.is_none_or(|at| now >= at + CUT_GAP) {
                     self.cut = Some(now);
                     let within = before as f64 <= self.part(tenant, now);
                     let left = if within { CUT_WITHIN } else { CUT };
@@ -299,7 +400,7 @@
             let Some((tenant, _)) = waiting.min_by(|a, b| a.1.total_cmp(&b.1)) else { return };
             let Some((key, (held, until))) = self.tenants[tenant].queue.pop_first() else { return };
             self.due.remove(&(until, tenant, key));
-            self.start(held, out);
+            self.start(now, held, out);
         }
     }
 
@@ -434,6 +535,41 @@
         assert_eq!(started(&offer(&mut shares, after + MS, 0, 0, 4)), [4]);
     }
 
+    /// Loads that took long filled a limit that had been cut for want of workers, and calls within their share were
+    /// refused though nobody asked for more than theirs.
+    #[test]
+    fn without_a_hog_nothing_is_cut() {
+        let mut shares = shares(&[1.0, 1.0], 100.0);
+        let mut out = Vec::new();
+        for n in 0..40 {
+            offer(&mut shares, 0, n as usize % 2, 1, n);
+        }
+        for n in 0..10 {
+            shares.ended(n * SECOND, n as usize % 2, End::NoWorkerInTime, MS, &mut out);
+        }
+        assert_eq!(shares.limit(), 100.0);
+    }
+
+    /// Whatever the limit has come to, a tenant has its share of the calls that are being served.
+    #[test]
+    fn a_share_of_what_is_served_is_for_certain() {
+        let mut shares = shares(&[1.0, 1.0], 2.0);
+        let mut out = Vec::new();
+        for n in 0..200u64 {
+            let now = n * 10 * MS;
+            // One of ten calls is the first tenant's; they last long. The other's are over at once.
+            let tenant = usize::from(n % 10 != 0);
+            let starts = offer(&mut shares, now, tenant, 1, n);
+            if tenant == 0 && n > 50 {
+                assert_eq!(started(&starts), [n]);
+            }
+            if tenant == 1 && !started(&starts).is_empty() {
+                shares.ended(now, 1, End::Served, MS, &mut out);
+            }
+        }
+        assert!(shares.of(0).0 > 15);
+    }
+
     #[test]
     fn the_limit_falls_with_what_finds_no_worker_and_grows_back() {
         let mut shares = shares(&[1.0, 1.0], 100.0);
--- a/crates/pipithub-admission/tests/hard_cases.rs
+++ b/crates/pipithub-admission/tests/hard_cases.rs
@@ -445,15 +445,12 @@
 /// lost at 12 s. Returns the share of the first tenant's calls that were served, and of the second's.
 fn fleet_day(shared: bool, storm: usize) -> [f64; 2] {
     let mut world = World::new(&[1], |_, _| {});
-    let mut settings = SharesSettings {
+    let settings = SharesSettings {
         tenants: vec![TenantShare { queue: 64, ..TenantShare::default() }; 2],
         worths: vec![1.0],
         limit: (8.0, 400.0),
         wait_most: 20 * MS,
     };
-    if !shared {
-        settings.limit = (1e9, 1e9);
-    }
     world.gate = Gate::new(GateSettings { shares: settings, identity_wait: 40 * MS, max_waiting: 4_096 });
     world.all(0, |s| {
         s.put("mai", "north", 1);
@@ -477,7 +474,11 @@
         let south = if (5_000..25_000).contains(&ms) { storm } else { 1 };
         for (tenant, user, count) in [(0, "mai", usize::from(beat)), (1, "lan", usize::from(beat) * south)] {
             for _ in 0..count {
-                world.call(call, user);
+                if shared {
+                    world.call(call, user);
+                } else {
+                    world.admitted.insert(call, (TenantId(tenant as u16), 0));
+                }
                 offered[tenant] += 1;
                 call += 1;
             }
@@ -486,7 +487,9 @@
         let mut out = Vec::new();
         for (key, tenant) in ended {
             held.remove(&key);
-            world.gate.ended(now, world.core.roster(), (tenant, End::Served, 50 * MS), &mut out);
+            if shared {
+                world.gate.ended(now, world.core.roster(), (tenant, End::Served, 50 * MS), &mut out);
+            }
             served[usize::from(tenant.0)] += 1;
         }
         world.gate_said(std::mem::take(&mut out));
@@ -495,7 +498,9 @@
             let Some(place) = busy.iter_mut().min() else { break };
             let begins = (*place).max(now);
             if begins > now + 100 * MS {
-                world.gate.ended(now, world.core.roster(), (tenant, End::NoWorkerInTime, 0), &mut out);
+                if shared {
+                    world.gate.ended(now, world.core.roster(), (tenant, End::NoWorkerInTime, 0), &mut out);
+                }
             } else {
                 *place = begins + 50 * MS;
                 held.insert((*place, call), tenant);
--- /dev/null
+++ b/crates/pipithub-directory/tests/core.rs
@@ -0,0 +1,195 @@
+//! The directory core by itself: followed directories, days and peaks, bounds, snapshots.
+
+use pipithub_directory::{
+    Answer, Claim, Directory, DirectorySettings, Found, Input, Lifetimes, News, Output, Peak, Person,
+    Settings, TenantBase, TenantId, Time, Told, View, What, snapshot,
+};
+use pipithub_ldap::Dn;
+
+const S: Time = 1_000_000_000;
+const HOUR: Time = 3_600 * S;
+
+fn dn(text: &str) -> Dn {
+    Dn::parse(text).expect(text)
+}
+
+fn core(max_users: usize, change: impl FnOnce(&mut DirectorySettings)) -> Directory {
+    let mut directory = DirectorySettings {
+        lifetimes: Lifetimes { fresh: HOUR, stale_most: 12 * HOUR, negative: 30 * S },
+        ..DirectorySettings::default()
+    };
+    change(&mut directory);
+    Directory::new(Settings {
+        directories: vec![directory],
+        tenants: ["north", "south"]
+            .map(|ou| TenantBase { directory: 0, base: dn(&format!("ou={ou},dc=example")) })
+            .to_vec(),
+        max_users,
+        max_queue: 10_000,
+        seed: 3,
+        wall_ms: 0,
+    })
+}
+
+fn found(user: &str, ou: &str, person: u64) -> Found {
+    Found { user: user.into(), dn: dn(&format!("uid={user},ou={ou},dc=example")), person: Person(person) }
+}
+
+fn told(core: &mut Directory, now: Time, news: News) -> Vec<Output> {
+    let mut out = Vec::new();
+    core.handle(now, Input::Told { directory: 0, news }, &mut out);
+    out
+}
+
+fn tenant(core: &Directory, user: &str, now: Time) -> Option<u16> {
+    match core.roster().look(user, now) {
+        View::Tenant { tenant, .. } => Some(tenant.0),
+        _ => None,
+    }
+}
+
+/// Answers every search with everybody on the north side; when and how many were asked for.
+fn run(core: &mut Directory, now: &mut Time, until: Time, mut out: Vec<Output>) -> Vec<(Time, usize)> {
+    let mut asked = Vec::new();
+    loop {
+        for output in std::mem::take(&mut out) {
+            if let Output::Search { id, what, .. } = output {
+                let users = if let What::Users(users) = what { users } else { Vec::new() };
+                asked.push((*now, users.len()));
+                let found = users.iter().map(|u| found(u, "north", 1)).collect();
+                let answer = Answer { found, mark: Some(1), loaded: true, newest: None };
+                core.handle(*now, Input::Ended { search: id, outcome: Ok(answer) }, &mut out);
+            }
+        }
+        if !out.is_empty() {
+            continue;
+        }
+        let Some(due) = core.next_due(*now).filter(|d| *d <= until) else { break };
+        *now = due.max(*now);
+        core.handle(*now, Input::Tick, &mut out);
+    }
+    *now = until;
+    asked
+}
+
+#[test]
+fn a_followed_directory_is_known_whole() {
+    let mut core = core(100, |_| {});
+    told(&mut core, 0, News::Begun { whole: true });
+    told(&mut core, 0, News::Entry(found("mai", "north", 1)));
+    told(&mut core, 0, News::Entry(found("lan", "south", 2)));
+    assert_eq!(core.roster().look("nobody", S), View::Unknown, "not whole yet");
+    told(&mut core, S, News::Complete);
+    assert_eq!(core.roster().look("nobody", S), View::Nobody);
+    let out = told(&mut core, 2 * S, News::Entry(found("mai", "south", 1)));
+    assert!(out.contains(&Output::Changed("mai".into())));
+    assert_eq!(tenant(&core, "mai", 2 * S), Some(1));
+    told(&mut core, 3 * S, News::Entry(found("may", "south", 1)));
+    assert_eq!((tenant(&core, "mai", 3 * S), tenant(&core, "may", 3 * S)), (None, Some(1)), "renamed");
+    told(&mut core, 4 * S, News::Gone(Person(2)));
+    assert_eq!(core.roster().look("lan", 4 * S), View::Nobody);
+    // As long as the connection is good nothing ages; then it does, from the last good moment.
+    told(&mut core, 20 * HOUR, News::Alive);
+    assert_eq!(tenant(&core, "may", 20 * HOUR), Some(1));
+    told(&mut core, 21 * HOUR, News::Lost);
+    assert_eq!(tenant(&core, "may", 31 * HOUR), Some(1));
+    assert_eq!(tenant(&core, "may", 33 * HOUR), None, "past the hard bound");
+    assert_eq!(core.roster().look("newcomer", 33 * HOUR), View::Unknown, "no longer known whole");
+}
+
+/// Who is not named in a whole telling is gone, though no word of that ever comes.
+#[test]
+fn what_a_refresh_does_not_name_is_gone() {
+    let mut core = core(10_000, |_| {});
+    told(&mut core, 0, News::Begun { whole: true });
+    (0..5_000).for_each(|n| drop(told(&mut core, 0, News::Entry(found(&format!("u{n}"), "north", n + 1)))));
+    told(&mut core, S, News::Complete);
+    told(&mut core, 10 * S, News::Lost);
+    told(&mut core, 20 * S, News::Begun { whole: true });
+    (0..100)
+        .for_each(|n| drop(told(&mut core, 20 * S, News::Entry(found(&format!("u{n}"), "north", n + 1)))));
+    let mut out = told(&mut core, 21 * S, News::Complete);
+    let mut now = 21 * S;
+    while let Some(due) = core.next_due(now).filter(|d| *d <= 21 * S) {
+        now = due;
+        core.handle(now, Input::Tick, &mut out);
+    }
+    let left = (0..5_000).filter(|n| tenant(&core, &format!("u{n}"), 21 * S).is_some()).count();
+    assert_eq!(left, 100);
+    assert_eq!(out.iter().filter(|o| matches!(o, Output::Changed(_))).count(), 4_900);
+}
+
+#[test]
+fn known_users_are_asked_for_ahead_of_the_peak_in_few_searches() {
+    let peak = Peak { at: 6 * 3_600_000, ahead: 3_600_000 };
+    let mut core = core(10_000, |d| d.peak = Some(peak));
+    let (mut now, mut out) = (0, Vec::new());
+    for n in 0..500 {
+        core.handle(now, Input::Wanted { user: format!("u{n}").into(), urgent: true }, &mut out);
+    }
+    run(&mut core, &mut now, S, std::mem::take(&mut out));
+    let asked = run(&mut core, &mut now, 6 * HOUR, Vec::new());
+    let users: usize = asked.iter().map(|a| a.1).sum();
+    assert!(users >= 490, "{users} of 500 were asked for anew");
+    assert!(asked.iter().filter(|a| a.1 > 0).all(|a| a.0 >= 5 * HOUR), "within the hour before");
+    assert!(asked.len() <= 500 / 3, "{} searches", asked.len());
+    let fresh = |n| matches!(core.roster().look(&format!("u{n}"), now), View::Tenant { age, .. } if age <= HOUR + 60 * S);
+    assert!((0..500).filter(|n| fresh(*n)).count() >= 490);
+}
+
+#[test]
+fn users_and_queues_are_bounded() {
+    let mut core = core(50, |_| {});
+    let (mut now, mut out) = (0, Vec::new());
+    for n in 0..1_000 {
+        core.handle(now, Input::Wanted { user: format!("u{n}").into(), urgent: true }, &mut out);
+        now += S / 10;
+    }
+    run(&mut core, &mut now, 200 * S, std::mem::take(&mut out));
+    assert_eq!(core.roster().len(), 50);
+    // All that nobody asks for again goes.
+    run(&mut core, &mut now, 40 * HOUR, Vec::new());
+    assert_eq!(core.roster().len(), 0);
+}
+
+#[test]
+fn snapshots_are_taken_by_their_age_and_refused_where_they_are_not_ours() {
+    let mut core = core(100, |_| {});
+    let claim = |confirmed| Claim {
+        directory: 0,
+        told: Told::Tenant(TenantId(1)),
+        person: Person(7),
+        confirmed,
+        mark: 3,
+        spread: 0,
+        seen: 0,
+    };
+    core.restore(0, vec![("mai".into(), claim(0)), ("lan".into(), claim(-11 * 3_600_000))]);
+    let (of, key) = ([1; 32], &b"sixteen bytes...."[..]);
+    let wall = 1_800_000_000_000;
+    let bytes = snapshot::write(core.roster(), S, wall, of, key);
+    let most = |d: u16| (d == 0).then_some(12 * HOUR);
+    let read = |bytes: &[u8], wall, of, key: &[u8]| snapshot::read(bytes, 0, wall, of, key, most);
+    let now = read(&bytes, wall, of, key).expect("ours");
+    assert_eq!(now.len(), 2);
+    let later = read(&bytes, wall + 2 * 3_600_000, of, key).expect("ours");
+    assert_eq!(
+        later.iter().map(|f| &*f.0).collect::<Vec<_>>(),
+        ["mai"],
+        "the other is past its bound by now"
+    );
+    assert_eq!(
+        later[0].1.confirmed,
+        -2 * 3_600_000 - 1_000,
+        "nothing is younger for having been written down"
+    );
+    assert_eq!(read(&bytes, wall, [2; 32], key), Err(snapshot::Refused::Foreign));
+    assert_eq!(read(&bytes, wall, of, b"another key......"), Err(snapshot::Refused::Tampered));
+    assert!(matches!(read(&bytes, wall - 100_000, of, key), Err(snapshot::Refused::Future(_))));
+    for at in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[at] ^= 1;
+        assert!(read(&changed, wall, of, key).is_err(), "byte {at}");
+        assert!(read(&bytes[..at], wall, of, key).is_err(), "cut at {at}");
+    }
+}
