--- a/crates/pipithub-consumer/tests/with_broker.rs
+++ b/crates/pipithub-consumer/tests/with_broker.rs
@@ -33,7 +33,7 @@
             match event {
                 Event::Login { .. } => self.endpoint.accept_login(),
                 Event::OpenRequested { .. } => self.endpoint.accept_open(),
-                Event::Connected => broker.connect(self.id, "test"),
+                Event::Connected => broker.connect(self.id, "test", "guest"),
                 event => broker.handle(now, self.id, event),
             }
         }
--- a/crates/pipithub-drill/src/client.rs
+++ b/crates/pipithub-drill/src/client.rs
@@ -35,6 +35,8 @@
     pub lanes: u32,
     /// Its body.
     pub body: Vec<u8>,
+    /// The property `user_id`, which a broker may check.
+    pub user_id: Option<String>,
     /// Whose call it is, and the key that signs it.
     pub signed: Option<Signed>,
 }
@@ -185,7 +187,8 @@
                             return Ok(());
                         }
                     }
-                    Event::Closed { .. } => {
+                    // What the broker holds against a publish ends the channel: all begins anew.
+                    Event::Closed { .. } | Event::ChannelClosed { .. } => {
                         writer.write_all(&endpoint.take_output(clock.now())).await?;
                         return Ok(());
                     }
@@ -241,6 +244,7 @@
             reply_to: Some(short(&self.reply_queue)),
             delivery_mode: Some(2),
             headers: Some(headers),
+            user_id: call.user_id.as_deref().map(short),
             ..Properties::default()
         };
         let mut content = Content { properties, body: call.body.into() };
--- a/crates/pipithub-drill/src/load.rs
+++ b/crates/pipithub-drill/src/load.rs
@@ -137,6 +137,7 @@
                 lanes: 4,
                 body: format!("{{\"inputs\":[],\"parameters\":{{\"work_ms\":{work_ms:.2}}}}}").into_bytes(),
                 signed,
+                user_id: None,
             },
         ));
     }
--- a/crates/pipithub-gateway/tests/tenants.rs
+++ b/crates/pipithub-gateway/tests/tenants.rs
@@ -50,7 +50,12 @@
 impl Stage {
     async fn new(name: &str) -> Stage {
         let queues = vec![("calls".to_string(), FieldTable::new())];
-        let settings = BrokerSettings { queues, recorder: Recorder::memory(), ..BrokerSettings::default() };
+        let settings = BrokerSettings {
+            queues,
+            recorder: Recorder::memory(),
+            logins: vec![("mai".into(), "m".into())],
+            ..BrokerSettings::default()
+        };
         let broker = BrokerServer::start(any(), settings).await.expect("a broker");
         let seen = Recorder::memory();
         let settings = WorkerSettings {
@@ -168,6 +173,40 @@
     }
 }
 
+/// A broker that checks `user_id` speaks for the users of its connections; a name in a header does not count.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_brokers_users_are_directory_users() {
+    let stage = Stage::new("broker").await;
+    let server = directory(&tree(&[("mai".into(), "north"), ("lan".into(), "south")]), false).await;
+    let mut config = stage.config(&[&server], "tls \"none\"", "");
+    config.amqp[0].queues[0].identity = pipithub_consumer::identity::Rule::Broker;
+    let _gateway = Gateway::start(&config);
+    let login = Login { user: "mai".into(), password: "m".into(), ..Login::default() };
+    let mut client = QueueClient::start(&stage.broker.address().to_string(), login, "answers");
+    let by = |id: &str, user: Option<&str>, function: &str| Publish {
+        signed: None,
+        user_id: user.map(str::to_string),
+        ..call(id, "", function)
+    };
+    assert_eq!(one(&mut client, by("1", Some("mai"), "north-map")).await, pair("served", "answered"));
+    assert_eq!(one(&mut client, by("2", Some("mai"), "south-map")).await, pair("refused", "other-tenant"));
+    assert_eq!(one(&mut client, by("3", None, "north-map")).await, pair("refused", "unreadable"));
+    // The broker takes no message under another's name: the channel ends, and the client's next call comes on a new one.
+    client.calls.send(by("4", Some("lan"), "south-map")).await.expect("running");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let end = tokio::time::Instant::now() + Duration::from_secs(30);
+    loop {
+        client.calls.send(by("5", Some("mai"), "north-map")).await.expect("running");
+        match tokio::time::timeout(Duration::from_millis(500), client.answers.recv()).await {
+            Ok(Some(answer)) => {
+                break assert_eq!((answer.id.as_str(), answer.verdict.as_str()), ("5", "served"));
+            }
+            _ => assert!(tokio::time::Instant::now() < end, "no answer"),
+        }
+    }
+    assert!(stage.sent().iter().all(|(_, request, _)| request != "4"));
+}
+
 /// A certificate that the settings do not trust is no directory: nothing is asked, nobody is let in.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_of_another_authority_is_not_asked() {
--- a/crates/pipithub-standin/src/broker/core.rs
+++ b/crates/pipithub-standin/src/broker/core.rs
@@ -152,6 +152,7 @@
     /// Its output waits: it is sent no further messages.
     congested: bool,
     client: String,
+    user: String,
 }
 
 /// A virtual host.
@@ -252,9 +253,11 @@
         });
     }
 
-    /// A connection is open; `client` is its name for the records.
-    pub fn connect(&mut self, id: ConnId, client: &str) {
-        self.connections.insert(id, Connection { client: client.to_string(), ..Connection::default() });
+    /// A connection is open; `client` is its name for the records, `user` whom it logged in as.
+    pub fn connect(&mut self, id: ConnId, client: &str, user: &str) {
+        let connection =
+            Connection { client: client.to_string(), user: user.to_string(), ..Connection::default() };
+        self.connections.insert(id, connection);
         if let Some(reason) = &self.blocked {
             let method = Method::ConnectionBlocked { reason: name(reason) };
             self.out.push((id, Out::Method(0, method, None)));
@@ -677,6 +680,12 @@
         if *immediate {
             return Err(fault(Code::NotImplemented, "immediate is not offered".into(), &m));
         }
+        let user = self.connections.get(&id).map_or("", |c| c.user.as_str());
+        if let Some(claimed) = content.properties.user_id.as_deref().filter(|c| *c != user) {
+            // As RabbitMQ checks it: nobody publishes under another's name.
+            let text = format!("user_id property set to '{claimed}' but authenticated user was '{user}'");
+            return Err(fault(Code::PreconditionFailed, text, &m));
+        }
         match self.exchanges.get(exchange) {
             None => return Err(fault(Code::NotFound, format!("no exchange '{exchange}'"), &m)),
             Some(e) if e.internal => {
--- a/crates/pipithub-standin/src/broker/server.rs
+++ b/crates/pipithub-standin/src/broker/server.rs
@@ -25,6 +25,8 @@
 pub struct BrokerSettings {
     /// User and password.
     pub login: (String, String),
+    /// Further users and their passwords.
+    pub logins: Vec<(String, String)>,
     /// The virtual host.
     pub virtual_host: String,
     /// The limits it offers.
@@ -41,6 +43,7 @@
     fn default() -> Self {
         BrokerSettings {
             login: ("guest".into(), "guest".into()),
+            logins: Vec::new(),
             virtual_host: "/".into(),
             tuning: Tuning::default(),
             bounds: Bounds::default(),
@@ -218,19 +221,22 @@
     endpoint: Endpoint,
     /// It has published: it is held back while the broker is blocked.
     publisher: bool,
+    user: String,
 }
 
 impl<'a> Connection<'a> {
     fn new(shared: &'a Shared, id: ConnId) -> Self {
         let endpoint = Endpoint::server(shared.settings.tuning, shared.clock.now());
-        Connection { shared, id, endpoint, publisher: false }
+        Connection { shared, id, endpoint, publisher: false, user: String::new() }
     }
 
     fn event(&mut self, event: Event) {
         let settings = &self.shared.settings;
         match event {
             Event::Login { user, password } => {
-                if (&user, &password) == (&settings.login.0, &settings.login.1) {
+                let mut known = std::iter::once(&settings.login).chain(&settings.logins);
+                if known.any(|(u, p)| (&user, &password) == (u, p)) {
+                    self.user = user;
                     self.endpoint.accept_login();
                 } else {
                     self.endpoint.refuse_login("ACCESS_REFUSED - login was refused");
@@ -248,7 +254,7 @@
                 let told = self.endpoint.peer_properties();
                 let name = told.get("connection_name").or(told.get("product")).and_then(|v| v.as_str());
                 let client = format!("{}#{}", name.unwrap_or("client"), self.id);
-                self.shared.act(|broker, _| broker.connect(self.id, &client));
+                self.shared.act(|broker, _| broker.connect(self.id, &client, &self.user));
             }
             event => {
                 let publishes = matches!(&event, Event::Method { method: Method::BasicPublish { .. }, .. });
--- a/crates/pipithub/src/publish.rs
+++ b/crates/pipithub/src/publish.rs
@@ -44,6 +44,9 @@
     /// Milliseconds to wait for answers after the last call.
     #[arg(long, default_value_t = 10_000)]
     wait_ms: u64,
+    /// Say in `user_id` whose the calls are: the user that logs in.
+    #[arg(long)]
+    as_user: bool,
     /// Sign the calls for this user; needs `--key-file` and `--key-id`.
     #[arg(long, requires_all = ["key_file", "key_id"])]
     for_user: Option<String>,
@@ -62,7 +65,7 @@
 }
 
 pub async fn run(publish: Publish) -> Result<ExitCode> {
-    let login = Login { user: publish.user, password: publish.password, virtual_host: publish.vhost };
+    let login = Login { user: publish.user.clone(), password: publish.password, virtual_host: publish.vhost };
     let signed = match (publish.for_user, publish.key_file, publish.key_id) {
         (Some(user), Some(file), Some(key_id)) => {
             let key = std::fs::read(&file).into_diagnostic()?;
@@ -100,6 +103,7 @@
                     lanes: 0,
                     body: publish.body.clone().into_bytes(),
                     signed: signed.clone(),
+                    user_id: publish.as_user.then(|| publish.user.clone()),
                 };
                 client.calls.send(call).await.into_diagnostic()?;
             }
--- a/crates/pipithub/tests/cli.rs
+++ b/crates/pipithub/tests/cli.rs
@@ -113,11 +113,62 @@
     );
 }
 
+#[test]
+fn tenants_are_shown_checked_and_explained() {
+    let tree = file(
+        "tree.ldif",
+        "dn: dc=example\nobjectClass: domain\n\ndn: ou=north,dc=example\nobjectClass: organizationalUnit\n\n\
+         dn: uid=mai,ou=north,dc=example\nobjectClass: person\nuid: mai\n",
+    );
+    let directory = Standin::start(&["directory", "--tree", &tree]);
+    let settings = |server: &str| {
+        format!(
+            "class \"view\" effect=\"safe\"\nsignatures {{ key \"desk\" text=\"sixteen bytes....\" }}\n\
+             directory \"campus\" {{ server \"{server}\"; tls \"none\"; base \"dc=example\"; \
+             mark-attribute \"contextCSN\"; time-out \"500ms\" }}\n\
+             tenant \"north\" weight=3 {{ directory \"campus\" base=\"ou=north,dc=example\"; function \"north-*\" }}\n\
+             amqp \"b\" {{ address \"127.0.0.1:1\"; queue \"calls\" {{ identity \"signed\" }} }}\n\
+             workers {{ worker \"127.0.0.1:1\" }}\n"
+        )
+    };
+    let config = file("tenants.kdl", &settings(&directory.1));
+    let told = |arguments: &[&str]| {
+        let output = run(&[&["tenants"], arguments, &["--config", &config]].concat());
+        (output.status.success(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+    let (good, text) = told(&["show"]);
+    assert!(good && text.contains("north") && text.contains("100.0%") && text.contains("north-*"), "{text}");
+    let (good, text) = told(&["check"]);
+    assert!(good && text.contains("well"), "{text}");
+    let (good, text) = told(&["explain", "Mai", "--function", "north-map"]);
+    assert!(good && text.contains("mai: north's") && text.contains("may be run"), "{text}");
+    assert!(text.contains("uid=mai,ou=north,dc=example (mark "), "{text}");
+    let (good, text) = told(&["explain", "mai", "--function", "south-map"]);
+    assert!(!good && text.contains("refused (other-tenant)"), "{text}");
+    let (good, text) = told(&["explain", "lan"]);
+    assert!(!good && text.contains("nobody of this name") && text.contains("no-tenant"), "{text}");
+    let bad =
+        file("bad-tenants.kdl", &settings("127.0.0.1:1").replace("ou=north,dc=example", "ou=north,dc=other"));
+    let output = run(&["config", "check", &bad]);
+    assert!(!output.status.success());
+    assert!(String::from_utf8_lossy(&output.stderr).contains("not within the directory's"));
+}
+
+/// The day with tenants: the five rules, and that no call crosses, with directory faults added.
+#[test]
+fn the_day_with_tenants_keeps_all_rules() {
+    keeps_all_rules("bad-day-tenants.kdl");
+}
+
 /// The small bad day over sockets and processes: all five rules, from the traffic.
 #[test]
 fn the_small_bad_day_keeps_all_rules() {
-    let day = concat!(env!("CARGO_MANIFEST_DIR"), "/../../drills/bad-day-small.kdl");
-    let output = run(&["drill", day, "--seed", "7", "--json"]);
+    keeps_all_rules("bad-day-small.kdl");
+}
+
+fn keeps_all_rules(day: &str) {
+    let day = format!("{}/../../drills/{day}", env!("CARGO_MANIFEST_DIR"));
+    let output = run(&["drill", &day, "--seed", "7", "--json"]);
     let told: serde_json::Value = serde_json::from_slice(&output.stdout)
         .unwrap_or_else(|_| panic!("no JSON: {}", String::from_utf8_lossy(&output.stderr)));
     assert!(told["calls"].as_u64().is_some_and(|c| c > 1_000), "{}", told["calls"]);
