--- a/crates/pipithub-admission/tests/hard_cases.rs
+++ b/crates/pipithub-admission/tests/hard_cases.rs
@@ -259,6 +259,28 @@
     }
 }
 
+/// With a directory that answers slowly, every call of a known user whose fact was past its best waited 40 ms in vain.
+#[test]
+fn known_users_do_not_wait_for_a_directory_that_is_slow_anyway() {
+    let mut world = World::new(&[1], |_, _| {});
+    world.all(0, |s| s.put("mai", "north", 1));
+    world.call(0, "mai");
+    world.run(S);
+    world.all(0, |s| s.takes = 1_990 * MS);
+    for n in 1..2_000 {
+        world.call(n, "mai");
+        world.run(world.now + S);
+    }
+    let waited = world.admitted.values().filter(|a| a.1 > 0).count();
+    assert_eq!(world.admitted.len(), 2_000);
+    assert!(waited <= 2, "{waited} calls waited");
+    let age = match world.core.roster().look("mai", world.now) {
+        View::Tenant { age, .. } => age,
+        _ => Time::MAX,
+    };
+    assert!(age <= 2 * lifetimes().fresh, "and it is asked for all the same: {} s", age / S);
+}
+
 #[test]
 fn a_user_is_asked_for_once_however_many_call() {
     let mut world = World::new(&[2], |_, _| {});
--- a/crates/pipithub-directory/src/core.rs
+++ b/crates/pipithub-directory/src/core.rs
@@ -349,7 +349,7 @@
                 realms.entry(pipithub_ldap::dn::fold(realm).into()).or_default().push(n);
             }
         }
-        let facts = |d: &DirectorySettings| Facts { lifetimes: d.lifetimes, followed: None };
+        let facts = |d: &DirectorySettings| Facts { lifetimes: d.lifetimes, followed: None, slow: false };
         let site = |(n, d): (usize, &DirectorySettings)| Site {
             servers: vec![Server::new(); d.servers.max(1)],
             queues: Default::default(),
@@ -481,6 +481,12 @@
         self.go_on_sweeping(now, out);
         for directory in 0..self.sites.len() {
             self.pump(now, directory, out);
+            let slow = self.sites[directory].is_slow();
+            if self.roster.directories[directory].slow != slow {
+                let mut facts = self.roster.directories.to_vec();
+                facts[directory].slow = slow;
+                self.roster.directories = facts.into();
+            }
         }
     }
 
@@ -1138,6 +1144,14 @@
         Limits { failures: s.failures.max(1), wait: s.wait, at_once: s.at_once }
     }
 
+    /// Whether no server can be expected to answer while a call waits.
+    fn is_slow(&self) -> bool {
+        let usual = |s: &Server| {
+            s.breaker == Breaker::Closed && s.pace().is_none_or(|p| p <= self.settings.hedge_after)
+        };
+        !self.servers.iter().any(usual)
+    }
+
     /// The server to ask, if there is one with room.
     fn choose(&self, except: Option<usize>) -> Option<usize> {
         let limits = self.limits();
--- a/crates/pipithub-directory/src/facts.rs
+++ b/crates/pipithub-directory/src/facts.rs
@@ -153,6 +153,8 @@
     pub(crate) lifetimes: Lifetimes,
     /// It is followed, and what is known of it was complete then, in milliseconds.
     pub(crate) followed: Option<i64>,
+    /// None of its servers answers at its usual pace: to wait for one would be in vain.
+    pub(crate) slow: bool,
 }
 
 const MS: Time = 1_000_000;
@@ -197,7 +199,7 @@
     pub fn look(&self, user: &str, now: Time) -> View {
         let now_ms = ms(now);
         let claims = self.users.get(user).map_or(&[][..], Claims::as_slice);
-        let mut found: Option<(Claim, TenantId, Time, Lifetimes)> = None;
+        let mut found: Option<(Claim, TenantId, Time, Facts)> = None;
         let mut absent = 0;
         for claim in claims {
             let Some(facts) = self.directories.get(usize::from(claim.directory)) else { continue };
@@ -206,19 +208,20 @@
                 Told::Tenant(tenant) if age < facts.lifetimes.stale_most => match found {
                     Some((_, other, ..)) if other != tenant => return View::Twice,
                     Some((.., known, _)) if known <= age => {}
-                    _ => found = Some((*claim, tenant, age, facts.lifetimes)),
+                    _ => found = Some((*claim, tenant, age, *facts)),
                 },
                 Told::Twice if age < facts.lifetimes.negative => return View::Twice,
                 Told::Absent if age < facts.lifetimes.negative => absent += 1,
                 _ => {}
             }
         }
-        if let Some((claim, tenant, age, lifetimes)) = found {
+        if let Some((claim, tenant, age, facts)) = found {
+            let lifetimes = facts.lifetimes;
             let person = claim.person;
             let early = lifetimes.fresh / 1024 * u64::from(claim.spread);
             let refresh = match age {
                 a if a < lifetimes.fresh / 4 * 3 + early => Refresh::No,
-                a if a < lifetimes.fresh.saturating_mul(2) => Refresh::Behind,
+                a if a < lifetimes.fresh.saturating_mul(2) || facts.slow => Refresh::Behind,
                 _ => Refresh::First,
             };
             return View::Tenant { tenant, person, age, refresh };
