Polling by modifyTimestamp under test; the directory stand-in stamps real times

Need: what a directory changed is asked for by modifyTimestamp where it offers no synchronisation; nothing tested that on sockets, and the stand-in's stamps were older than any poll.

Change: real generalized times in the stand-in; a test that a polled move is heard within the poll, not the fact's ten minutes.

--- a/crates/pipithub-gateway/tests/tenants.rs
+++ b/crates/pipithub-gateway/tests/tenants.rs
@@ -283,6 +283,26 @@
     }
 }
 
+/// A directory that is asked for what changed: a move is heard long before the fact would be asked for again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_polled_directory_tells_of_moves() {
+    let stage = Stage::new("poll").await;
+    let server = directory(&tree(&[("mai".into(), "north")]), false).await;
+    let directory = "tls \"none\"; poll \"1s\"; fresh \"10m\"; mark-attribute \"contextCSN\"";
+    let _gateway = Gateway::start(&stage.config(&[&server], directory, ""));
+    let mut client = stage.client();
+    assert_eq!(one(&mut client, call("1", "mai", "north-map")).await, pair("served", "answered"));
+    assert!(server.move_to("uid=mai,ou=north,dc=example", "ou=south,dc=example"));
+    let end = tokio::time::Instant::now() + Duration::from_secs(60);
+    let mut n = 2;
+    while one(&mut client, call(&n.to_string(), "mai", "south-map")).await != pair("served", "answered") {
+        n += 1;
+        assert!(tokio::time::Instant::now() < end, "the move was never heard");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(one(&mut client, call("last", "mai", "north-map")).await, pair("refused", "other-tenant"));
+}
+
 /// A day of moves, directory faults and a stale replica, from a seed. Returns calls, calls sent, and crossings: sends to a
 /// side on which the user had not been for longer than the bound.
 async fn day(seed: u64, length: Duration) -> (usize, usize, Vec<String>) {
--- a/crates/pipithub-standin/src/directory.rs
+++ b/crates/pipithub-standin/src/directory.rs
@@ -59,7 +59,7 @@
     written: String,
     attributes: Vec<(String, Vec<u8>)>,
     uuid: [u8; 16],
-    changed: u64,
+    changed: String,
 }
 
 #[derive(Clone, Debug)]
@@ -212,7 +212,7 @@
         let Some(mut entry) = tree.entries.remove(&dn) else { return false };
         let to = dn.moved(None, Some(&superior));
         tree.mark += 1;
-        entry.changed = tree.mark;
+        entry.changed = timestamp();
         entry.written = to.to_string();
         tree.entries.insert(to.clone(), entry);
         let _ = self.shared.changes.send(Change::Is(to));
@@ -268,7 +268,7 @@
             &record.dn.to_string().bytes().fold(7u64, |h, b| h.wrapping_mul(31) + u64::from(b)).to_be_bytes(),
         );
         let entry =
-            Entry { written: record.written, attributes: record.attributes, uuid, changed: self.mark };
+            Entry { written: record.written, attributes: record.attributes, uuid, changed: timestamp() };
         self.entries.insert(record.dn, entry);
     }
 
@@ -277,14 +277,15 @@
     }
 }
 
-fn timestamp(mark: u64) -> String {
-    format!("2026010100{:02}{:02}Z", mark / 60 % 60, mark % 60)
+/// The generalized time of now (RFC 4517, 3.3.13).
+fn timestamp() -> String {
+    chrono::Utc::now().format("%Y%m%d%H%M%SZ").to_string()
 }
 
 impl Entry {
     fn values(&self, name: &str) -> Vec<Vec<u8>> {
         if name.eq_ignore_ascii_case("modifyTimestamp") {
-            return vec![timestamp(self.changed).into_bytes()];
+            return vec![self.changed.clone().into_bytes()];
         }
         let named = self.attributes.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
         named.map(|(_, v)| v.clone()).collect()
@@ -339,8 +340,7 @@
                 attributes.entry(name.clone()).or_default().push(value.clone());
             }
         }
-        let operational =
-            [("entryUUID", uuid_text(&self.uuid)), ("modifyTimestamp", timestamp(self.changed))];
+        let operational = [("entryUUID", uuid_text(&self.uuid)), ("modifyTimestamp", self.changed.clone())];
         for (name, value) in operational {
             if wanted.iter().any(|w| w.eq_ignore_ascii_case(name) || w == "+") {
                 attributes.entry(name.to_string()).or_default().push(value.into_bytes());
