Refreshes of two followed directories no longer lose each other; places kept in order

A second directory's end of a refresh took the place of the first one's, so that users gone from the first stayed, as fresh as its connection. Places given together were handed to the module in reverse.

--- a/crates/pipithub-admission/src/gate.rs
+++ b/crates/pipithub-admission/src/gate.rs
@@ -222,6 +222,8 @@
     }
 
     fn carry_out(&mut self, now: Time, roster: &Roster, out: &mut Vec<Output<T>>) {
+        // Taken from the end: those that were given their places first go first.
+        self.starts.reverse();
         while let Some(start) = self.starts.pop() {
             let start = match start {
                 // It may have waited for its place while its user moved.
@@ -250,7 +252,7 @@
         }
     }
 
-    /// There is news of a user: whoever waits for it is judged by it, unless it is still unknown and may become known.
+    /// There is news of a user: whoever waits for it is judged by what is known now.
     pub fn news(&mut self, now: Time, roster: &Roster, user: &str, out: &mut Vec<Output<T>>) {
         for woken in self.waiting.wake(user) {
             let view = roster.look(user, now);
--- a/crates/pipithub-directory/src/core.rs
+++ b/crates/pipithub-directory/src/core.rs
@@ -331,7 +331,7 @@
     chance: u64,
     /// When users are looked at again, by second; one place each.
     wheel: BTreeMap<i64, Vec<CompactString>>,
-    sweep: Option<Sweep>,
+    sweeps: Vec<Sweep>,
     stats: Stats,
 }
 
@@ -389,7 +389,7 @@
             next: 0,
             chance: settings.seed | 1,
             wheel: BTreeMap::new(),
-            sweep: None,
+            sweeps: Vec::new(),
             stats: Stats::default(),
         }
     }
@@ -451,7 +451,7 @@
             }
         }
         due.extend(self.wheel.keys().next().map(|s| u64::try_from(s.saturating_mul(1000)).unwrap_or(0) * MS));
-        if self.sweep.is_some() {
+        if !self.sweeps.is_empty() {
             due.push(now);
         }
         due.into_iter().min()
@@ -1067,7 +1067,9 @@
                 if let Some((began, true)) = self.sites[directory].telling.take() {
                     // Who was not told is not there. They are looked for in turns; readers see the old until then.
                     let all = Some(self.roster.users.clone());
-                    self.sweep = Some(Sweep { directory, began, all, missed: Vec::new() });
+                    // One for each directory: another's must not be lost to this one. A newer one holds the older's.
+                    self.sweeps.retain(|s| s.directory != directory);
+                    self.sweeps.push(Sweep { directory, began, all, missed: Vec::new() });
                 }
                 self.follow(directory, Some(now_ms));
             }
@@ -1104,7 +1106,7 @@
 
     /// Goes on with those who were not told in a refresh, some at a time.
     fn go_on_sweeping(&mut self, now: Time, out: &mut Vec<Output>) {
-        let Some(mut sweep) = self.sweep.take() else { return };
+        let Some(mut sweep) = self.sweeps.pop() else { return };
         let (directory, began) = (sweep.directory, sweep.began);
         if let Some(all) = sweep.all.take() {
             // Walking a shared map copies nothing and changes nothing.
@@ -1121,7 +1123,7 @@
             }
         }
         if !sweep.missed.is_empty() {
-            self.sweep = Some(sweep);
+            self.sweeps.push(sweep);
         }
     }
 }
--- a/crates/pipithub-directory/tests/core.rs
+++ b/crates/pipithub-directory/tests/core.rs
@@ -193,3 +193,52 @@
         assert!(read(&bytes[..at], wall, of, key).is_err(), "cut at {at}");
     }
 }
+
+/// Two followed directories were told whole in one moment: the second one's end lost the first one's, and whoever was gone
+/// from that stayed, as fresh as the connection.
+#[test]
+fn refreshes_of_two_directories_do_not_lose_each_other() {
+    let directory = DirectorySettings {
+        lifetimes: Lifetimes { fresh: HOUR, stale_most: 12 * HOUR, negative: 30 * S },
+        ..DirectorySettings::default()
+    };
+    let mut core = Directory::new(Settings {
+        directories: vec![directory; 2],
+        tenants: vec![
+            TenantBase { directory: 0, base: dn("ou=north,dc=example") },
+            TenantBase { directory: 1, base: dn("ou=south,dc=example") },
+        ],
+        max_users: 20_000,
+        max_queue: 100,
+        seed: 3,
+        wall_ms: 0,
+    });
+    let mut out = Vec::new();
+    let mut tell = |core: &mut Directory, now, directory, news| {
+        core.handle(now, Input::Told { directory, news }, &mut out);
+    };
+    let sides = [(0, "north", "n"), (1, "south", "s")];
+    for (directory, ou, name) in sides {
+        tell(&mut core, 0, directory, News::Begun { whole: true });
+        (0..5_000u64).for_each(|n| {
+            tell(
+                &mut core,
+                0,
+                directory,
+                News::Entry(found(&format!("{name}{n}"), ou, 2 * n + directory as u64 + 1)),
+            );
+        });
+        tell(&mut core, 0, directory, News::Complete);
+    }
+    sides.iter().for_each(|(directory, ..)| tell(&mut core, 20 * S, *directory, News::Begun { whole: true }));
+    sides.iter().for_each(|(directory, ..)| tell(&mut core, 21 * S, *directory, News::Complete));
+    let mut now = 21 * S;
+    while let Some(due) = core.next_due(now).filter(|d| *d <= 21 * S) {
+        now = due;
+        core.handle(now, Input::Tick, &mut Vec::new());
+    }
+    let left = sides
+        .iter()
+        .map(|(.., name)| (0..5_000).filter(|n| tenant(&core, &format!("{name}{n}"), now).is_some()).count());
+    assert_eq!(left.collect::<Vec<_>>(), [0, 0]);
+}
