--- a/crates/pipithub-admission/src/shares.rs
+++ b/crates/pipithub-admission/src/shares.rs
@@ -54,23 +54,19 @@
 }
 
 impl Rate {
-    fn over(&self, now: Time, span: f64) -> f64 {
-        let known = now.saturating_sub(self.since.unwrap_or(now)) as f64 / span;
+    fn now(&self, now: Time) -> f64 {
+        let known = now.saturating_sub(self.since.unwrap_or(now)) as f64 / RATE_SPAN;
         // At least a tenth of the span: of one event no rate can be told.
-        self.raw(now, span) / (1.0 - (-known.max(0.1)).exp())
-    }
-
-    fn raw(&self, now: Time, span: f64) -> f64 {
-        self.mean * (-(now.saturating_sub(self.at) as f64) / span).exp()
+        self.raw(now) / (1.0 - (-known.max(0.1)).exp())
     }
 
-    fn now(&self, now: Time) -> f64 {
-        self.over(now, RATE_SPAN)
+    fn raw(&self, now: Time) -> f64 {
+        self.mean * (-(now.saturating_sub(self.at) as f64) / RATE_SPAN).exp()
     }
 
-    fn note(&mut self, now: Time, span: f64) {
+    fn note(&mut self, now: Time) {
         let since = self.since.or(Some(now));
-        *self = Rate { mean: self.raw(now, span) + 1e9 / span, at: now, since };
+        *self = Rate { mean: self.raw(now) + 1e9 / RATE_SPAN, at: now, since };
     }
 }
 
@@ -295,7 +291,7 @@
             return true;
         }
         let loan = if self.worth(class) * 2.0 < self.best { LESSER_LOAN } else { 1.0 };
-        ((self.in_service + 1) as f64) <= self.limit * loan
+        (self.in_service + 1) as f64 <= self.limit * loan
     }
 
     /// A call comes; `left` is what is left of its time.
@@ -305,7 +301,7 @@
             return out.push(Start::OverShare(held, STAY_AWAY_MOST));
         };
         tenant.asked = Some(now);
-        tenant.rate.note(now, RATE_SPAN);
+        tenant.rate.note(now);
         if let Some((rate, burst)) = tenant.share.rate {
             let passed = now.saturating_sub(tenant.filled) as f64 / 1e9;
             tenant.filled = now;
@@ -345,7 +341,7 @@
     }
 
     fn start(&mut self, now: Time, held: Held<T>, out: &mut Vec<Start<T>>) {
-        self.tenants[held.tenant].started.note(now, RATE_SPAN);
+        self.tenants[held.tenant].started.note(now);
         self.tenants[held.tenant].in_service += 1;
         self.in_service += 1;
         out.push(Start::Now(held));
@@ -372,7 +368,7 @@
                 if self.recent > SLOWER * self.service && self.has_hog(now) {
                     self.congested = Some(now);
                 }
-                self.served.note(now, RATE_SPAN);
+                self.served.note(now);
             }
             End::NoWorkerInTime => {
                 let hog = self.has_hog(now);
