--- a/crates/pipithub-adapter/src/main.rs
+++ b/crates/pipithub-adapter/src/main.rs
@@ -1,16 +1,16 @@
 //! Speaks the line protocol of the front ends on standard input and output, and hands every event to
 //! the decision module. It translates and does nothing else.
 
-mod settings;
 mod wire;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, BufWriter, Write};
 use std::process::ExitCode;
 
+use pipithub_platform::settings::{self, Names};
 use pipithub_policy::api::{Action, Event};
 use pipithub_policy::decide::FrontEnd;
-use wire::{Input, Names};
+use wire::Input;
 
 /// One hosted front end, with the names that its lines use.
 struct Hosted {
@@ -52,8 +52,8 @@
             let (end, name) = wire::addressee(&lines.text).map_err(|e| lines.at(&e))?;
             if name == "attach" {
                 let (seed, text) = wire::attach(&lines.text).map_err(|e| lines.at(&e))?;
-                let (settings, names) = settings::parse(text).map_err(|e| lines.at(&e))?;
-                hosted.insert(end, Hosted { front: FrontEnd::new(settings, seed), names });
+                let site = settings::parse(text).map_err(|e| lines.at(&e))?;
+                hosted.insert(end, Hosted { front: FrontEnd::new(site.policy, seed), names: site.names });
                 continue;
             }
             if name == "killed" {
--- a/crates/pipithub-adapter/src/wire.rs
+++ b/crates/pipithub-adapter/src/wire.rs
@@ -3,18 +3,12 @@
 use std::fmt::Write;
 use std::str::FromStr;
 
+use pipithub_platform::settings::Names;
 use pipithub_policy::api::{
     Action, CopyNote, Entry, Event, Finished, Function, ListKind, Load, Ordered, Outcome, Request, State,
     Time, Worker,
 };
 
-/// The names that the lines of one front end use.
-pub struct Names {
-    pub classes: Vec<String>,
-    /// Machine kinds, with the memory of each in MB.
-    pub kinds: Vec<(String, f64)>,
-}
-
 /// What one line holds.
 pub enum Input {
     /// A whole event.
--- a/crates/pipithub-clock/src/lib.rs
+++ b/crates/pipithub-clock/src/lib.rs
@@ -5,25 +5,36 @@
 /// A point in time or a length of it, in nanoseconds.
 pub type Time = u64;
 
-/// Counts nanoseconds from its making.
+/// Counts nanoseconds from a start that it bears a number for.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock(Instant);
+pub struct Clock {
+    start: Instant,
+    /// The time at the start; from 1 on, as 0 means unknown in some protocols.
+    base: Time,
+}
 
 impl Default for Clock {
+    /// Counts from its making.
     fn default() -> Self {
-        Clock(Instant::now())
+        Clock { start: Instant::now(), base: 1 }
     }
 }
 
 impl Clock {
-    /// Nanoseconds since it was made; from 1 on, as 0 means unknown in some protocols.
+    /// Counts Unix time, as it was when the clock was made: times told by others compare with its own, and a step of the
+    /// system's clock moves no deadline.
+    pub fn unix() -> Self {
+        Clock { start: Instant::now(), base: wall_ns().max(1) }
+    }
+
+    /// Nanoseconds now.
     pub fn now(&self) -> Time {
-        self.0.elapsed().as_nanos() as Time + 1
+        self.start.elapsed().as_nanos() as Time + self.base
     }
 
     /// The instant of a time.
     pub fn instant(&self, time: Time) -> Instant {
-        self.0 + Duration::from_nanos(time.saturating_sub(1))
+        self.start + Duration::from_nanos(time.saturating_sub(self.base))
     }
 
     /// Sleeps until then; for ever where there is no then.
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -235,6 +235,11 @@
             Input::Moved { user, now: side } => self.moved(now, &user, side, out),
             Input::SourceLost(source) => self.source_lost(now, source, out),
             Input::Settled(ticket) => self.settled(now, ticket),
+            Input::Left(ticket) => {
+                if let Some(request) = self.tickets.get(&ticket).copied() {
+                    self.abandon(now, request, out);
+                }
+            }
             Input::Attempt(end) => self.attempt(now, end, out),
             Input::Probe(p) => {
                 let event = Event::Probed { worker: p.worker, answered: p.answered, load: p.load };
--- a/crates/pipithub-engine/src/model.rs
+++ b/crates/pipithub-engine/src/model.rs
@@ -161,6 +161,8 @@
     SourceLost(SourceId),
     /// An answer is safe at its source.
     Settled(Ticket),
+    /// One caller has left or ceased to wait: no answer is owed, and what runs for it is withdrawn.
+    Left(Ticket),
     /// An attempt ended.
     Attempt(AttemptEnd),
     /// A probe ended.
--- /dev/null
+++ b/crates/pipithub-node/src/core.rs
@@ -0,0 +1,595 @@
+//! The front end without sockets: bytes, list events and time in, effects out.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pipithub_engine::policy::{ListKind, Load, Outcome, State, Worker};
+use pipithub_engine::{
+    AttemptEnd, AttemptId, Call, Engine, EngineSettings, Input, OrderEnd, Output, ProbeEnd, Reply, Served,
+    SourceId, Stats, Ticket, Time, Trigger, Verdict,
+};
+use pipithub_platform::client::{self, ClientCall, ClientLine, Fault};
+use pipithub_platform::config::NodeConfig;
+use pipithub_platform::list::ListEvent;
+use pipithub_platform::settings::SiteSettings;
+use pipithub_platform::worker::{self, Answer, Word};
+use tracing::{debug, info};
+
+use crate::desk::{Caller, Desk, OPEN_MOST};
+use crate::pool::{Job, Lost, Pool, Task};
+
+/// Names one connection, to a client or to a worker; never used twice.
+pub type ConnId = u64;
+
+/// All clients are one source to the engine: each call's ticket is its own.
+const CLIENTS: SourceId = SourceId(1);
+/// How often overdue jobs and idle connections are looked for.
+const SWEEP: Time = 10_000_000;
+/// How often silent clients are.
+const SILENCE_SWEEP: Time = 100_000_000;
+/// A probe without an answer by then is none.
+const PROBE_MOST: Time = 250_000_000;
+/// Descriptors kept for the listener, logs, signals, the poller, the coordinator and connections that are closing.
+const RESERVED: usize = 24;
+/// After SIGTERM clients go on sending for up to 0.6 s, as the platform states; what comes later is refused.
+const TERM_TAKES: Time = 700_000_000;
+/// What a stop waits for at the least, and beyond the longest deadline.
+const TERM_LEAST: Time = 1_000_000_000;
+/// Answers leave so long before the client's time is up, for their own way back.
+const ANSWER_MARGIN: Time = 5_000_000;
+
+/// What the shell is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Write on a connection.
+    Write {
+        /// The connection.
+        conn: ConnId,
+        /// What.
+        bytes: Bytes,
+    },
+    /// Close a connection once all is written. The core has forgotten it.
+    Close {
+        /// The connection.
+        conn: ConnId,
+    },
+    /// Open a connection to a worker; [`Core::worker_up`] or [`Core::worker_failed`] is owed.
+    Connect {
+        /// The new connection.
+        conn: ConnId,
+        /// Where to.
+        address: String,
+        /// It has failed if it is not up by then.
+        within: Time,
+    },
+}
+
+/// One front end.
+#[derive(Debug)]
+pub struct Core {
+    name: String,
+    engine: Engine,
+    site: SiteSettings,
+    give_up_most: Time,
+    desk: Desk,
+    pool: Pool,
+    /// Workers that attempts went to, for as long as they are out.
+    out: BTreeMap<AttemptId, Worker>,
+    next_tag: u64,
+    swept: Time,
+    silence_swept: Time,
+    /// When SIGTERM came.
+    stopping: Option<Time>,
+    draining: bool,
+    listed: bool,
+    inputs: VecDeque<Input>,
+    outputs: Vec<Output>,
+    effects: Vec<Effect>,
+}
+
+impl Core {
+    /// A front end with the configuration's list of workers.
+    pub fn new(now: Time, config: &NodeConfig) -> Self {
+        let site = &config.site;
+        let usable = config.sockets.saturating_sub(RESERVED).max(8);
+        let (clients, workers) = (usable * 3 / 5, usable * 2 / 5);
+        let settings = EngineSettings {
+            policy: site.policy.clone(),
+            max_open: site.transport.open_most.min(clients * OPEN_MOST),
+            max_bytes: (config.memory_mb as usize) << 18,
+            answer_margin: ANSWER_MARGIN,
+            ..EngineSettings::default()
+        };
+        let transport = &site.transport;
+        let pool = Pool::new(workers, transport.streams, transport.connect_timeout, transport.idle_close);
+        let mut core = Core {
+            name: config.name.clone(),
+            engine: Engine::new(settings, config.seed),
+            site: site.clone(),
+            give_up_most: site.policy.classes.iter().map(|c| c.give_up).max().unwrap_or(0),
+            desk: Desk::new(clients),
+            pool,
+            out: BTreeMap::new(),
+            next_tag: 1,
+            swept: now,
+            silence_swept: now,
+            stopping: None,
+            draining: false,
+            listed: false,
+            inputs: VecDeque::new(),
+            outputs: Vec::new(),
+            effects: Vec::new(),
+        };
+        for event in &config.known {
+            core.list(now, event);
+        }
+        core
+    }
+
+    /// A number for a connection that the shell accepted.
+    pub fn number(&mut self) -> ConnId {
+        self.pool.number()
+    }
+
+    /// Appends what is to be done.
+    pub fn effects(&mut self, effects: &mut Vec<Effect>) {
+        effects.append(&mut self.effects);
+        self.pool.effects(effects);
+    }
+
+    /// When [`Core::tick`] is due next.
+    pub fn next_due(&self) -> Time {
+        self.engine.next_due().unwrap_or(Time::MAX).min(self.swept + SWEEP)
+    }
+
+    /// How many calls have no answer yet.
+    pub fn open(&self) -> usize {
+        self.engine.open()
+    }
+
+    /// Connections of clients and to workers.
+    pub fn connections(&self) -> (usize, usize) {
+        (self.desk.len(), self.pool.len())
+    }
+
+    /// What was done so far.
+    pub fn stats(&self) -> Stats {
+        self.engine.stats()
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Time) {
+        if now >= self.swept + SWEEP {
+            self.swept = now;
+            self.pool.sweep(now);
+            self.lose(now);
+        }
+        if now >= self.silence_swept + SILENCE_SWEEP {
+            self.silence_swept = now;
+            for conn in self.desk.silent(now) {
+                debug!(front_end = self.name, conn, "silent client closed");
+                self.drop_client(now, conn);
+            }
+        }
+        if !self.draining && self.stopping.is_some_and(|since| now >= since + TERM_TAKES) {
+            self.draining = true;
+            self.run(now, Input::Drain);
+        }
+        self.run(now, Input::Tick);
+    }
+
+    // ---- stopping ----
+
+    /// The platform asked for an end.
+    pub fn stop(&mut self, now: Time) {
+        if self.stopping.is_none() {
+            info!(front_end = self.name, open = self.engine.open(), "stopping");
+            self.stopping = Some(now);
+        }
+    }
+
+    /// Whether all that was taken is answered, or cannot be any more.
+    pub fn done(&self, now: Time) -> bool {
+        self.stopping.is_some_and(|since| {
+            let quiet = self.engine.open() == 0 && now >= since + TERM_LEAST;
+            quiet || now >= since + self.give_up_most + TERM_LEAST
+        })
+    }
+
+    // ---- the list ----
+
+    /// Takes a change of the worker list.
+    pub fn list(&mut self, now: Time, event: &ListEvent) {
+        if event.kind != ListKind::Changes {
+            let named: Vec<&Worker> = event.hosts.iter().map(|(e, _)| &e.worker).collect();
+            self.pool.keep_only(&named);
+        }
+        for (entry, address) in &event.hosts {
+            debug!(front_end = self.name, worker = &*entry.worker.0, state = ?entry.state, address, "list");
+            self.pool.place(&entry.worker, address, entry.state == State::Gone);
+        }
+        self.listed = true;
+        let entries = event.hosts.iter().map(|(e, _)| e.clone()).collect();
+        self.run(now, Input::Workers { kind: event.kind, entries });
+    }
+
+    // ---- clients ----
+
+    /// A client has connected.
+    pub fn client_opened(&mut self, now: Time, conn: ConnId) {
+        if let Some(other) = self.desk.opened(now, conn) {
+            debug!(front_end = self.name, conn = other, "closed: too many clients");
+            self.drop_client(now, other);
+        }
+    }
+
+    /// A client's connection has ended.
+    pub fn client_closed(&mut self, now: Time, conn: ConnId) {
+        for ticket in self.desk.closed(conn) {
+            self.run(now, Input::Left(Ticket { source: CLIENTS, number: ticket }));
+        }
+    }
+
+    fn drop_client(&mut self, now: Time, conn: ConnId) {
+        self.effects.push(Effect::Close { conn });
+        self.client_closed(now, conn);
+    }
+
+    /// Bytes came from a client.
+    pub fn client_bytes(&mut self, now: Time, conn: ConnId, bytes: &[u8]) {
+        let Some(client) = self.desk.client(conn) else { return };
+        client.framer.push(bytes);
+        loop {
+            // It may be gone by what its last line brought about.
+            let Some(client) = self.desk.client(conn) else { return };
+            match client.framer.next_line() {
+                Ok(Some(line)) => self.client_line(now, conn, &line),
+                Ok(None) => {
+                    let partial = client.framer.partial();
+                    client.partial = if partial { client.partial.or(Some(now)) } else { None };
+                    return;
+                }
+                Err(long) => {
+                    let fault = Fault { id: None, code: client::PARSE, message: long.to_string() };
+                    return self.fault(now, conn, &fault);
+                }
+            }
+        }
+    }
+
+    fn client_line(&mut self, now: Time, conn: ConnId, line: &[u8]) {
+        let Some(client) = self.desk.client(conn) else { return };
+        client.partial = None;
+        match client::read(line, &self.site) {
+            Ok(ClientLine::Call(call)) => self.call(now, conn, *call),
+            Ok(ClientLine::Forget { id, call }) => {
+                client.active = now;
+                if let Some(ticket) = self.desk.find(conn, id, call.as_deref()) {
+                    self.desk.end(now, ticket);
+                    self.run(now, Input::Left(Ticket { source: CLIENTS, number: ticket }));
+                }
+            }
+            Ok(ClientLine::IsWell { id }) => {
+                (client.active, client.spoke) = (now, true);
+                let healthy = self.listed && self.stopping.is_none();
+                self.write(conn, client::health(id, healthy));
+            }
+            Err(fault) => self.fault(now, conn, &fault),
+        }
+    }
+
+    /// Answers what is no call. What bears no number cannot be told from noise, and what follows noise cannot be trusted.
+    fn fault(&mut self, now: Time, conn: ConnId, fault: &Fault) {
+        debug!(front_end = self.name, conn, %fault, "no call");
+        // An answer under the number of an open call would be taken for that call's.
+        let open =
+            self.desk.client(conn).is_some_and(|c| fault.id.is_some_and(|id| c.open.contains_key(&id)));
+        let id = fault.id.filter(|_| !open);
+        self.write(conn, client::error(id, fault.code, &fault.message, None));
+        if self.desk.fault(conn) || id.is_none() {
+            self.drop_client(now, conn);
+        }
+    }
+
+    fn call(&mut self, now: Time, conn: ConnId, call: ClientCall) {
+        let Some(client) = self.desk.client(conn) else { return };
+        let invalid =
+            |message: &str| Fault { id: Some(call.id), code: client::INVALID, message: message.into() };
+        if client.open.contains_key(&call.id) {
+            return self.fault(now, conn, &invalid("id: in use"));
+        }
+        if client.open.len() >= OPEN_MOST {
+            return self.fault(now, conn, &invalid("too many calls open on this connection"));
+        }
+        if self.desk.knows(&call.call) {
+            // Its namesake may be running: to call a further try harmless would be wrong.
+            return self.fault(now, conn, &invalid("call: open already"));
+        }
+        if let Some(client) = self.desk.client(conn) {
+            (client.active, client.spoke) = (now, true);
+        }
+        let number = self.desk.begin(Caller { conn, id: call.id, call: call.call.clone() });
+        let call = Call {
+            function: Arc::from(call.function),
+            class: call.class,
+            budget: Some(call.ttl),
+            memory_mb: call.memory_mb,
+            lanes: call.lanes,
+            load_time: call.load_time,
+            label: Some(Arc::from(call.call)),
+            body: call.body,
+            ..Call::default()
+        };
+        let ticket = Ticket { source: CLIENTS, number };
+        let trigger = Trigger { ticket, identity: None, redelivered: false, deliveries: 0, call };
+        self.run(now, Input::Trigger(trigger));
+    }
+
+    fn write(&mut self, conn: ConnId, bytes: Bytes) {
+        self.effects.push(Effect::Write { conn, bytes });
+    }
+
+    // ---- workers ----
+
+    /// A connection to a worker is up.
+    pub fn worker_up(&mut self, now: Time, conn: ConnId) {
+        self.pool.up(now, conn);
+    }
+
+    /// A connection to a worker did not come up.
+    pub fn worker_failed(&mut self, now: Time, conn: ConnId) {
+        self.pool.failed(conn);
+        self.lose(now);
+    }
+
+    /// A connection to a worker has ended, with so many bytes written on it.
+    pub fn worker_closed(&mut self, now: Time, conn: ConnId, written: u64) {
+        self.end_link(now, conn, written, Lost::Broken);
+    }
+
+    fn end_link(&mut self, now: Time, conn: ConnId, written: u64, how: Lost) {
+        self.pool.closed(now, conn, written, how);
+        self.lose(now);
+    }
+
+    /// Bytes came from a worker.
+    pub fn worker_bytes(&mut self, now: Time, conn: ConnId, bytes: &[u8]) {
+        let Some(framer) = self.pool.framer(conn) else { return };
+        framer.push(bytes);
+        loop {
+            let Some(framer) = self.pool.framer(conn) else { return };
+            let spoilt = match framer.next_line() {
+                Ok(None) => return,
+                Ok(Some(line)) => match worker::read(&line) {
+                    Ok(answer) => {
+                        self.answer(now, conn, answer);
+                        continue;
+                    }
+                    Err(spoilt) => spoilt.to_string(),
+                },
+                Err(long) => long.to_string(),
+            };
+            info!(front_end = self.name, conn, spoilt, "answer cannot be read; connection closed");
+            self.effects.push(Effect::Close { conn });
+            return self.end_link(now, conn, u64::MAX, Lost::Spoilt);
+        }
+    }
+
+    fn answer(&mut self, now: Time, conn: ConnId, answer: Answer) {
+        let found = self.pool.answered(now, conn, &answer.reference);
+        let Some((worker, job)) = found else {
+            return debug!(
+                front_end = self.name,
+                conn,
+                reference = answer.reference,
+                "answer to nothing open"
+            );
+        };
+        let took = now.saturating_sub(job.began);
+        let outcome = match answer.word {
+            Word::Ok | Word::Ready | Word::Ailing => Outcome::Served,
+            Word::Absent => Outcome::Absent,
+            Word::Full => Outcome::Full,
+            Word::Error => Outcome::Error,
+            Word::Over => Outcome::NotSent,
+        };
+        match job.task {
+            Task::Attempt(id) => {
+                // An answer to something else under this name proves nothing.
+                let outcome =
+                    if matches!(answer.word, Word::Ready | Word::Ailing) { Outcome::Error } else { outcome };
+                let body = answer.body;
+                let served =
+                    (outcome == Outcome::Served).then(|| Served { status: 200, content_type: None, body });
+                let told = matches!(outcome, Outcome::Served | Outcome::Full);
+                let alike = told.then_some(answer.alike);
+                let end = AttemptEnd { id, outcome, took, note: None, alike, load: answer.load, served };
+                self.attempt_ended(now, end);
+            }
+            Task::Order(function) => {
+                let copies = answer.copies;
+                self.run(now, Input::Order(OrderEnd { worker, function, outcome, took, copies }));
+            }
+            Task::Probe => {
+                let answered = answer.word == Word::Ready;
+                self.run(now, Input::Probe(ProbeEnd { worker, answered, load: answer.load }));
+            }
+            Task::Drop => {}
+        }
+    }
+
+    fn attempt_ended(&mut self, now: Time, end: AttemptEnd) {
+        debug!(
+            front_end = self.name,
+            request = end.id.request,
+            attempt = end.id.number,
+            worker = self.out.get(&end.id).map(|w| &*w.0),
+            outcome = ?end.outcome,
+            took_us = end.took / 1000,
+            alike = end.alike,
+            load = ?end.load,
+            "attempt ended"
+        );
+        self.out.remove(&end.id);
+        self.run(now, Input::Attempt(end));
+    }
+
+    fn lose(&mut self, now: Time) {
+        for (worker, job, how) in self.pool.lost() {
+            let outcome = match how {
+                Lost::NotSent => Outcome::Unreachable,
+                Lost::Broken => Outcome::Broken,
+                Lost::Spoilt => Outcome::Error,
+                Lost::TimedOut => Outcome::TimedOut,
+            };
+            let took = now.saturating_sub(job.began);
+            match job.task {
+                Task::Attempt(id) => self.attempt_ended(now, without_answer(id, outcome, took)),
+                Task::Order(function) => {
+                    let end = OrderEnd { worker, function, outcome, took, copies: 0 };
+                    self.run(now, Input::Order(end));
+                }
+                Task::Probe => {
+                    let end = ProbeEnd { worker, answered: false, load: Load::default() };
+                    self.run(now, Input::Probe(end));
+                }
+                Task::Drop => {}
+            }
+        }
+    }
+
+    // ---- the engine ----
+
+    /// Hands an input to the engine, and all that comes of it at once.
+    fn run(&mut self, now: Time, input: Input) {
+        self.inputs.push_back(input);
+        while let Some(input) = self.inputs.pop_front() {
+            let mut outputs = std::mem::take(&mut self.outputs);
+            self.engine.handle(now, input, &mut outputs);
+            for output in outputs.drain(..) {
+                self.one(now, output);
+            }
+            self.outputs = outputs;
+        }
+    }
+
+    fn one(&mut self, now: Time, output: Output) {
+        match output {
+            Output::Send { id, worker, call, deadline } => self.send(now, id, worker, &call, deadline),
+            Output::Cancel(id) => {
+                let Some(worker) = self.out.remove(&id) else { return };
+                let job = self.pool.withdraw(&worker, id);
+                let took = job.map_or(0, |j| now.saturating_sub(j.began));
+                self.inputs.push_back(Input::Attempt(without_answer(id, Outcome::Cancelled, took)));
+            }
+            Output::Hold { worker, function, name, copies } => {
+                debug!(front_end = self.name, worker = &*worker.0, function = &*name, copies, "order");
+                let tag = self.tag();
+                let line = worker::pin(&tag, &name, copies);
+                let job =
+                    Job::new(Task::Order(function), tag, line, now, now + self.site.transport.order_timeout);
+                self.ask(now, &worker, job);
+            }
+            Output::Drop { worker, name } => {
+                let line = worker::unpin(&name);
+                let job = Job::new(
+                    Task::Drop,
+                    name.to_string(),
+                    line,
+                    now,
+                    now + self.site.transport.order_timeout,
+                );
+                self.ask(now, &worker, job);
+            }
+            Output::Probe(worker) => {
+                let tag = self.tag();
+                let line = worker::meter(&tag);
+                self.ask(now, &worker, Job::new(Task::Probe, tag, line, now, now + PROBE_MOST));
+            }
+            Output::Answer { ticket, reply } => {
+                self.reply(now, ticket.number, &reply);
+                self.inputs.push_back(Input::Settled(ticket));
+            }
+            // Nothing is delivered twice here, and the list is followed from the start.
+            Output::Forget(_) | Output::FollowList => {}
+        }
+    }
+
+    fn send(&mut self, now: Time, id: AttemptId, worker: Worker, call: &Call, deadline: Time) {
+        let name = call.label.as_deref().unwrap_or_default();
+        let class = self.site.names.classes.get(call.class).map_or("", String::as_str);
+        debug!(
+            front_end = self.name,
+            request = id.request,
+            call = name,
+            class,
+            function = &*call.function,
+            worker = &*worker.0,
+            attempt = id.number,
+            "send"
+        );
+        let line = worker::run(name, class, &call.function, deadline.saturating_sub(now), &call.body);
+        let job = Job::new(Task::Attempt(id), name.to_string(), line, now, deadline);
+        self.out.insert(id, worker.clone());
+        self.ask(now, &worker, job);
+    }
+
+    /// Hands a job to the pool; what cannot be sent is told to the engine after the present input.
+    fn ask(&mut self, now: Time, worker: &Worker, job: Job) {
+        self.pool.ask(now, worker, job);
+        for (worker, job, _) in self.pool.lost() {
+            match job.task {
+                Task::Attempt(id) => {
+                    self.out.remove(&id);
+                    self.inputs.push_back(Input::Attempt(without_answer(id, Outcome::Unreachable, 0)));
+                }
+                Task::Order(function) => self.inputs.push_back(Input::Order(OrderEnd {
+                    worker,
+                    function,
+                    outcome: Outcome::Unreachable,
+                    took: 0,
+                    copies: 0,
+                })),
+                Task::Probe => self.inputs.push_back(Input::Probe(ProbeEnd {
+                    worker,
+                    answered: false,
+                    load: Load::default(),
+                })),
+                Task::Drop => {}
+            }
+        }
+    }
+
+    fn tag(&mut self) -> String {
+        self.next_tag += 1;
+        format!("t{}", self.next_tag)
+    }
+
+    fn reply(&mut self, now: Time, ticket: u64, reply: &Arc<Reply>) {
+        let Some(caller) = self.desk.end(now, ticket) else { return };
+        debug!(
+            front_end = self.name,
+            call = caller.call,
+            verdict = reply.verdict.as_str(),
+            cause = reply.cause.as_str(),
+            attempts = reply.attempts,
+            worker = reply.worker.as_ref().map(|w| &*w.0),
+            last = ?reply.last,
+            "answer"
+        );
+        let line = match (reply.verdict, &reply.served) {
+            (Verdict::Served, Some(served)) => client::served(caller.id, &served.body),
+            (Verdict::Refused, _) => {
+                let pushback = reply.retry_after.map(|t| t / 1_000_000);
+                client::error(Some(caller.id), client::REFUSED, reply.cause.as_str(), pushback)
+            }
+            _ => client::error(Some(caller.id), client::FAILED, reply.cause.as_str(), None),
+        };
+        self.write(caller.conn, line);
+    }
+}
+
+fn without_answer(id: AttemptId, outcome: Outcome, took: Time) -> AttemptEnd {
+    AttemptEnd { id, outcome, took, note: None, alike: None, load: Load::default(), served: None }
+}
--- /dev/null
+++ b/crates/pipithub-node/src/desk.rs
@@ -0,0 +1,168 @@
+//! Clients: their connections, what is open on each, and what makes one be turned away.
+
+use std::collections::{BTreeMap, HashMap};
+
+use pipithub_engine::Time;
+use pipithub_platform::client::LINE_MOST;
+use pipithub_platform::line::LineFramer;
+
+use crate::core::ConnId;
+
+/// Calls that may be open on one connection.
+pub const OPEN_MOST: usize = 32;
+/// Faulty lines, each with an answer, before a connection is closed: what it asks costs more than it is worth.
+const FAULTS_MOST: u32 = 4;
+/// A connection that has sent no whole line for so long after it was made, or holds one half sent for so long, is
+/// closed. Silent connections would else take all descriptors.
+const SILENT_MOST: Time = 2_000_000_000;
+
+/// One client's connection.
+#[derive(Debug)]
+pub struct Client {
+    /// Cuts what it sends into lines.
+    pub framer: LineFramer,
+    /// Numbers of its open calls, with the ticket of each.
+    pub open: BTreeMap<u64, u64>,
+    /// It has sent a call that could be read.
+    pub spoke: bool,
+    /// The last time something whole came from it or went to it.
+    pub active: Time,
+    /// Since when a line is half sent.
+    pub partial: Option<Time>,
+    faults: u32,
+}
+
+/// An open call: whose it is and what it is called.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// The connection.
+    pub conn: ConnId,
+    /// Its number there.
+    pub id: u64,
+    /// Its name.
+    pub call: String,
+}
+
+/// All clients.
+#[derive(Debug)]
+pub struct Desk {
+    most: usize,
+    clients: BTreeMap<ConnId, Client>,
+    callers: BTreeMap<u64, Caller>,
+    calls: HashMap<String, u64>,
+    next: u64,
+}
+
+impl Desk {
+    /// At most so many connections.
+    pub fn new(most: usize) -> Self {
+        Desk {
+            most: most.max(1),
+            clients: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            calls: HashMap::new(),
+            next: 1,
+        }
+    }
+
+    /// A connection came. Where there are too many, the one to close for it: one that never asked for anything before
+    /// one that did, the longest idle of them; the newcomer itself where calls are open on all.
+    pub fn opened(&mut self, now: Time, conn: ConnId) -> Option<ConnId> {
+        let client = Client {
+            framer: LineFramer::new(LINE_MOST),
+            open: BTreeMap::new(),
+            spoke: false,
+            active: now,
+            partial: None,
+            faults: 0,
+        };
+        self.clients.insert(conn, client);
+        if self.clients.len() <= self.most {
+            return None;
+        }
+        let idle = self.clients.iter().filter(|(id, c)| c.open.is_empty() && **id != conn);
+        idle.min_by_key(|(_, c)| (c.spoke, c.active)).map(|(id, _)| *id).or(Some(conn))
+    }
+
+    /// The client of a connection.
+    pub fn client(&mut self, conn: ConnId) -> Option<&mut Client> {
+        self.clients.get_mut(&conn)
+    }
+
+    /// Connections.
+    pub fn len(&self) -> usize {
+        self.clients.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.clients.is_empty()
+    }
+
+    /// Whether a call of this name is open here, from whomever.
+    pub fn knows(&self, call: &str) -> bool {
+        self.calls.contains_key(call)
+    }
+
+    /// Notes a call; its ticket.
+    pub fn begin(&mut self, caller: Caller) -> u64 {
+        let ticket = self.next;
+        self.next += 1;
+        if let Some(client) = self.clients.get_mut(&caller.conn) {
+            client.open.insert(caller.id, ticket);
+        }
+        self.calls.insert(caller.call.clone(), ticket);
+        self.callers.insert(ticket, caller);
+        ticket
+    }
+
+    /// Takes a call out, as it is answered or not waited for any more.
+    pub fn end(&mut self, now: Time, ticket: u64) -> Option<Caller> {
+        let caller = self.callers.remove(&ticket)?;
+        if self.calls.get(&caller.call) == Some(&ticket) {
+            self.calls.remove(&caller.call);
+        }
+        if let Some(client) = self.clients.get_mut(&caller.conn) {
+            client.open.remove(&caller.id);
+            client.active = now;
+        }
+        Some(caller)
+    }
+
+    /// The ticket of a call on a connection, by its number there or by its name.
+    pub fn find(&self, conn: ConnId, id: Option<u64>, call: Option<&str>) -> Option<u64> {
+        let by_call = call.and_then(|call| self.calls.get(call)).copied();
+        let by_call = by_call.filter(|t| self.callers.get(t).is_some_and(|c| c.conn == conn));
+        by_call.or_else(|| self.clients.get(&conn)?.open.get(&id?).copied())
+    }
+
+    /// Counts a faulty line; whether the connection is to be closed for it.
+    pub fn fault(&mut self, conn: ConnId) -> bool {
+        self.clients.get_mut(&conn).is_none_or(|client| {
+            client.faults += 1;
+            client.faults >= FAULTS_MOST
+        })
+    }
+
+    /// A connection has ended; the tickets that were open on it, none of them owed an answer any more.
+    pub fn closed(&mut self, conn: ConnId) -> Vec<u64> {
+        let Some(client) = self.clients.remove(&conn) else { return Vec::new() };
+        let tickets: Vec<u64> = client.open.into_values().collect();
+        for ticket in &tickets {
+            if let Some(caller) = self.callers.remove(ticket)
+                && self.calls.get(&caller.call) == Some(ticket)
+            {
+                self.calls.remove(&caller.call);
+            }
+        }
+        tickets
+    }
+
+    /// Connections that hold a descriptor for nothing.
+    pub fn silent(&self, now: Time) -> Vec<ConnId> {
+        let over = |since: Time| now >= since + SILENT_MOST;
+        let silent =
+            |c: &Client| c.open.is_empty() && (!c.spoke && over(c.active) || c.partial.is_some_and(over));
+        self.clients.iter().filter(|(_, c)| silent(c)).map(|(id, _)| *id).collect()
+    }
+}
--- /dev/null
+++ b/crates/pipithub-platform/src/client.rs
@@ -0,0 +1,233 @@
+//! JSON-RPC 2.0 lines of clients. Every figure is checked here: what a client sends wrongly must neither reach a worker,
+//! which would close its connection on it, nor the module.
+
+use std::fmt::Write;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde_json::Value;
+
+use crate::settings::{Names, SiteSettings};
+use pipithub_policy::api::Time;
+
+/// The most bytes of a call's body.
+pub const BODY_MOST: usize = 16 << 10;
+/// The most bytes of a line: the body in base64 and room for all other fields.
+pub const LINE_MOST: usize = 32 << 10;
+/// The code of a refusal: another try is harmless.
+pub const REFUSED: i64 = -32050;
+/// The code of any other end without an answer: nothing is promised.
+pub const FAILED: i64 = -32000;
+/// The line cannot be read.
+pub const PARSE: i64 = -32700;
+/// It is no request.
+pub const INVALID: i64 = -32600;
+/// Its method is no class.
+pub const NO_METHOD: i64 = -32601;
+/// Its figures cannot be used.
+pub const BAD_PARAMS: i64 = -32602;
+
+/// A call as a client states it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClientCall {
+    /// The number that its answer bears.
+    pub id: u64,
+    /// Names it to workers: 16 hex digits, exactly as sent.
+    pub call: String,
+    /// Its class, as an index into the settings.
+    pub class: usize,
+    /// How long the client waits.
+    pub ttl: Time,
+    /// The function: 16 hex digits, exactly as sent.
+    pub function: String,
+    /// Memory of one loaded copy, in MB; 0 where not told.
+    pub memory_mb: f64,
+    /// Calls that one copy runs at a time.
+    pub lanes: u32,
+    /// The usual time of a load, where told.
+    pub load_time: Option<Time>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What a client's line says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClientLine {
+    /// Run this.
+    Call(Box<ClientCall>),
+    /// The client has ceased to wait for the call with this number, or of this name.
+    Forget {
+        /// The number of the call, where given so.
+        id: Option<u64>,
+        /// The name of the call, where given so.
+        call: Option<String>,
+    },
+    /// Whether this front end takes calls.
+    IsWell {
+        /// The number that the answer bears.
+        id: u64,
+    },
+}
+
+/// What is wrong with a line.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{message} ({code})")]
+pub struct Fault {
+    /// The number of the request, where it could be read.
+    pub id: Option<u64>,
+    /// The JSON-RPC code.
+    pub code: i64,
+    /// Place and reason.
+    pub message: String,
+}
+
+impl Fault {
+    fn new(id: Option<u64>, code: i64, message: impl Into<String>) -> Self {
+        Fault { id, code, message: message.into() }
+    }
+}
+
+/// Reads one line.
+///
+/// # Errors
+/// [`Fault`] where it is no request of this protocol; a fault without an id cannot be told from noise.
+pub fn read(line: &[u8], site: &SiteSettings) -> Result<ClientLine, Fault> {
+    let all: Value =
+        serde_json::from_slice(line).map_err(|e| Fault::new(None, PARSE, format!("line: {e}")))?;
+    let Some(all) = all.as_object() else {
+        return Err(Fault::new(None, INVALID, "line: not an object"));
+    };
+    let id = match all.get("id") {
+        None => None,
+        Some(id) => match id.as_u64().filter(|id| *id > 0) {
+            Some(id) => Some(id),
+            None => return Err(Fault::new(None, INVALID, "id: not a whole number from 1 on")),
+        },
+    };
+    let bad = |code, message: &str| Fault::new(id, code, message);
+    if all.get("jsonrpc").and_then(Value::as_str) != Some("2.0") {
+        return Err(bad(INVALID, "jsonrpc: not 2.0"));
+    }
+    let method = all.get("method").and_then(Value::as_str).ok_or_else(|| bad(INVALID, "method: missing"))?;
+    let none = Value::Null;
+    let params = all.get("params").unwrap_or(&none);
+    if method == "forget" {
+        let number = params.get("id").and_then(Value::as_u64).or(id);
+        let call = params.get("call").and_then(Value::as_str).map(str::to_string);
+        if number.is_none() && call.is_none() {
+            return Err(bad(BAD_PARAMS, "forget: names no call"));
+        }
+        return Ok(ClientLine::Forget { id: number, call });
+    }
+    let Some(id) = id else { return Err(bad(INVALID, "id: missing")) };
+    if method == "isWell" {
+        return Ok(ClientLine::IsWell { id });
+    }
+    let call = call(id, method, params, site).map_err(|(code, message)| bad(code, &message))?;
+    Ok(ClientLine::Call(Box::new(call)))
+}
+
+fn call(id: u64, method: &str, params: &Value, site: &SiteSettings) -> Result<ClientCall, (i64, String)> {
+    let bad = |message: &str| (BAD_PARAMS, message.to_string());
+    let names: &Names = &site.names;
+    let class = names.classes.iter().position(|n| n == method);
+    let class = class.ok_or_else(|| (NO_METHOD, "method: no such class".to_string()))?;
+    let name = |field: &str| {
+        let text = params.get(field).and_then(Value::as_str).filter(|t| is_name(t));
+        text.map(str::to_string).ok_or_else(|| bad(&format!("{field}: not 16 hex digits")))
+    };
+    let give_up = site.policy.classes.get(class).map_or(0, |c| c.give_up);
+    let ttl = params.get("ttl").and_then(Value::as_f64).ok_or_else(|| bad("ttl: not a number"))?;
+    // No client of a class waits longer than the class does; one millisecond is for rounding.
+    if !(ttl > 0.0 && ttl <= give_up as f64 / 1e6 + 1.0) {
+        return Err(bad("ttl: out of range"));
+    }
+    let mut read = ClientCall {
+        id,
+        call: name("call")?,
+        class,
+        ttl: (ttl * 1e6) as Time,
+        function: name("row")?,
+        memory_mb: 0.0,
+        lanes: 1,
+        load_time: None,
+        body: Bytes::new(),
+    };
+    match params.get("props") {
+        None | Some(Value::Null) => {}
+        Some(Value::String(pairs)) => props(pairs, names, &mut read).map_err(|e| bad(&e))?,
+        Some(_) => return Err(bad("props: not a string")),
+    }
+    match params.get("body") {
+        None | Some(Value::Null) => {}
+        Some(Value::String(text)) => {
+            let body = STANDARD.decode(text).map_err(|e| bad(&format!("body: {e}")))?;
+            if body.len() > BODY_MOST {
+                return Err(bad("body: too long"));
+            }
+            read.body = body.into();
+        }
+        Some(_) => return Err(bad("body: not a string")),
+    }
+    Ok(read)
+}
+
+/// Reads `name:figure` pairs set apart by semicolons. Unknown names are passed over: new ones may show up.
+fn props(pairs: &str, names: &Names, call: &mut ClientCall) -> Result<(), String> {
+    let most = names.kinds.iter().map(|k| k.1).fold(0.0, f64::max);
+    for pair in pairs.split(';').filter(|p| !p.is_empty()) {
+        let (name, value) = pair.split_once(':').ok_or("props: a pair without ':'")?;
+        let known = matches!(name, "memory_mb" | "lanes" | "load_ms");
+        let figure = value.parse::<f64>().ok().filter(|f| f.is_finite() && *f >= 0.0);
+        match figure {
+            None if known => return Err(format!("props: {name}: not a figure from 0 on")),
+            None => {}
+            Some(f) => match name {
+                "memory_mb" if most > 0.0 && f > most => {
+                    return Err("props: memory_mb: more than any worker has".to_string());
+                }
+                "memory_mb" => call.memory_mb = f,
+                "lanes" if !(1.0..=1_000.0).contains(&f) || f.fract() != 0.0 => {
+                    return Err("props: lanes: out of range".to_string());
+                }
+                "lanes" => call.lanes = f as u32,
+                "load_ms" if f > 3_600_000.0 => return Err("props: load_ms: out of range".to_string()),
+                "load_ms" => call.load_time = Some((f * 1e6) as Time),
+                _ => {}
+            },
+        }
+    }
+    Ok(())
+}
+
+/// Whether a text is a name of this protocol: 16 hex digits.
+pub fn is_name(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
+/// The line of an answer that a worker gave.
+pub fn served(id: u64, body: &[u8]) -> Bytes {
+    let mut line = format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"body\":\"");
+    STANDARD.encode_string(body, &mut line);
+    line.push_str("\"}}\n");
+    line.into()
+}
+
+/// The line of an error; `pushback` in milliseconds, with refusals alone.
+pub fn error(id: Option<u64>, code: i64, message: &str, pushback: Option<u64>) -> Bytes {
+    let id = id.map_or_else(|| "null".to_string(), |id| id.to_string());
+    let mut line = format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{code},\"message\":");
+    line.push_str(&Value::from(message).to_string());
+    if let Some(pushback) = pushback {
+        // Writing to a string cannot fail.
+        let _ = write!(line, ",\"data\":{{\"pushback\":{pushback}}}");
+    }
+    line.push_str("}}\n");
+    line.into()
+}
+
+/// The line that answers `isWell`.
+pub fn health(id: u64, healthy: bool) -> Bytes {
+    format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"healthy\":{healthy}}}}}\n").into()
+}
--- /dev/null
+++ b/crates/pipithub-platform/src/list.rs
@@ -0,0 +1,72 @@
+//! Changes of the worker list, numbered from 1 at each start of a front end.
+
+use pipithub_policy::api::{Entry, ListKind, State, Worker};
+use serde_json::Value;
+
+use crate::settings::Names;
+
+/// The most workers in one event.
+const HOSTS_MOST: usize = 10_000;
+
+/// One change of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListEvent {
+    /// Its number.
+    pub index: u64,
+    /// Whether it holds every worker.
+    pub kind: ListKind,
+    /// The workers in it, by id, with the address of each.
+    pub hosts: Vec<(Entry, String)>,
+}
+
+/// Reads one event.
+///
+/// # Errors
+/// Place and reason where it cannot be used; nothing of it may be used then.
+pub fn read(value: &Value, names: &Names) -> Result<ListEvent, String> {
+    let index = value["index"].as_u64().ok_or("index: not a whole number")?;
+    let endpoints = &value["endpoints"];
+    let hosts = endpoints["hosts"].as_array().ok_or("endpoints.hosts: not a list")?;
+    if hosts.len() > HOSTS_MOST {
+        return Err(format!("endpoints.hosts: more than {HOSTS_MOST}"));
+    }
+    let kind =
+        if endpoints["whole"].as_bool() == Some(true) { ListKind::Complete } else { ListKind::Changes };
+    let read = |(i, h): (usize, &Value)| host(h, names).map_err(|e| format!("endpoints.hosts[{i}].{e}"));
+    let hosts = hosts.iter().enumerate().map(read).collect::<Result<_, _>>()?;
+    Ok(ListEvent { index, kind, hosts })
+}
+
+/// Reads one event from its text.
+///
+/// # Errors
+/// As [`read`].
+pub fn parse(text: &str, names: &Names) -> Result<ListEvent, String> {
+    let value: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    read(&value, names)
+}
+
+fn host(host: &Value, names: &Names) -> Result<(Entry, String), String> {
+    let text =
+        |field: &str| host[field].as_str().filter(|t| !t.is_empty()).ok_or(format!("{field}: missing"));
+    let kind = host["class"].as_str().unwrap_or_default();
+    let state = match host["health"].as_str() {
+        Some("SERVING") => State::Live,
+        Some("DRAINING") => State::Draining,
+        Some("DELETED") => State::Gone,
+        other => return Err(format!("health: unknown {other:?}")),
+    };
+    // One that is gone needs no address any more.
+    let address =
+        if state == State::Gone { host["dial"].as_str().unwrap_or_default() } else { text("dial")? };
+    let entry = Entry {
+        worker: Worker::new(text("host")?),
+        share: host["share"].as_f64().filter(|s| s.is_finite()).unwrap_or(0.0),
+        state,
+        zone: host["site"].as_str().unwrap_or_default().to_string(),
+        cell: host["block"].as_u64().unwrap_or(0),
+        memory_mb: names.kinds.iter().find(|(name, _)| name == kind).map_or(0.0, |(_, memory)| *memory),
+        started: host["born_ms"].as_u64().filter(|ms| *ms > 0).map(|ms| ms.saturating_mul(1_000_000)),
+    };
+    Ok((entry, address.to_string()))
+}
--- a/crates/pipithub-adapter/src/settings.rs
+++ b/crates/pipithub-platform/src/settings.rs
@@ -1,13 +1,56 @@
-//! Reads the settings that a front end is given at its start.
+//! Reads the settings that a front end is given at its start, in the simulator and in service alike.
 
-use pipithub_policy::api::{Class, Effect, Group, Limits, Loading, Ration, Rules, Settings};
+use pipithub_policy::api::{Class, Effect, Group, Limits, Loading, Ration, Rules, Settings, Time};
 use serde_json::Value;
 
-use crate::wire::Names;
+/// The names that the lines of one front end use.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// The classes, in the settings' order.
+    pub classes: Vec<String>,
+    /// Machine kinds, with the memory of each in MB.
+    pub kinds: Vec<(String, f64)>,
+}
+
+/// What the transport is told; all times in nanoseconds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Transport {
+    /// A connection that is not up by then counts as failed.
+    pub connect_timeout: Time,
+    /// Connections that stay idle for so long are closed; 0: never.
+    pub idle_close: Time,
+    /// Requests that one connection carries at a time.
+    pub streams: usize,
+    /// Requests that a front end may hold open.
+    pub open_most: usize,
+    /// An order without an answer by then has come to nothing.
+    pub order_timeout: Time,
+}
+
+/// All that the settings tell.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SiteSettings {
+    /// For the module.
+    pub policy: Settings,
+    /// For reading lines.
+    pub names: Names,
+    /// For the transport.
+    pub transport: Transport,
+}
+
+/// Reads the settings from their text.
+///
+/// # Errors
+/// Place and reason of what is wrong.
+pub fn parse(text: &str) -> Result<SiteSettings, String> {
+    read(&serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
+}
 
-/// Turns the settings text into plain settings and the names that later lines use.
-pub fn parse(text: &str) -> Result<(Settings, Names), String> {
-    let all: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+/// Reads the settings.
+///
+/// # Errors
+/// As [`parse`].
+pub fn read(all: &Value) -> Result<SiteSettings, String> {
     if !all.is_object() {
         return Err("settings: not an object".to_string());
     }
@@ -53,7 +96,15 @@
         },
         list_on_request: all["RegistryMode"].as_str() == Some("on_request"),
     };
-    Ok((settings, names))
+    let or = |told: &Value, unless: Time| Some(time(told)).filter(|t| *t > 0).unwrap_or(unless);
+    let transport = Transport {
+        connect_timeout: or(&limits["ConnectTimeout"], 250_000_000),
+        idle_close: time(&limits["IdleClose"]),
+        streams: or(&limits["StreamsPerConn"], 1) as usize,
+        open_most: or(&limits["OpenCap"], 4096) as usize,
+        order_timeout: or(&family["OrderTimeout"], 10_000_000_000),
+    };
+    Ok(SiteSettings { policy: settings, names, transport })
 }
 
 fn class(grade: &Value) -> Result<Class, String> {
--- a/crates/pipithub/src/main.rs
+++ b/crates/pipithub/src/main.rs
@@ -37,6 +37,15 @@
         #[arg(long, hide = true)]
         baseline: Option<Baseline>,
     },
+    /// Runs one front end of the platform: clients over JSON-RPC lines, its configuration in LB_CONFIG.
+    Node {
+        /// The configuration file.
+        #[arg(long, env = "LB_CONFIG")]
+        config: PathBuf,
+        /// Where to listen; by default as the configuration says.
+        #[arg(long, env = "LB_LISTEN")]
+        listen: Option<String>,
+    },
     /// Works on settings files.
     Config {
         #[command(subcommand)]
@@ -109,6 +118,14 @@
 
 fn main() -> Result<ExitCode> {
     let arguments = Arguments::parse();
+    if let Command::Node { config, listen } = arguments.command {
+        log(false, "info");
+        // One thread: its machine has part of one core.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
+        let node = pipithub_node::shell::run(&config, listen);
+        tokio::task::LocalSet::new().block_on(&runtime, node).into_diagnostic()?;
+        return Ok(ExitCode::SUCCESS);
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
     runtime.block_on(run(arguments.command))
 }
@@ -136,6 +153,7 @@
             gateway.stop().await;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Node { .. } => Err(miette!("a node runs on a runtime of its own")),
         Command::Config { command: ConfigCommand::Check { file } } => {
             let config = load(&file)?;
             let queues: usize = config.amqp.iter().map(|a| a.queues.len()).sum();
