A lost worker's functions are loaded elsewhere within a bound, and faster

Checked with a probe in place() and one of what fills the queues: nearly all queued calls were unproven, not cold, each for another function. Ruled out: late waiters, sends that add copies, withdrawn ones, transport. At fault: place() presumed a function found nowhere to stand at the first worker allowed, also where its home was lost, so each began a load past the bound; loads took 1.5 to 3.6 s, queues ran full. Then loads_under_way counted what hung at unreachable workers, and one load for each worker's part was too few: workers carry several. Change: presumed at the home alone; unreachable workers' sends are no loads; four loads for each worker's part.

--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -55,6 +55,8 @@
 /// A worker that turns a call away is held to this share of its own sends; each answer gives back so much.
 const ROOM_CUT: f64 = 0.7;
 const ROOM_RISE: f64 = 0.1;
+/// Loads that may be under way for each worker: with one, a lost zone's functions came back too slowly.
+const LOADS_MOST: usize = 4;
 /// The most late calls to wait at one worker for a load: they must not fill its queue.
 const LATE_MOST: usize = 8;
 /// The share of a worker's memory that believed copies fill before a further one evicts: others run too.
@@ -527,7 +529,8 @@
     /// Loads that this front end believes under way, and whether one is of this function.
     fn loads_under_way(&self, function: Function) -> (usize, bool) {
         let (mut count, mut same) = (0, false);
-        for node in self.nodes.values() {
+        // What hangs at a worker that cannot be reached loads nothing: counted, it would bar those left.
+        for node in self.nodes.values().filter(|n| n.strikes < STRIKES) {
             let slow = |s: &&Sent| s.cold || s.unproven && self.now > s.at + (s.run * SAMPLE_CAP) as Time;
             // A load that nobody waits for may be left out: no other waits for it.
             let awaited = || node.out.iter().filter(|s| !s.withdrawn);
@@ -596,9 +599,10 @@
         let located = order.iter().any(|w| self.ready_at(&self.nodes[w], function).is_some());
         // A slow store must not be asked for more: loads are bounded, and one of this function is awaited.
         let (loads, loading) = self.loads_under_way(function);
-        // The most: one for each of this front end's part of the workers.
+        // The most: some for each of this front end's part of the workers.
         let store_open = now >= self.store.shut_until;
-        let may_add = store_open && loads < order.len().div_ceil(self.s.front_ends as usize).max(2);
+        let may_add =
+            store_open && loads < (LOADS_MOST * order.len()).div_ceil(self.s.front_ends as usize).max(2);
         let may_load = may_add && !loading;
         let (blind, run) = (self.blind(), self.run_of(function, open.call.class) * PAD);
         let mut presume = !located && open.attempts == 0;
@@ -606,6 +610,9 @@
         for worker in order.iter().filter(|w| !open.tried.contains(w)) {
             let node = &self.nodes[worker];
             if !self.allowed(open, node) {
+                // Presumed at its home alone. Where that is lost it stands nowhere: presumed at the next one,
+                // each of the lost worker's functions would begin a load there past the bound on loads.
+                presume = false;
                 continue;
             }
             // Found nowhere, it is presumed at its home: who knows nothing must neither refuse nor spread.
--- a/crates/pipithub-policy/tests/trouble.rs
+++ b/crates/pipithub-policy/tests/trouble.rs
@@ -616,3 +616,41 @@
     // Chance makes one worker look worse for a moment; without the comparison all would be shut at once.
     assert!(sent > 270, "sent {sent} of 300");
 }
+
+/// Functions whose home is this worker, from this number on.
+fn homed_at(workers: &[&str], home: &Worker, from: u64, count: usize) -> Vec<u64> {
+    let home_of = |function: &u64| sent_to(&Bench::new(settings(Effect::Safe), workers).call(*function).1);
+    (from..).filter(|f| home_of(f).as_ref() == Some(home)).take(count).collect()
+}
+
+/// Two connections to the worker fail, so that it is left alone.
+fn cut_off(b: &mut Bench, worker: &Worker, functions: &[u64]) {
+    for function in functions {
+        let (id, actions) = b.call(*function);
+        assert_eq!(sent_to(&actions).as_ref(), Some(worker));
+        b.finish(id, 0, worker, Outcome::Unreachable);
+    }
+}
+
+#[test]
+fn functions_of_a_lost_home_begin_no_more_loads_elsewhere_than_are_allowed_at_a_time() {
+    let home = Worker::new("w1");
+    let functions = homed_at(&THREE, &home, 1, 40);
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    cut_off(&mut b, &home, &functions[..2]);
+    let sent = functions[2..].iter().filter(|f| sent_to(&b.call(**f).1).is_some()).count();
+    assert!((6..=12).contains(&sent), "four for each worker at the most: {sent}");
+}
+
+#[test]
+fn calls_that_hang_at_a_lost_worker_are_no_loads_that_bar_others() {
+    let home = Worker::new("w1");
+    let functions = homed_at(&THREE, &home, 1, 20);
+    let mut b = Bench::new(settings(Effect::Safe), &THREE);
+    // As many loads as are allowed hang there when it is lost.
+    functions[..14].iter().for_each(|f| drop(b.call(*f)));
+    b.pass(700 * MS);
+    cut_off(&mut b, &home, &functions[14..16]);
+    let (_, actions) = b.call(functions[16]);
+    assert!(sent_to(&actions).is_some_and(|w| w != home), "loaded at one that is left");
+}
