Copies are not inferred any more: the wider bound on loads serves better

Inferred copies and the wider bound each help, together they admit too much. Change: the inference goes; the bound that it was to get around is wide enough now.

--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -309,11 +309,7 @@
                     let others = (f64::from(alike) + 1.0 - sent.same).max(0.0);
                     copies.others += PACE_GAIN * (others - copies.others);
                     let lanes = self.programs.get(&sent.function).map_or(1, |p| p.lanes.max(1));
-                    // Served no slower than usual beside them it waited for no lane: copies stand for all.
-                    // Else one is believed in for ever where workers add more by themselves, and calls are
-                    // refused for want of lanes that are free. Harm: a quick call may have jumped a queue.
-                    let at_once = end.note.is_none() && took <= sent.run;
-                    if at_once || end.note == Some(CopyNote::Warm) {
+                    if end.note == Some(CopyNote::Warm) {
                         copies.count = copies.count.max((alike + 1).div_ceil(lanes));
                     }
                 }
