--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use pipithub_platform::config::NodeConfig;
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tracing::{error, info, warn};
 
@@ -277,55 +278,80 @@
     NodeConfig::parse(&text).map_err(fault)
 }
 
-/// Runs a front end by the configuration in a file until SIGTERM or Ctrl-C, and then until all it took is answered. On
-/// SIGHUP the file is read again. Must be run on a [`tokio::task::LocalSet`].
-///
-/// # Errors
-/// [`StartError`] where it cannot start.
-pub async fn run(path: &Path, listen: Option<String>) -> Result<(), StartError> {
-    let config = load(path)?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    let address = listen.unwrap_or_else(|| config.listen.clone());
-    let listener = TcpListener::bind(&*address).await;
-    let listener = listener.map_err(|reason| StartError::Listen { address: address.clone(), reason })?;
-    let clock = Clock::unix();
-    let shell = Rc::new(Shell {
-        core: RefCell::new(Core::new(clock.now(), &config)),
-        sockets: RefCell::default(),
-        clock,
-        scratch: RefCell::new(vec![0; READ]),
-        armed: Cell::new(Time::MAX),
-        rearm: Notify::new(),
-    });
-    let last = config.known.last().map_or(0, |e| e.index);
-    let (coordinator, followed) = watch::channel(config.coordinator.clone());
-    let names = config.site.names.clone();
-    let told = shell.clone();
-    tokio::task::spawn_local(coordinator::follow(followed, last, names, move |event| {
-        told.with(|core, now| core.list(now, &event));
-    }));
-    let accepting = tokio::task::spawn_local(shell.clone().accept(listener));
-    info!(front_end = config.name, address, coordinator = config.coordinator, "front end up");
-    let over = shell.time();
-    tokio::pin!(over);
-    loop {
-        tokio::select! {
-            () = &mut over => break,
-            _ = terminate.recv() => shell.with(|core, now| core.stop(now)),
-            _ = interrupt.recv() => shell.with(|core, now| core.stop(now)),
-            _ = reload.recv() => match load(path) {
-                Ok(fresh) => {
-                    info!(coordinator = fresh.coordinator, "configuration read again");
-                    coordinator.send_replace(fresh.coordinator);
-                }
-                Err(reason) => error!(%reason, "previous configuration stays in force"),
-            },
+/// A front end that listens and has not begun to serve.
+pub struct Node {
+    config: NodeConfig,
+    place: PathBuf,
+    listener: TcpListener,
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Node {
+    /// Reads the configuration in a file and listens, at another address where one is given.
+    ///
+    /// # Errors
+    /// [`StartError`] where it cannot start.
+    pub async fn bind(path: &Path, listen: Option<String>) -> Result<Self, StartError> {
+        let config = load(path)?;
+        // From here on a signal is heard, though it is served later.
+        let (terminate, interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let reload = signal(SignalKind::hangup())?;
+        let address = listen.unwrap_or_else(|| config.listen.clone());
+        let listener = TcpListener::bind(&*address).await;
+        let listener = listener.map_err(|reason| StartError::Listen { address, reason })?;
+        Ok(Node { config, place: path.to_path_buf(), listener, terminate, interrupt, reload })
+    }
+
+    /// Where it listens.
+    ///
+    /// # Errors
+    /// As the system says.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until SIGTERM or Ctrl-C, and then until all that was taken is answered. On SIGHUP the configuration is
+    /// read again. Must be run on a [`tokio::task::LocalSet`].
+    pub async fn serve(self) {
+        let Node { config, place, listener, mut terminate, mut interrupt, mut reload } = self;
+        let clock = Clock::unix();
+        let shell = Rc::new(Shell {
+            core: RefCell::new(Core::new(clock.now(), &config)),
+            sockets: RefCell::default(),
+            clock,
+            scratch: RefCell::new(vec![0; READ]),
+            armed: Cell::new(Time::MAX),
+            rearm: Notify::new(),
+        });
+        let last = config.known.last().map_or(0, |e| e.index);
+        let (coordinator, followed) = watch::channel(config.coordinator.clone());
+        let names = config.site.names.clone();
+        let told = shell.clone();
+        tokio::task::spawn_local(coordinator::follow(followed, last, names, move |event| {
+            told.with(|core, now| core.list(now, &event));
+        }));
+        let accepting = tokio::task::spawn_local(shell.clone().accept(listener));
+        info!(front_end = config.name, coordinator = config.coordinator, "front end up");
+        let over = shell.time();
+        tokio::pin!(over);
+        loop {
+            tokio::select! {
+                () = &mut over => break,
+                _ = terminate.recv() => shell.with(|core, now| core.stop(now)),
+                _ = interrupt.recv() => shell.with(|core, now| core.stop(now)),
+                _ = reload.recv() => match load(&place) {
+                    Ok(fresh) => {
+                        info!(coordinator = fresh.coordinator, "configuration read again");
+                        coordinator.send_replace(fresh.coordinator);
+                    }
+                    Err(reason) => error!(%reason, "previous configuration stays in force"),
+                },
+            }
         }
+        accepting.abort();
+        let (stats, open) = (shell.core.borrow().stats(), shell.core.borrow().open());
+        info!(front_end = config.name, open, ?stats, "front end down");
     }
-    accepting.abort();
-    let (stats, open) = (shell.core.borrow().stats(), shell.core.borrow().open());
-    info!(front_end = config.name, open, ?stats, "front end down");
-    Ok(())
 }
--- /dev/null
+++ b/crates/pipithub-node/tests/core.rs
@@ -0,0 +1,289 @@
+//! The front end without sockets: what clients and workers send, and what goes back.
+
+use pipithub_engine::Time;
+use pipithub_node::core::{ConnId, Core, Effect};
+use pipithub_platform::config::NodeConfig;
+use pipithub_platform::list;
+
+const MS: Time = 1_000_000;
+const START: Time = 1_000_000 * MS;
+
+fn config() -> NodeConfig {
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"Name": name, "Effect": effect, "Aim": 1_000_000_000u64, "GiveUp": 3_000_000_000u64,
+            "LateWorth": 0.3, "Group": "all"})
+    };
+    let host = |id: &str, port: u16| {
+        serde_json::json!({"host": id, "dial": format!("10.0.0.1:{port}"), "site": "a", "class": "big", "block": 0,
+            "health": "SERVING", "share": 1, "born_ms": 0})
+    };
+    let all = serde_json::json!({
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "coordinator": "127.0.0.1:1",
+        "limits": {"cores": 0.5, "memory_mb": 48, "sockets": 64},
+        "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"seq": 1, "whole": true,
+            "hosts": [host("w1", 1), host("w2", 2)]}}]},
+        "settings": {
+            "PeersTotal": 1, "Granularity": 2_000_000, "Models": ["big"],
+            "Grades": [class("view", "read_like"), class("assign", "non_idempotent")],
+            "FamilyInfo": {"KindMemoryMb": [16000.0], "Orders": true, "WhenAbsent": "load",
+                "StaysLoaded": 8_000_000_000u64, "CountsAlike": true, "OrderTimeout": 10_000_000_000u64},
+            "Limits": {"MostTries": 4, "MayCancel": true, "Probes": true, "RetryAfter": true,
+                "MaxRetryAfter": 500_000_000, "ConnectTimeout": 250_000_000, "IdleClose": 30_000_000_000u64,
+                "StreamsPerConn": 32, "OpenCap": 20000},
+            "Report": {"How": "answers"},
+            "Rules": {"ColdFrom": 0.2, "RampTime": 5_000_000_000u64, "FallMultiple": 3.0, "OverloadFor": 2_000_000_000u64}
+        }
+    });
+    NodeConfig::parse(&all.to_string()).expect("configuration")
+}
+
+/// A front end, with clients and workers played by hand.
+struct Bench {
+    core: Core,
+    now: Time,
+}
+
+impl Bench {
+    fn new() -> Self {
+        Bench { core: Core::new(START, &config()), now: START }
+    }
+
+    fn effects(&mut self) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.core.effects(&mut effects);
+        effects
+    }
+
+    fn client(&mut self) -> ConnId {
+        let conn = self.core.number();
+        self.core.client_opened(self.now, conn);
+        conn
+    }
+
+    fn say(&mut self, conn: ConnId, line: &str) {
+        self.core.client_bytes(self.now, conn, format!("{line}\n").as_bytes());
+    }
+
+    fn call(&mut self, conn: ConnId, id: u64, class: &str) {
+        let line = format!(
+            r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"call":"{id:016x}","ttl":1500,"row":"00000000000000aa","props":"memory_mb:512;lanes:4","body":"aGVsbG8="}}}}"#
+        );
+        self.say(conn, &line);
+    }
+
+    /// Brings connections up; what is written on which connection.
+    fn written(&mut self) -> Vec<(ConnId, String)> {
+        let mut written = Vec::new();
+        loop {
+            let effects = self.effects();
+            if effects.is_empty() {
+                return written;
+            }
+            for effect in effects {
+                match effect {
+                    Effect::Connect { conn, .. } => self.core.worker_up(self.now, conn),
+                    Effect::Write { conn, bytes } => {
+                        written.push((conn, String::from_utf8(bytes.to_vec()).expect("text")));
+                    }
+                    Effect::Close { conn } => written.push((conn, "closed".to_string())),
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, time: Time) {
+        let until = self.now + time;
+        while self.core.next_due() <= until {
+            self.now = self.now.max(self.core.next_due());
+            self.core.tick(self.now);
+        }
+        self.now = until;
+    }
+
+    /// A call that has been sent: the client, and the worker's connection.
+    fn sent(&mut self, class: &str) -> (ConnId, ConnId) {
+        let client = self.client();
+        self.call(client, 7, class);
+        let written = self.written();
+        let (worker, line) = written.last().expect("sent");
+        assert!(line.starts_with(r#"{"cmd":"DO","ref":"0000000000000007","opts":{"sort":""#), "{line}");
+        assert!(line.contains(r#""asset":"00000000000000aa""#) && line.contains(r#""payload":"aGVsbG8=""#));
+        (client, *worker)
+    }
+}
+
+const SERVED: &[u8] = b"{\"cmd\":\"ACK\",\"ref\":\"0000000000000007\",\"opts\":{\"same\":\"2\",\"l\":\"inflight:1\"},\"payload\":\"d29ybGQ=\"}\n";
+
+#[test]
+fn a_call_is_answered_once_with_what_the_worker_gave() {
+    let mut b = Bench::new();
+    let (client, worker) = b.sent("assign");
+    // An answer to nothing open comes first, and the answer twice.
+    b.core.worker_bytes(b.now, worker, b"{\"cmd\":\"ACK\",\"ref\":\"ffffffffffffffff\",\"payload\":\"\"}\n");
+    b.core.worker_bytes(b.now, worker, &SERVED[..20]);
+    b.core.worker_bytes(b.now, worker, &SERVED[20..]);
+    b.core.worker_bytes(b.now, worker, SERVED);
+    let answer = "{\"jsonrpc\":\"2.0\",\"id\":7,\"result\":{\"body\":\"d29ybGQ=\"}}\n".to_string();
+    assert_eq!(b.written(), [(client, answer)]);
+    assert_eq!((b.core.open(), b.core.stats().served), (0, 1));
+}
+
+#[test]
+fn a_spoilt_answer_closes_its_connection_and_an_unsafe_call_is_failed_not_refused() {
+    for spoilt in ["{\"cmd\":\"ACK\",\"ref\":\"0000000000000007\",\"payload\":\"!!\"}\n", "noise\n"] {
+        let mut b = Bench::new();
+        let (client, worker) = b.sent("assign");
+        b.core.worker_bytes(b.now, worker, spoilt.as_bytes());
+        let written = b.written();
+        assert!(written.contains(&(worker, "closed".to_string())));
+        let to_client: Vec<_> = written.iter().filter(|(conn, _)| *conn == client).collect();
+        assert!(to_client.len() == 1 && to_client[0].1.contains("-32000"), "{to_client:?}");
+    }
+    // A line without end is spoilt too, within a bound.
+    let mut b = Bench::new();
+    let (_, worker) = b.sent("assign");
+    (0..20).for_each(|_| b.core.worker_bytes(b.now, worker, &[b'x'; 16 << 10]));
+    assert!(b.written().contains(&(worker, "closed".to_string())));
+}
+
+#[test]
+fn a_safe_call_whose_connection_breaks_runs_elsewhere() {
+    let mut b = Bench::new();
+    let (client, worker) = b.sent("view");
+    b.core.worker_closed(b.now, worker, u64::MAX);
+    let written = b.written();
+    assert!(written.iter().any(|(conn, line)| *conn != client && line.contains("\"DO\"")), "{written:?}");
+}
+
+#[test]
+fn what_clients_send_wrongly_is_answered_with_an_error_and_reaches_no_worker() {
+    let call = r#""params":{"call":"0000000000000001","ttl":TTL,"row":"00000000000000aa","props":"PROPS","body":"BODY"}"#;
+    let with = |method: &str, ttl: &str, props: &str, body: &str| {
+        let call = call.replace("TTL", ttl).replace("PROPS", props).replace("BODY", body);
+        format!(r#"{{"jsonrpc":"2.0","id":1,"method":"{method}",{call}}}"#)
+    };
+    let bad = [
+        "noise".to_string(),
+        "[1,2]".to_string(),
+        with("nosuch", "1500", "", ""),
+        with("view", "-1", "", ""),
+        with("view", "1e12", "", ""),
+        with("view", "\"soon\"", "", ""),
+        with("view", "1500", "memory_mb:-1", ""),
+        with("view", "1500", "memory_mb:99999999", ""),
+        with("view", "1500", "lanes:0", ""),
+        with("view", "1500", "lanes:x", ""),
+        with("view", "1500", "", "not base64"),
+        with("view", "1500", "", &"AAAA".repeat(6000)),
+        with("view", "1500", "", "").replace("\"id\":1,", ""),
+        with("view", "1500", "", "").replace("\"id\":1,", "\"id\":0,"),
+        with("view", "1500", "", "").replace("00000000000000aa", "aa"),
+        "[".repeat(5000),
+        "x".repeat(200_000),
+    ];
+    for line in bad {
+        let mut b = Bench::new();
+        let client = b.client();
+        b.say(client, &line);
+        let written = b.written();
+        assert!(!written.is_empty() && written.iter().all(|(conn, _)| *conn == client), "{line:.80}");
+        assert!(written[0].1.contains("\"error\""), "{line:.80}: {written:?}");
+    }
+}
+
+#[test]
+fn a_name_in_use_is_not_called_harmless_and_its_owner_keeps_its_answer() {
+    let mut b = Bench::new();
+    let (client, worker) = b.sent("assign");
+    let other = b.client();
+    b.call(other, 7, "assign");
+    let written = b.written();
+    assert!(written.len() == 1 && written[0].0 == other && !written[0].1.contains("-32050"), "{written:?}");
+    b.core.worker_bytes(b.now, worker, SERVED);
+    assert!(b.written().iter().any(|(conn, line)| *conn == client && line.contains("result")));
+}
+
+#[test]
+fn a_client_that_leaves_or_forgets_has_its_call_withdrawn() {
+    for forgets in [true, false] {
+        let mut b = Bench::new();
+        let (client, worker) = b.sent("view");
+        if forgets {
+            b.say(client, r#"{"jsonrpc":"2.0","method":"forget","params":{"id":7}}"#);
+        } else {
+            b.core.client_closed(b.now, client);
+        }
+        let undo = "{\"cmd\":\"UNDO\",\"ref\":\"0000000000000007\"}\n".to_string();
+        assert_eq!(b.written(), [(worker, undo)]);
+        b.core.worker_bytes(b.now, worker, SERVED);
+        assert!(b.written().is_empty() && b.core.open() == 0);
+    }
+}
+
+#[test]
+fn a_call_that_no_worker_answers_ends_before_its_time_and_says_when_to_come_back() {
+    let mut b = Bench::new();
+    let (client, _) = b.sent("view");
+    b.pass(1_500 * MS);
+    let answers: Vec<_> = b.written().into_iter().filter(|(conn, _)| *conn == client).collect();
+    assert!(answers.len() == 1 && answers[0].1.contains("-32050"), "{answers:?}");
+    assert!(answers[0].1.contains("\"pushback\":500"));
+}
+
+#[test]
+fn silent_clients_and_too_many_are_closed_and_one_with_an_open_call_is_not() {
+    let mut b = Bench::new();
+    let (client, _) = b.sent("view");
+    let silent = b.client();
+    let half = b.client();
+    b.core.client_bytes(b.now, half, b"{\"json");
+    b.pass(2_100 * MS);
+    let closed: Vec<ConnId> = b.written().iter().filter(|(_, l)| l == "closed").map(|(c, _)| *c).collect();
+    assert!(closed.contains(&silent) && closed.contains(&half) && !closed.contains(&client), "{closed:?}");
+    let mut b = Bench::new();
+    let (client, _) = b.sent("view");
+    for _ in 0..200 {
+        b.client();
+    }
+    assert!(b.core.connections().0 <= 24, "the descriptors of 64 suffice");
+    assert!(!b.written().contains(&(client, "closed".to_string())));
+}
+
+#[test]
+fn a_stop_finishes_what_is_open_and_takes_calls_while_clients_still_send() {
+    let mut b = Bench::new();
+    let (client, worker) = b.sent("view");
+    b.core.stop(b.now);
+    b.say(client, r#"{"jsonrpc":"2.0","id":8,"method":"isWell"}"#);
+    assert!(b.written()[0].1.contains("\"healthy\":false"));
+    b.pass(500 * MS);
+    b.call(client, 9, "assign");
+    assert!(b.written().iter().any(|(conn, _)| *conn != client), "still taken");
+    b.pass(400 * MS);
+    b.call(client, 10, "view");
+    assert!(b.written().iter().any(|(conn, l)| *conn == client && l.contains("-32050")), "refused at once");
+    b.core.worker_bytes(b.now, worker, SERVED);
+    assert!(!b.core.done(b.now), "a call is open");
+    b.pass(2_000 * MS);
+    assert!(b.core.done(b.now) && b.core.open() == 0);
+}
+
+#[test]
+fn nothing_new_goes_to_a_worker_that_drains() {
+    let mut b = Bench::new();
+    let (_, worker) = b.sent("view");
+    b.core.worker_bytes(b.now, worker, SERVED);
+    b.written();
+    let drains = |id: &str| {
+        let text = format!(
+            r#"{{"index":2,"endpoints":{{"seq":2,"whole":false,"hosts":[{{"host":"{id}","dial":"10.0.0.1:9","health":"DRAINING"}}]}}}}"#
+        );
+        list::parse(&text, &config().site.names).expect("event")
+    };
+    ["w1", "w2"].iter().for_each(|id| b.core.list(b.now, &drains(id)));
+    let client = b.client();
+    b.call(client, 20, "view");
+    let written = b.written();
+    assert!(written.iter().all(|(conn, _)| *conn == client), "{written:?}");
+    assert!(written.iter().any(|(_, line)| line.contains("-32050")), "refused, unsent and at once");
+}
--- /dev/null
+++ b/crates/pipithub-platform/tests/protocol.rs
@@ -0,0 +1,116 @@
+//! Framing, events and lines, also of what nobody should send.
+
+use pipithub_platform::line::LineFramer;
+use pipithub_platform::settings::SiteSettings;
+use pipithub_platform::sse::{SseEvent, SseReader};
+use pipithub_platform::{client, config::NodeConfig, list, worker};
+use pipithub_policy::api::{Class, Settings};
+use proptest::prelude::*;
+
+fn site() -> SiteSettings {
+    let mut site = SiteSettings { policy: Settings::default(), ..SiteSettings::default() };
+    site.policy.classes.push(Class::default());
+    site.names.classes.push("view".to_string());
+    site
+}
+
+fn lines(pieces: &[&[u8]], most: usize) -> (Vec<Vec<u8>>, bool) {
+    let (mut framer, mut lines) = (LineFramer::new(most), Vec::new());
+    for piece in pieces {
+        framer.push(piece);
+        loop {
+            match framer.next_line() {
+                Ok(Some(line)) => lines.push(line.to_vec()),
+                Ok(None) => break,
+                Err(_) => return (lines, true),
+            }
+        }
+    }
+    (lines, false)
+}
+
+proptest! {
+    #[test]
+    fn lines_are_the_same_however_the_bytes_are_cut(
+        text in prop::collection::vec(prop::sample::select(vec![b'a', b'b', b'\n']), 0..200),
+        cuts in prop::collection::vec(0usize..200, 0..8),
+    ) {
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|c| c.min(text.len())).collect();
+        cuts.extend([0, text.len()]);
+        cuts.sort_unstable();
+        let pieces: Vec<&[u8]> = cuts.windows(2).map(|w| &text[w[0]..w[1]]).collect();
+        let (got, long) = lines(&pieces, 200);
+        let mut expected: Vec<Vec<u8>> = text.split(|b| *b == b'\n').map(<[u8]>::to_vec).collect();
+        expected.pop();
+        prop_assert_eq!((got, long), (expected, false));
+    }
+
+    #[test]
+    fn no_bytes_make_a_reader_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = client::read(&bytes, &site());
+        let _ = worker::read(&bytes);
+        let _ = SseReader::default().push(&bytes, &mut Vec::new());
+        let text = String::from_utf8_lossy(&bytes);
+        let _ = list::parse(&text, &site().names);
+        let _ = NodeConfig::parse(&text);
+        let _ = worker::load(&text);
+    }
+
+    #[test]
+    fn any_body_passes_unchanged(body in prop::collection::vec(any::<u8>(), 0..600)) {
+        let line = worker::run("9b1f03aa5c7e2d41", "view", "7f3a9c21e0b4d655", 1_500_000_000, &body);
+        let sent: serde_json::Value = serde_json::from_slice(&line).unwrap();
+        let text = sent["payload"].as_str().unwrap();
+        let back = worker::read(format!(r#"{{"cmd":"ACK","ref":1,"payload":"{text}"}}"#).as_bytes()).unwrap();
+        prop_assert_eq!(&back.body[..], &body[..]);
+        let answer: serde_json::Value = serde_json::from_slice(&client::served(3, &back.body)).unwrap();
+        prop_assert_eq!(answer["result"]["body"].as_str().unwrap(), text);
+    }
+}
+
+#[test]
+fn a_line_beyond_its_bound_is_an_error_whole_or_not() {
+    assert_eq!(lines(&[b"abc\r\n", b"abcd\n"], 4), (vec![b"abc".to_vec(), b"abcd".to_vec()], false));
+    assert!(lines(&[b"abcde\n"], 4).1 && lines(&[b"ab", b"cde"], 4).1);
+}
+
+#[test]
+fn events_count_once_they_are_whole() {
+    let (mut reader, mut events) = (SseReader::default(), Vec::new());
+    reader.push(b": hello\n\nid: 4\nevent: x\ndata: {\"a\":\n", &mut events).unwrap();
+    assert!(events.is_empty());
+    reader.push(b"data:1}\n\nid: 5\ndata: cut of", &mut events).unwrap();
+    assert_eq!(events, [SseEvent { id: Some("4".into()), data: "{\"a\":\n1}".into() }]);
+}
+
+#[test]
+fn answers_come_with_figures_as_numbers_or_text() {
+    let line = br#"{"cmd":"ACK","ref":"t1","opts":{"n":"2","same":3,"l":"inflight:7;util:0.61;x0:nan;new:1"},"payload":""}"#;
+    let answer = worker::read(line).unwrap();
+    assert_eq!((answer.copies, answer.alike, answer.reference.as_str()), (2, 3, "t1"));
+    assert_eq!((answer.load.held, answer.load.busy, answer.load.memory_tied), (Some(7.0), Some(0.61), None));
+    for spoilt in [
+        "{}",
+        "[]",
+        r#"{"cmd":"DO","ref":"a"}"#,
+        r#"{"cmd":"ACK"}"#,
+        r#"{"cmd":"ACK","ref":"a","payload":"%"}"#,
+    ] {
+        assert!(worker::read(spoilt.as_bytes()).is_err(), "{spoilt}");
+    }
+}
+
+#[test]
+fn a_list_names_what_is_wrong_in_it() {
+    let event = |host: &str| format!(r#"{{"index":3,"endpoints":{{"whole":true,"hosts":[{host}]}}}}"#);
+    let fault = |host: &str| list::parse(&event(host), &site().names).unwrap_err();
+    assert_eq!(
+        fault(r#"{"host":"w","dial":"a:1","health":"ODD"}"#),
+        "endpoints.hosts[0].health: unknown Some(\"ODD\")"
+    );
+    assert_eq!(fault(r#"{"host":"w","health":"SERVING"}"#), "endpoints.hosts[0].dial: missing");
+    let good =
+        list::parse(&event(r#"{"host":"w","dial":"a:1","health":"SERVING","born_ms":5}"#), &site().names)
+            .unwrap();
+    assert_eq!(good.hosts[0].0.started, Some(5_000_000));
+}
--- a/crates/pipithub/src/main.rs
+++ b/crates/pipithub/src/main.rs
@@ -14,6 +14,7 @@
 use pipithub_drill::run::Judged;
 use pipithub_drill::scenario::Scenario;
 use pipithub_gateway::{Gateway, Policy};
+use pipithub_node::shell::Node;
 use pipithub_settings::Config;
 use tracing::info;
 use tracing_subscriber::EnvFilter;
@@ -122,8 +123,11 @@
         log(false, "info");
         // One thread: its machine has part of one core.
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
-        let node = pipithub_node::shell::run(&config, listen);
-        tokio::task::LocalSet::new().block_on(&runtime, node).into_diagnostic()?;
+        let node = async {
+            Node::bind(&config, listen).await.into_diagnostic()?.serve().await;
+            Ok::<(), miette::Report>(())
+        };
+        tokio::task::LocalSet::new().block_on(&runtime, node)?;
         return Ok(ExitCode::SUCCESS);
     }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
