Signals and a bad configuration of the node under test as a process

Need: SIGHUP with a file that cannot be read must leave the previous settings in force, SIGTERM end with success, a bad start name place and reason. No change of the program.

--- a/crates/pipithub/tests/cli.rs
+++ b/crates/pipithub/tests/cli.rs
@@ -177,3 +177,37 @@
     }
     assert!(output.status.success());
 }
+
+#[test]
+fn a_node_names_what_is_wrong_and_outlives_a_bad_configuration_until_it_is_told_to_stop() {
+    let place = std::env::temp_dir().join(format!("pipithub-node-cli-{}.json", std::process::id()));
+    let node = || {
+        let mut command = Command::new(BINARY);
+        command.arg("node").env("LB_CONFIG", &place).env_remove("RUST_LOG").env("LB_LISTEN", "127.0.0.1:0");
+        command.stderr(Stdio::piped());
+        command
+    };
+    std::fs::write(&place, r#"{"name":"n1","listen":"127.0.0.1:0","seed":"xyz","settings":{}}"#)
+        .expect("written");
+    let output = node().output().expect("runs");
+    assert!(!output.status.success());
+    let said = String::from_utf8_lossy(&output.stderr).replace('\n', " ");
+    assert!(said.contains("seed") && said.contains("invalid digit"), "{said}");
+
+    let good = r#"{"name":"n1","listen":"127.0.0.1:0","seed":"1f","coordinator":"127.0.0.1:1","settings":{"Grades":
+        [{"Name":"view","Effect":"read_like","Aim":1000000000,"GiveUp":1000000000}]}}"#;
+    std::fs::write(&place, good).expect("written");
+    let mut child = node().spawn().expect("starts");
+    let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+    let mut until = |what: &str| log.by_ref().map_while(Result::ok).any(|line| line.contains(what));
+    let pid = child.id().to_string();
+    let signal = |name: &str| Command::new("kill").args([name, &pid]).status().expect("signals").success();
+    assert!(until("front end up"));
+    std::fs::write(&place, "{").expect("written");
+    assert!(signal("-HUP") && until("previous configuration stays in force"));
+    std::fs::write(&place, good.replace("127.0.0.1:1", "127.0.0.1:2")).expect("written");
+    assert!(signal("-HUP") && until("configuration read again"));
+    assert!(signal("-TERM") && until("front end down"));
+    assert!(child.wait().expect("ends").success());
+    std::fs::remove_file(&place).expect("removed");
+}
