Calls not handed over when an answer is spoilt go out again; pool and ends simplified

A good line and a spoilt one in the same read: the call put on the connection between them had not been handed to the socket, yet counted as may-have-run, so an unsafe one was failed for nothing. The pool now takes what was not handed over off the connection and sends it elsewhere; a test holds it.

--- a/crates/pipithub-node/src/coordinator.rs
+++ b/crates/pipithub-node/src/coordinator.rs
@@ -95,10 +95,10 @@
             wait = RETRY_FIRST;
         }
         tokio::select! {
-            () = tokio::time::sleep(wait) => {}
-            _ = address.changed() => {}
+            () = tokio::time::sleep(wait) => wait = (wait * 2).min(RETRY_MOST),
+            // It has moved: what was wrong with the old one says nothing of the new.
+            _ = address.changed() => wait = RETRY_FIRST,
         }
-        wait = (wait * 2).min(RETRY_MOST);
     }
 }
 
--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -345,11 +345,7 @@
 
     /// A connection to a worker has ended, with so many bytes written on it.
     pub fn worker_closed(&mut self, now: Time, conn: ConnId, written: u64) {
-        self.end_link(now, conn, written, Lost::Broken);
-    }
-
-    fn end_link(&mut self, now: Time, conn: ConnId, written: u64, how: Lost) {
-        self.pool.closed(now, conn, written, how);
+        self.pool.closed(now, conn, written, Lost::Broken);
         self.lose(now);
     }
 
@@ -371,8 +367,8 @@
                 Err(long) => long.to_string(),
             };
             info!(front_end = self.name, conn, spoilt, "answer cannot be read; connection closed");
-            self.effects.push(Effect::Close { conn });
-            return self.end_link(now, conn, u64::MAX, Lost::Spoilt);
+            self.pool.spoilt(now, conn);
+            return self.lose(now);
         }
     }
 
@@ -405,7 +401,8 @@
                 let told = matches!(outcome, Outcome::Served | Outcome::Full);
                 let alike = told.then_some(answer.alike);
                 let end = AttemptEnd { id, outcome, took, note: None, alike, load: answer.load, served };
-                self.attempt_ended(now, end);
+                self.attempt_ended(end);
+                self.settle(now);
             }
             Task::Order(function) => {
                 let copies = answer.copies;
@@ -419,7 +416,8 @@
         }
     }
 
-    fn attempt_ended(&mut self, now: Time, end: AttemptEnd) {
+    /// Notes the end of an attempt, for the engine to hear after the present input.
+    fn attempt_ended(&mut self, end: AttemptEnd) {
         debug!(
             front_end = self.name,
             request = end.id.request,
@@ -432,10 +430,11 @@
             "attempt ended"
         );
         self.out.remove(&end.id);
-        self.run(now, Input::Attempt(end));
+        self.inputs.push_back(Input::Attempt(end));
     }
 
-    fn lose(&mut self, now: Time) {
+    /// Notes the ends of jobs that got no answer.
+    fn note_lost(&mut self, now: Time) {
         for (worker, job, how) in self.pool.lost() {
             let outcome = match how {
                 Lost::NotSent => Outcome::Unreachable,
@@ -445,25 +444,35 @@
             };
             let took = now.saturating_sub(job.began);
             match job.task {
-                Task::Attempt(id) => self.attempt_ended(now, without_answer(id, outcome, took)),
+                Task::Attempt(id) => self.attempt_ended(without_answer(id, outcome, took)),
                 Task::Order(function) => {
                     let end = OrderEnd { worker, function, outcome, took, copies: 0 };
-                    self.run(now, Input::Order(end));
+                    self.inputs.push_back(Input::Order(end));
                 }
                 Task::Probe => {
                     let end = ProbeEnd { worker, answered: false, load: Load::default() };
-                    self.run(now, Input::Probe(end));
+                    self.inputs.push_back(Input::Probe(end));
                 }
                 Task::Drop => {}
             }
         }
     }
 
+    fn lose(&mut self, now: Time) {
+        self.note_lost(now);
+        self.settle(now);
+    }
+
     // ---- the engine ----
 
     /// Hands an input to the engine, and all that comes of it at once.
     fn run(&mut self, now: Time, input: Input) {
         self.inputs.push_back(input);
+        self.settle(now);
+    }
+
+    /// Hands over what is noted for the engine, until nothing more comes of it.
+    fn settle(&mut self, now: Time) {
         while let Some(input) = self.inputs.pop_front() {
             let mut outputs = std::mem::take(&mut self.outputs);
             self.engine.handle(now, input, &mut outputs);
@@ -478,10 +487,10 @@
         match output {
             Output::Send { id, worker, call, deadline } => self.send(now, id, worker, &call, deadline),
             Output::Cancel(id) => {
-                let Some(worker) = self.out.remove(&id) else { return };
+                let Some(worker) = self.out.get(&id).cloned() else { return };
                 let job = self.pool.withdraw(&worker, id);
                 let took = job.map_or(0, |j| now.saturating_sub(j.began));
-                self.inputs.push_back(Input::Attempt(without_answer(id, Outcome::Cancelled, took)));
+                self.attempt_ended(without_answer(id, Outcome::Cancelled, took));
             }
             Output::Hold { worker, function, name, copies } => {
                 debug!(front_end = self.name, worker = &*worker.0, function = &*name, copies, "order");
@@ -538,27 +547,7 @@
     /// Hands a job to the pool; what cannot be sent is told to the engine after the present input.
     fn ask(&mut self, now: Time, worker: &Worker, job: Job) {
         self.pool.ask(now, worker, job);
-        for (worker, job, _) in self.pool.lost() {
-            match job.task {
-                Task::Attempt(id) => {
-                    self.out.remove(&id);
-                    self.inputs.push_back(Input::Attempt(without_answer(id, Outcome::Unreachable, 0)));
-                }
-                Task::Order(function) => self.inputs.push_back(Input::Order(OrderEnd {
-                    worker,
-                    function,
-                    outcome: Outcome::Unreachable,
-                    took: 0,
-                    copies: 0,
-                })),
-                Task::Probe => self.inputs.push_back(Input::Probe(ProbeEnd {
-                    worker,
-                    answered: false,
-                    load: Load::default(),
-                })),
-                Task::Drop => {}
-            }
-        }
+        self.note_lost(now);
     }
 
     fn tag(&mut self) -> String {
--- a/crates/pipithub-node/src/pool.rs
+++ b/crates/pipithub-node/src/pool.rs
@@ -10,7 +10,7 @@
 use pipithub_engine::policy::{Function, Worker};
 use pipithub_engine::{AttemptId, Time};
 use pipithub_platform::line::LineFramer;
-use pipithub_platform::worker::LINE_MOST;
+use pipithub_platform::worker::{LINE_MOST, undo};
 use tracing::debug;
 
 use crate::core::{ConnId, Effect};
@@ -92,6 +92,33 @@
     used: Time,
 }
 
+impl Link {
+    /// One that is on its way.
+    fn new(worker: &Worker, address: &str, now: Time) -> Self {
+        Link {
+            worker: worker.clone(),
+            address: address.to_string(),
+            up: false,
+            framer: LineFramer::new(LINE_MOST),
+            carried: BTreeMap::new(),
+            queued: 0,
+            uses: 0,
+            used: now,
+        }
+    }
+
+    /// Takes out a job of which the answer is not waited for any more; the worker is told to give a run up.
+    fn give_up(&mut self, conn: ConnId, reference: &str, effects: &mut Vec<Effect>) -> Option<Job> {
+        let job = self.carried.remove(reference)?.job;
+        if matches!(job.task, Task::Attempt(_)) {
+            let bytes = undo(reference);
+            self.queued += bytes.len() as u64;
+            effects.push(Effect::Write { conn, bytes });
+        }
+        Some(job)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Peer {
     address: String,
@@ -187,69 +214,20 @@
 
     /// Puts waiting jobs on connections, and asks for new connections.
     fn dispatch(&mut self, now: Time, worker: &Worker) {
-        let live = self.peers.values().filter(|p| !p.gone).count().max(1);
-        let part = (self.most / live).max(1);
-        let Some(peer) = self.peers.get_mut(worker) else { return };
-        loop {
-            let Some(job) = peer.waiting.front() else { return };
-            let links = peer.links.iter().filter_map(|id| self.links.get(id).map(|l| (*id, l)));
-            let here = links.filter(|(_, l)| l.address == peer.address);
-            let limit = self.staleness.limit();
-            let fits = |l: &Link| {
-                let stale = l.carried.is_empty() && l.uses > 0 && limit.is_some_and(|t| now >= l.used + t);
-                let free = l.carried.len() < self.streams && !l.carried.contains_key(&job.reference);
-                l.up && free && !stale
-            };
-            let coming = here.clone().filter(|(_, l)| !l.up).count();
-            // Of the free ones the last used: the others may then be let go.
-            let free =
-                here.clone().filter(|(_, l)| fits(l) && l.carried.is_empty()).max_by_key(|(_, l)| l.used);
-            let may_open = peer.links.len() < part && self.links.len() < self.most;
-            let chosen = match free {
-                Some((id, _)) => Some(id),
-                None if coming >= peer.waiting.len() => None,
-                None if may_open => {
-                    let id = self.next;
-                    self.next += 1;
-                    let link = Link {
-                        worker: worker.clone(),
-                        address: peer.address.clone(),
-                        up: false,
-                        framer: LineFramer::new(LINE_MOST),
-                        carried: BTreeMap::new(),
-                        queued: 0,
-                        uses: 0,
-                        used: now,
-                    };
-                    self.links.insert(id, link);
-                    peer.links.push(id);
-                    let address = peer.address.clone();
-                    self.effects.push(Effect::Connect { conn: id, address, within: self.connect_timeout });
-                    None
-                }
-                None => here.filter(|(_, l)| fits(l)).min_by_key(|(_, l)| l.carried.len()).map(|(id, _)| id),
-            };
-            let Some(id) = chosen else {
-                // Either enough connections are on their way, or there is no room for more.
-                if peer.links.iter().filter(|id| self.links.get(id).is_some_and(|l| !l.up)).count()
-                    >= peer.waiting.len().min(part)
-                    || !may_open
-                {
-                    return;
-                }
-                continue;
-            };
-            let (Some(job), Some(link)) = (peer.waiting.pop_front(), self.links.get_mut(&id)) else { return };
+        while let Some(id) = self.connection(now, worker) {
+            let Some(job) = self.peers.get_mut(worker).and_then(|p| p.waiting.pop_front()) else { return };
+            let Some(link) = self.links.get_mut(&id) else { return };
+            let idle = now.saturating_sub(link.used);
             debug!(
                 conn = id,
                 reference = job.reference,
                 worker = &*worker.0,
                 uses = link.uses,
-                idle_us = now.saturating_sub(link.used) / 1000,
+                idle_us = idle / 1000,
                 beside = link.carried.len(),
                 "written"
             );
-            let idle = (link.uses > 0 && link.carried.is_empty()).then(|| now.saturating_sub(link.used));
+            let idle = (link.uses > 0 && link.carried.is_empty()).then_some(idle);
             link.queued += job.line.len() as u64;
             (link.uses, link.used) = (link.uses + 1, now);
             self.effects.push(Effect::Write { conn: id, bytes: job.line.clone() });
@@ -260,6 +238,39 @@
         }
     }
 
+    /// The connection for the first job that waits for a worker: the free one that was used last, so that the others may
+    /// be let go. Else each job that waits is to have a new one; where there is no room for that many, the one that
+    /// carries least.
+    fn connection(&mut self, now: Time, worker: &Worker) -> Option<ConnId> {
+        let limit = self.staleness.limit();
+        let live = self.peers.values().filter(|p| !p.gone).count().max(1);
+        let peer = self.peers.get_mut(worker)?;
+        let reference = &peer.waiting.front()?.reference;
+        let links = peer.links.iter().filter_map(|id| self.links.get(id).map(|l| (*id, l)));
+        let here = links.filter(|(_, l)| l.address == peer.address);
+        let fits = |l: &Link| {
+            let stale = l.carried.is_empty() && l.uses > 0 && limit.is_some_and(|t| now >= l.used + t);
+            l.up && !stale && l.carried.len() < self.streams && !l.carried.contains_key(reference)
+        };
+        let free = here.clone().filter(|(_, l)| fits(l) && l.carried.is_empty()).max_by_key(|(_, l)| l.used);
+        if let Some((id, _)) = free {
+            return Some(id);
+        }
+        let shared =
+            here.clone().filter(|(_, l)| fits(l)).min_by_key(|(_, l)| l.carried.len()).map(|(id, _)| id);
+        let mut coming = here.filter(|(_, l)| !l.up).count();
+        let part = (self.most / live).max(1);
+        while coming < peer.waiting.len() && peer.links.len() < part && self.links.len() < self.most {
+            let (id, address) = (self.next, peer.address.clone());
+            self.next += 1;
+            self.links.insert(id, Link::new(worker, &address, now));
+            peer.links.push(id);
+            self.effects.push(Effect::Connect { conn: id, address, within: self.connect_timeout });
+            coming += 1;
+        }
+        shared.filter(|_| coming < peer.waiting.len())
+    }
+
     /// A connection is up.
     pub fn up(&mut self, now: Time, conn: ConnId) {
         let Some(link) = self.links.get_mut(&conn) else {
@@ -324,7 +335,23 @@
         self.dispatch(now, &link.worker);
     }
 
-    /// Withdraws an attempt; its job, and whether it had been written.
+    /// What came on a connection cannot be read: it is closed. What the shell was not handed yet did not leave, and must
+    /// not count as run: an unsafe call would be lost for nothing.
+    pub fn spoilt(&mut self, now: Time, conn: ConnId) {
+        let Some(link) = self.links.get(&conn) else { return };
+        let mut handed = link.queued;
+        self.effects.retain(|effect| match effect {
+            Effect::Write { conn: on, bytes } if *on == conn => {
+                handed -= bytes.len() as u64;
+                false
+            }
+            _ => true,
+        });
+        self.effects.push(Effect::Close { conn });
+        self.closed(now, conn, handed, Lost::Spoilt);
+    }
+
+    /// Withdraws an attempt; its job.
     pub fn withdraw(&mut self, worker: &Worker, id: AttemptId) -> Option<Job> {
         let is = |job: &Job| job.task == Task::Attempt(id);
         let peer = self.peers.get_mut(worker)?;
@@ -333,13 +360,10 @@
         }
         for conn in &peer.links {
             let Some(link) = self.links.get_mut(conn) else { continue };
-            let Some(name) = link.carried.iter().find(|(_, c)| is(&c.job)).map(|(n, _)| n.clone()) else {
-                continue;
-            };
-            let line = pipithub_platform::worker::undo(&name);
-            link.queued += line.len() as u64;
-            self.effects.push(Effect::Write { conn: *conn, bytes: line });
-            return link.carried.remove(&name).map(|c| c.job);
+            let name = link.carried.iter().find(|(_, c)| is(&c.job)).map(|(name, _)| name.clone());
+            if let Some(name) = name {
+                return link.give_up(*conn, &name, &mut self.effects);
+            }
         }
         None
     }
@@ -348,23 +372,22 @@
     pub fn sweep(&mut self, now: Time) {
         for (worker, peer) in &mut self.peers {
             // A job that waits is not sent: it is given back in time to go elsewhere.
-            let over = |j: &Job| now >= j.deadline || now >= j.began + 2 * self.connect_timeout || peer.gone;
-            for job in peer.waiting.extract_if_compat(over) {
-                self.lost.push((worker.clone(), job, Lost::NotSent));
-            }
+            peer.waiting.retain(|job| {
+                let over = now >= job.deadline || now >= job.began + 2 * self.connect_timeout || peer.gone;
+                if over {
+                    self.lost.push((worker.clone(), job.clone(), Lost::NotSent));
+                }
+                !over
+            });
         }
         let (mut idle, limit) = (Vec::new(), self.staleness.limit());
         for (id, link) in &mut self.links {
             let over: Vec<String> =
                 link.carried.iter().filter(|(_, c)| now >= c.job.deadline).map(|(n, _)| n.clone()).collect();
             for name in over {
-                let Some(carried) = link.carried.remove(&name) else { continue };
-                if matches!(carried.job.task, Task::Attempt(_)) {
-                    let line = pipithub_platform::worker::undo(&name);
-                    link.queued += line.len() as u64;
-                    self.effects.push(Effect::Write { conn: *id, bytes: line });
+                if let Some(job) = link.give_up(*id, &name, &mut self.effects) {
+                    self.lost.push((link.worker.clone(), job, Lost::TimedOut));
                 }
-                self.lost.push((link.worker.clone(), carried.job, Lost::TimedOut));
             }
             let peer = self.peers.get(&link.worker);
             let stale = peer.is_none_or(|p| p.gone || p.address != link.address);
@@ -382,19 +405,3 @@
         self.peers.retain(|_, p| !p.gone || !p.links.is_empty() || !p.waiting.is_empty());
     }
 }
-
-/// Takes out of a queue what a test holds for.
-trait ExtractIf {
-    fn extract_if_compat(&mut self, test: impl Fn(&Job) -> bool) -> Vec<Job>;
-}
-
-impl ExtractIf for VecDeque<Job> {
-    fn extract_if_compat(&mut self, test: impl Fn(&Job) -> bool) -> Vec<Job> {
-        if !self.iter().any(&test) {
-            return Vec::new();
-        }
-        let (out, kept): (Vec<Job>, Vec<Job>) = std::mem::take(self).into_iter().partition(|j| test(j));
-        *self = kept.into();
-        out
-    }
-}
--- a/crates/pipithub-node/tests/pool.rs
+++ b/crates/pipithub-node/tests/pool.rs
@@ -165,3 +165,31 @@
     b.worker = next;
     assert!(b.call(2 * MS, 2).is_some_and(|conn| conn != old));
 }
+
+#[test]
+fn what_was_not_handed_over_when_an_answer_is_spoilt_did_not_run() {
+    let mut pool = Pool::new(1, 1, 250 * MS, 30_000 * MS);
+    let worker = Worker::new("w");
+    pool.place(&worker, "10.0.0.1:1", false);
+    let mut b = Bench { pool, worker, effects: Vec::new() };
+    let conn = b.call(0, 1).expect("written");
+    b.ask(0, 2);
+    b.effects();
+    // One read brings the first answer, on which the second call is put, and then noise.
+    assert!(b.pool.answered(MS, conn, &format!("{:016x}", 1)).is_some());
+    b.pool.spoilt(MS, conn);
+    assert!(b.lost().is_empty(), "it goes out again");
+    let effects = b.effects();
+    assert!(
+        effects.contains(&Effect::Close { conn }) && matches!(effects[1], Effect::Connect { .. }),
+        "{effects:?}"
+    );
+    // What had been handed over may have run.
+    let conn =
+        b.effects.iter().find_map(|e| if let Effect::Connect { conn, .. } = e { Some(*conn) } else { None });
+    let conn = conn.expect("a new connection");
+    b.pool.up(MS, conn);
+    b.effects();
+    b.pool.spoilt(MS, conn);
+    assert_eq!(b.lost(), [(2, Lost::Spoilt)]);
+}
--- a/crates/pipithub/src/main.rs
+++ b/crates/pipithub/src/main.rs
@@ -119,18 +119,12 @@
 
 fn main() -> Result<ExitCode> {
     let arguments = Arguments::parse();
-    if let Command::Node { config, listen } = arguments.command {
-        log(false, "info");
+    let mut builder = match &arguments.command {
         // One thread: its machine has part of one core.
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
-        let node = async {
-            Node::bind(&config, listen).await.into_diagnostic()?.serve().await;
-            Ok::<(), miette::Report>(())
-        };
-        tokio::task::LocalSet::new().block_on(&runtime, node)?;
-        return Ok(ExitCode::SUCCESS);
-    }
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().into_diagnostic()?;
+        Command::Node { .. } => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = builder.enable_all().build().into_diagnostic()?;
     runtime.block_on(run(arguments.command))
 }
 
@@ -157,7 +151,12 @@
             gateway.stop().await;
             Ok(ExitCode::SUCCESS)
         }
-        Command::Node { .. } => Err(miette!("a node runs on a runtime of its own")),
+        Command::Node { config, listen } => {
+            log(false, "info");
+            let node = Node::bind(&config, listen).await.into_diagnostic()?;
+            tokio::task::LocalSet::new().run_until(node.serve()).await;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Config { command: ConfigCommand::Check { file } } => {
             let config = load(&file)?;
             let queues: usize = config.amqp.iter().map(|a| a.queues.len()).sum();
