--- a/crates/pipithub-standin/src/proxy.rs
+++ b/crates/pipithub-standin/src/proxy.rs
@@ -1,6 +1,7 @@
 //! A proxy for TCP that does damage on its way: it delays, cuts, half-closes, swallows answers, corrupts.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -29,6 +30,7 @@
     to: String,
     damage: Mutex<Damage>,
     cuts: watch::Sender<u64>,
+    met: AtomicU64,
 }
 
 /// A proxy that is running; it ends when dropped.
@@ -50,7 +52,12 @@
     pub async fn start(listen: SocketAddr, to: String) -> std::io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let shared = Arc::new(Shared { to, damage: Mutex::default(), cuts: watch::channel(0).0 });
+        let shared = Arc::new(Shared {
+            to,
+            damage: Mutex::default(),
+            cuts: watch::channel(0).0,
+            met: AtomicU64::new(0),
+        });
         let all = shared.clone();
         let task = tokio::spawn(async move {
             loop {
@@ -77,6 +84,11 @@
         *self.shared.damage.lock().unwrap_or_else(PoisonError::into_inner) = damage;
     }
 
+    /// How often bytes, or a new connection's, have met damage so far.
+    pub fn met(&self) -> u64 {
+        self.shared.met.load(Ordering::Relaxed)
+    }
+
     /// Cuts all connections.
     pub fn cut(&self) {
         self.shared.cuts.send_modify(|n| *n += 1);
@@ -109,6 +121,9 @@
             return to.shutdown().await;
         }
         let damage = *shared.damage.lock().unwrap_or_else(PoisonError::into_inner);
+        if back && damage != Damage::None {
+            shared.met.fetch_add(1, Ordering::Relaxed);
+        }
         match damage {
             Damage::Delay(by) => tokio::time::sleep(by).await,
             Damage::HalfClose if back => {
