Calls beside taken lanes are one load together; a slow store has fewer loads under way

Checked with a trace of each refusal: 273 of 785 as no copy may be added, 205 as the bound on loads is reached, 127 for want of memory; believed loads 8 and more, while the workers' reports on the sockets tell 0.2 to 2 each. At fault: loads_under_way counted every send that waits beside taken lanes as a load, but a worker adds one copy of a function at a time. Change: such sends count once for a function and worker.

--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -234,10 +234,14 @@
         self.programs.get(&function).and_then(|p| p.run).map_or(usual, |run| run.min(usual * RUN_MOST))
     }
 
+    /// What loads take beside the usual, from those that were seen.
+    fn store_pace(&self) -> f64 {
+        faded(self.load_stretch, self.now.saturating_sub(self.load_heard))
+    }
+
     /// What a load takes: the told time at the store's present pace, else the longest seen.
     fn load_of(&self, function: Function, class: usize) -> f64 {
-        let program = self.programs.get(&function);
-        let stretch = faded(self.load_stretch, self.now.saturating_sub(self.load_heard));
+        let (program, stretch) = (self.programs.get(&function), self.store_pace());
         if let Some(told) = program.and_then(|p| p.told_load) {
             return told as f64 * stretch;
         }
@@ -531,7 +535,10 @@
             // A load that nobody waits for may be left out: no other waits for it.
             let awaited = || node.out.iter().filter(|s| !s.withdrawn);
             let waiting = awaited().filter(slow).map(|s| s.function);
-            count += node.out.iter().filter(|s| s.adds).count();
+            // However many wait beside taken lanes, a worker adds one copy at a time: counted each, a lost
+            // zone's calls at those left barred them from loads that they had room and time for.
+            let adding: BTreeSet<Function> = node.out.iter().filter(|s| s.adds).map(|s| s.function).collect();
+            count += adding.len();
             let ordered = node.copies.iter().filter(|(_, c)| c.ordered).map(|(f, _)| *f);
             let loading: BTreeSet<Function> = waiting.chain(ordered).collect();
             count += loading.len();
@@ -595,10 +602,10 @@
         let located = order.iter().any(|w| self.ready_at(&self.nodes[w], function).is_some());
         // A slow store must not be asked for more: loads are bounded, and one of this function is awaited.
         let (loads, loading) = self.loads_under_way(function);
-        // The most: some for each of this front end's part of the workers.
+        // The most: some for each of its part of the workers; the fewer, the slower the store is.
         let store_open = now >= self.store.shut_until;
-        let may_add =
-            store_open && loads < (LOADS_MOST * order.len()).div_ceil(self.s.front_ends as usize).max(2);
+        let most = (LOADS_MOST * order.len()).div_ceil(self.s.front_ends as usize).max(2);
+        let may_add = store_open && loads as f64 * self.store_pace().max(1.0) < most as f64;
         let may_load = may_add && !loading;
         let (blind, run) = (self.blind(), self.run_of(function, open.call.class) * PAD);
         let mut presume = !located && open.attempts == 0;
--- a/crates/pipithub-policy/tests/trouble.rs
+++ b/crates/pipithub-policy/tests/trouble.rs
@@ -622,3 +622,44 @@
     let (_, actions) = b.call(functions[16]);
     assert!(sent_to(&actions).is_some_and(|w| w != home), "loaded at one that is left");
 }
+
+/// A worker adds one copy at a time, however many calls wait for it: counted each, they bar all other loads.
+#[test]
+fn calls_that_wait_beside_taken_lanes_are_one_load_together() {
+    let mut s = settings(Effect::Safe);
+    (s.loading.tells_alike, s.front_ends) = (true, 3);
+    let mut b = Bench::new(s, &THREE);
+    let lost = Worker::new("w1");
+    let functions = homed_at(&THREE, &lost, 100, 3);
+    let others = ["w2", "w3"].map(|w| homed_at(&THREE, &Worker::new(w), 1, 1)[0]);
+    for function in others {
+        b.warm(function);
+    }
+    let busy = |b: &mut Bench, function| {
+        let call = Request { function: Function(function), lanes: 1, ..Request::default() };
+        sent_to(&b.call_with(call).1).is_some_and(|w| w != lost)
+    };
+    let waiting = (0..20).flat_map(|_| others).filter(|f| busy(&mut b, *f)).count();
+    assert!(waiting >= 9, "beside taken lanes, more than four loads, which are allowed: {waiting}");
+    cut_off(&mut b, &lost, &functions[..2]);
+    assert!(sent_to(&b.call(functions[2]).1).is_some_and(|w| w != lost), "loaded at one that is left");
+}
+
+#[test]
+fn the_slower_the_store_the_fewer_loads_are_under_way() {
+    let home = Worker::new("w1");
+    let functions = homed_at(&THREE, &home, 1, 40);
+    let sent = |took: Time| {
+        let mut b = Bench::new(settings(Effect::Safe), &THREE);
+        for function in 1_000..1_010 {
+            let (id, actions) = b.call(function);
+            let worker = sent_to(&actions).expect("sent");
+            b.finish_noted(id, 0, &worker, Outcome::Served, took, Some(CopyNote::Began));
+        }
+        cut_off(&mut b, &home, &functions[..2]);
+        functions[2..].iter().filter(|f| sent_to(&b.call(**f).1).is_some()).count()
+    };
+    // Calls give the usual time of a load as 500 ms.
+    let (usual, slow) = (sent(550 * MS), sent(2_050 * MS));
+    assert!(slow >= 1 && slow * 2 <= usual, "{slow} beside {usual}");
+}
