--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -299,7 +299,7 @@
     /// Takes nothing more from a client, and closes its connection once all that was taken is answered.
     fn give_up(&mut self, now: Time, conn: ConnId) {
         let open = self.desk.client(conn).map_or(0, |c| c.open.len());
-        info!(front_end = self.name, conn, open, "client given up");
+        debug!(front_end = self.name, conn, open, "client given up");
         if self.desk.condemn(conn) {
             self.drop_client(now, conn);
         }
