--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -332,8 +332,9 @@
         tokio::task::spawn_local(coordinator::follow(followed, last, names, move |event| {
             told.with(|core, now| core.list(now, &event));
         }));
+        let address = listener.local_addr().map_or_else(|e| e.to_string(), |a| a.to_string());
         let accepting = tokio::task::spawn_local(shell.clone().accept(listener));
-        info!(front_end = config.name, coordinator = config.coordinator, "front end up");
+        info!(front_end = config.name, address, coordinator = config.coordinator, "front end up");
         let over = shell.time();
         tokio::pin!(over);
         loop {
