A call waits for a probe only where own losses outweigh its told price

To blame: decide.rs, place(), 'unheard && probes' without a look at the price, which the settings tell and the module was not given.

Where no price is told all is as before. tests/fleet.rs plays 60 front ends over 12 workers in simulated time and counts in sum.

--- a/crates/pipithub-platform/src/settings.rs
+++ b/crates/pipithub-platform/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings that a front end is given at its start, in the simulator and in service alike.
 
-use pipithub_policy::api::{Class, Effect, Group, Limits, Loading, Ration, Rules, Settings, Time};
+use pipithub_policy::api::{Class, Effect, Group, Limits, Loading, Prices, Ration, Rules, Settings, Time};
 use serde_json::Value;
 
 /// The names that the lines of one front end use.
@@ -94,6 +94,7 @@
                 share: number(&family["LoadsPerRequest"]),
             }),
         },
+        prices: Prices { probe: number(&all["Prices"]["Probe"]).max(0.0) },
         list_on_request: all["RegistryMode"].as_str() == Some("on_request"),
     };
     let or = |told: &Value, unless: Time| Some(time(told)).filter(|t| *t > 0).unwrap_or(unless);
--- a/crates/pipithub-policy/src/api.rs
+++ b/crates/pipithub-policy/src/api.rs
@@ -170,6 +170,13 @@
     }
 }
 
+/// What things cost, in shares of the worth of all calls; 0 where nothing is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Prices {
+    /// One probe for each call.
+    pub probe: f64,
+}
+
 /// What a front end is told at its start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
@@ -185,6 +192,8 @@
     pub rules: Rules,
     /// How programs are loaded.
     pub loading: Loading,
+    /// What things cost.
+    pub prices: Prices,
     /// Changes of the worker list must be asked for.
     pub list_on_request: bool,
 }
--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -31,6 +31,9 @@
 const ASK_TOKEN: u64 = 1 << 61;
 const ASK_WAIT: Time = 30 * MS;
 const ASKS_MOST: u32 = 3;
+/// What asking first saves of a call's worth, as a multiple of the chance that one worker fails it and the
+/// next does not.
+const ASK_SAVES: f64 = 0.2;
 /// Among more front ends than this, own sends tell too little of the queues.
 const OWN_VIEW: u32 = 8;
 /// Word of a worker's load, or an answer from it, is fresh for so long.
@@ -292,6 +295,11 @@
             node.out.remove(at)
         };
         let ran = Some((sent.at, node.entry.zone.clone(), node.entry.cell));
+        if !end.outcome.never_ran() {
+            let late = if now > sent.aim { 1.0 - self.s.classes[sent.class].late_worth } else { 0.0 };
+            let lost = if end.outcome == Outcome::Served { late } else { 1.0 };
+            self.lost += RUN_GAIN * (lost - self.lost);
+        }
         // An attempt of an earlier process tells nothing of the present one.
         let same_process = node.entry.started.is_none_or(|t| t <= sent.at);
         let took = end.took.min(LONGEST) as f64;
@@ -453,6 +461,14 @@
         self.s.front_ends > OWN_VIEW
     }
 
+    /// Whether asking first pays. Trying a worker tells the same, and a call turned away proves that nothing
+    /// ran; so only a part of what own sends lose can be saved, the less the more is lost at the next worker
+    /// too. In a large tier each call met a worker that was not heard of lately, so that all asked for every
+    /// call, whatever it cost. Harm: where asking is dear a silent worker is found by calls alone.
+    fn asking_pays(&self) -> bool {
+        self.s.limits.probes && self.lost * (1.0 - self.lost) * ASK_SAVES >= self.s.prices.probe
+    }
+
     /// How far fresh word of a worker's load stretches a run there; an own answer since tells more.
     fn told_stretch(&self, node: &Node) -> f64 {
         let Told { at, held, .. } = node.told;
@@ -630,7 +646,7 @@
                 continue;
             }
             let unheard = blind && now > FRESH + node.told.at.max(node.heard);
-            if unheard && self.s.limits.probes && open.asked < ASKS_MOST {
+            if unheard && self.asking_pays() && open.asked < ASKS_MOST {
                 ask = Some(worker.clone());
                 break;
             }
--- a/crates/pipithub-policy/src/state.rs
+++ b/crates/pipithub-policy/src/state.rs
@@ -32,6 +32,8 @@
     pub(crate) held_seen: (f64, f64),
     /// Calls that may now be sent on a guess.
     pub(crate) guesses: f64,
+    /// Mean share of their worth that own sends lost: answered late, in error or not at all.
+    pub(crate) lost: f64,
 }
 
 /// A send that has no outcome yet.
--- /dev/null
+++ b/crates/pipithub-policy/tests/fleet.rs
@@ -0,0 +1,260 @@
+//! Many front ends over the same workers, in simulated time: what each does alone is counted in sum.
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use common::{entry, settings, MS};
+use pipithub_policy::api::*;
+use pipithub_policy::decide::FrontEnd;
+
+/// Equal numbers from equal seeds.
+struct Draw(u64);
+
+impl Draw {
+    /// From 0 up to 1.
+    fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+enum What {
+    Call(usize),
+    Timer(usize, u64),
+    Arrives { front: usize, worker: usize, request: RequestId, attempt: u32, function: u64 },
+    Done { worker: usize, function: u64 },
+    Answer { front: usize, end: Finished },
+    Told { front: usize, worker: usize },
+}
+
+struct Held {
+    front: usize,
+    request: RequestId,
+    attempt: u32,
+    function: u64,
+    came: Time,
+    alike: u32,
+}
+
+/// One with two cores and room for a few copies.
+#[derive(Default)]
+struct Machine {
+    running: Vec<Held>,
+    waiting: VecDeque<Held>,
+    /// Copies, with their last use.
+    copies: BTreeMap<u64, Time>,
+    calls: u32,
+}
+
+#[derive(Debug, Default)]
+struct Sum {
+    calls: u32,
+    probes: u32,
+    in_time: u32,
+    loads: u32,
+    full: u32,
+    /// The most and the mean of the calls that a worker was sent.
+    most: u32,
+    mean: f64,
+}
+
+const CORES: usize = 2;
+const QUEUE: usize = 16;
+const COPIES: usize = 6;
+const RUN: Time = 70 * MS;
+const LOAD: Time = 900 * MS;
+
+struct Fleet {
+    fronts: Vec<FrontEnd>,
+    machines: Vec<Machine>,
+    due: BinaryHeap<Reverse<(Time, u64)>>,
+    what: BTreeMap<u64, What>,
+    next: u64,
+    now: Time,
+    draw: Draw,
+    sum: Sum,
+    attempts: BTreeMap<RequestId, u32>,
+    asked: BTreeMap<RequestId, (Time, u64)>,
+}
+
+impl Fleet {
+    /// So many front ends and workers, calls at a rate of `share` of what all cores can run, for some seconds.
+    fn play(fronts: usize, machines: usize, share: f64, seconds: u64, change: impl Fn(&mut Settings)) -> Sum {
+        let mut s = settings(Effect::Safe);
+        (s.front_ends, s.limits.probes, s.loading.tells_alike) = (fronts as u32, true, true);
+        s.rules.ramp = 0;
+        change(&mut s);
+        let start = 1_000_000 * MS;
+        let mut fleet = Fleet {
+            fronts: (0..fronts).map(|i| FrontEnd::new(s.clone(), 77 + i as u64)).collect(),
+            machines: (0..machines).map(|_| Machine::default()).collect(),
+            due: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            next: 0,
+            now: start,
+            draw: Draw(5),
+            sum: Sum::default(),
+            attempts: BTreeMap::new(),
+            asked: BTreeMap::new(),
+        };
+        for front in 0..fronts {
+            let entries = (0..machines).map(|m| entry(&format!("w{m}"))).collect();
+            fleet.event(front, Event::List { kind: ListKind::Remembered, entries });
+        }
+        let gap = RUN as f64 / (share * (machines * CORES) as f64);
+        let mut at = start as f64;
+        while at < (start + seconds * 1_000 * MS) as f64 {
+            at -= gap * (1.0 - fleet.draw.next()).ln();
+            let front = (fleet.draw.next() * fronts as f64) as usize;
+            fleet.at(at as Time, What::Call(front));
+        }
+        let end = at as Time + 8_000 * MS;
+        while let Some(Reverse((at, number))) = fleet.due.pop().filter(|d| d.0 .0 <= end) {
+            fleet.now = at;
+            let what = fleet.what.remove(&number).expect("noted");
+            fleet.one(what);
+        }
+        fleet.sum.most = fleet.machines.iter().map(|m| m.calls).max().unwrap_or(0);
+        fleet.sum.mean = fleet.machines.iter().map(|m| m.calls).sum::<u32>() as f64 / machines as f64;
+        fleet.sum
+    }
+
+    fn at(&mut self, at: Time, what: What) {
+        let number = self.next;
+        self.next += 1;
+        self.due.push(Reverse((at, number)));
+        self.what.insert(number, what);
+    }
+
+    fn one(&mut self, what: What) {
+        match what {
+            What::Call(front) => {
+                // Few functions are wanted often, many now and then.
+                let function = (60.0f64.powf(self.draw.next()) - 1.0) as u64;
+                let id = u64::from(self.sum.calls);
+                self.sum.calls += 1;
+                self.asked.insert(id, (self.now, function));
+                let call = Request {
+                    id,
+                    function: Function(function),
+                    lanes: 4,
+                    memory_mb: 100.0,
+                    load_time: Some(LOAD),
+                    budget: Some(4_000 * MS),
+                    ..Request::default()
+                };
+                self.event(front, Event::Arrived(call));
+            }
+            What::Timer(front, token) => self.event(front, Event::Timer { token }),
+            What::Arrives { front, worker, request, attempt, function } => {
+                let machine = &mut self.machines[worker];
+                machine.calls += 1;
+                let all = || machine.running.iter().chain(&machine.waiting);
+                let alike = all().filter(|h| h.function == function).count() as u32;
+                let held = Held { front, request, attempt, function, came: self.now, alike };
+                if all().count() >= QUEUE {
+                    self.sum.full += 1;
+                    return self.answer(worker, &held, Outcome::Full);
+                }
+                machine.waiting.push_back(held);
+                self.start(worker);
+            }
+            What::Done { worker, function } => {
+                let machine = &mut self.machines[worker];
+                let at = machine.running.iter().position(|h| h.function == function).expect("it runs");
+                let held = machine.running.remove(at);
+                self.answer(worker, &held, Outcome::Served);
+                self.start(worker);
+            }
+            What::Answer { front, end } => {
+                if end.settled && end.outcome == Outcome::Served {
+                    let (came, _) = self.asked[&end.request];
+                    self.sum.in_time += u32::from(self.now <= came + 1_000 * MS);
+                }
+                self.event(front, Event::Finished(end));
+            }
+            What::Told { front, worker } => {
+                let held = (self.machines[worker].running.len() + self.machines[worker].waiting.len()) as f64;
+                let load = Load { held: Some(held), ..Load::default() };
+                let worker = Worker::new(&format!("w{worker}"));
+                self.event(front, Event::Probed { worker, answered: true, load });
+            }
+        }
+    }
+
+    /// Starts what waits while a core is free; a missing copy is loaded, and the one idle longest gives way.
+    fn start(&mut self, worker: usize) {
+        loop {
+            let now = self.now;
+            let machine = &mut self.machines[worker];
+            if machine.running.len() >= CORES {
+                return;
+            }
+            let Some(held) = machine.waiting.pop_front() else { return };
+            let function = held.function;
+            let loaded = machine.copies.insert(function, now).is_some();
+            machine.running.push(held);
+            if machine.copies.len() > COPIES {
+                let runs = |f: &u64| machine.running.iter().any(|h| h.function == *f);
+                let idle = machine.copies.iter().filter(|(f, _)| !runs(f)).min_by_key(|(_, t)| **t);
+                if let Some(function) = idle.map(|(f, _)| *f) {
+                    machine.copies.remove(&function);
+                }
+            }
+            self.sum.loads += u32::from(!loaded);
+            let run = -(RUN as f64) * (1.0 - self.draw.next()).ln();
+            let load = if loaded { 0 } else { LOAD };
+            self.at(now + load + run as Time, What::Done { worker, function });
+        }
+    }
+
+    fn answer(&mut self, worker: usize, held: &Held, outcome: Outcome) {
+        let end = Finished {
+            request: held.request,
+            attempt: held.attempt,
+            worker: Worker::new(&format!("w{worker}")),
+            outcome,
+            took: self.now - held.came + 2 * MS,
+            settled: outcome == Outcome::Served,
+            note: None,
+            alike: Some(held.alike),
+            load: Load::default(),
+        };
+        self.at(self.now + MS, What::Answer { front: held.front, end });
+    }
+
+    fn event(&mut self, front: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.fronts[front].handle(self.now, event, &mut actions);
+        let number = |w: &Worker| w.0[1..].parse::<usize>().expect("a number");
+        for action in actions {
+            match action {
+                Action::Timer { after, token } => self.at(self.now + after, What::Timer(front, token)),
+                Action::Send { request, worker, .. } => {
+                    let attempts = self.attempts.entry(request).or_default();
+                    let attempt = std::mem::replace(attempts, *attempts + 1);
+                    let function = self.asked[&request].1;
+                    let worker = number(&worker);
+                    self.at(self.now + MS, What::Arrives { front, worker, request, attempt, function });
+                }
+                Action::Probe { worker } => {
+                    self.sum.probes += 1;
+                    self.at(self.now + 2 * MS, What::Told { front, worker: number(&worker) });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn where_asking_is_dear_no_call_of_a_large_tier_waits_for_a_probe() {
+    let play = |price: f64| Fleet::play(60, 12, 0.5, 12, |s| s.prices.probe = price);
+    let (dear, free) = (play(0.1), play(0.0));
+    assert!(dear.calls > 1_800 && free.calls == dear.calls, "{dear:?}");
+    assert!(free.probes * 2 > free.calls, "asked for nothing, nearly every call asks: {free:?}");
+    assert!(dear.probes * 20 < dear.calls, "{dear:?}");
+    assert!(dear.in_time * 20 > free.in_time * 17, "calls themselves tell most of it: {dear:?}, {free:?}");
+}
