--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -888,9 +888,9 @@
     }
 
     /// Leaves a zone alone from which nothing came since sends went there that are overdue now, several of
-    /// them; what is out there is sent elsewhere as with a silent worker, and one send at a time finds the way
-    /// back. In a large tier no worker gets enough sends to be told silent by itself before the outage is
-    /// over. Harm: a zone in which just the few workers that this front end met are silent is left too.
+    /// them; what is out there is sent elsewhere as with a silent worker, and one send at a time finds the
+    /// way back. In a large tier no worker gets enough sends to be told silent by itself before the outage
+    /// is over. Harm: a zone in which just the few workers that this front end met are silent is left too.
     fn hear_zones(&mut self, recalled: &mut Vec<(RequestId, u32)>) {
         let now = self.now;
         let mut heard: BTreeMap<&str, Time> = BTreeMap::new();
