--- a/crates/pipithub-platform/src/settings.rs
+++ b/crates/pipithub-platform/src/settings.rs
@@ -95,6 +95,7 @@
             }),
         },
         prices: Prices { probe: number(&all["Prices"]["Probe"]).max(0.0) },
+        zone: string(&all["Zone"]),
         list_on_request: all["RegistryMode"].as_str() == Some("on_request"),
     };
     let or = |told: &Value, unless: Time| Some(time(told)).filter(|t| *t > 0).unwrap_or(unless);
--- a/crates/pipithub-policy/src/api.rs
+++ b/crates/pipithub-policy/src/api.rs
@@ -194,6 +194,8 @@
     pub loading: Loading,
     /// What things cost.
     pub prices: Prices,
+    /// The zone that this front end stands in; empty where it is not told.
+    pub zone: String,
     /// Changes of the worker list must be asked for.
     pub list_on_request: bool,
 }
--- a/crates/pipithub-policy/tests/trouble.rs
+++ b/crates/pipithub-policy/tests/trouble.rs
@@ -699,3 +699,44 @@
     }
     (served, workers)
 }
+
+#[test]
+fn of_several_homes_a_front_end_of_a_large_tier_begins_at_one_in_its_zone() {
+    let near = |zone: &str| {
+        let mut s = large_tier();
+        (s.limits.probes, s.loading.tells_alike, s.zone) = (false, true, zone.to_string());
+        let names: Vec<String> = (0..12).map(|i| format!("w{i}")).collect();
+        let mut b = Bench::new(s, &names.iter().map(String::as_str).collect::<Vec<_>>());
+        let far = |w: &Worker| w.0[1..].parse::<u32>().is_ok_and(|i| i % 2 == 1);
+        let zoned =
+            |n: &String| Entry { zone: if far(&Worker::new(n)) { "b" } else { "a" }.into(), ..entry(n) };
+        b.changes(names.iter().map(zoned).collect());
+        let mut last_far = 0;
+        for function in 0..20 {
+            let mut last = None;
+            for _ in 0..12 {
+                let (request, actions) = b.call(function);
+                let Some(worker) = sent_to(&actions) else { continue };
+                b.pass(50 * MS);
+                // Twelve calls of it stand there, as at each of its homes: lanes of three copies.
+                let end = Finished {
+                    request,
+                    attempt: 0,
+                    worker: worker.clone(),
+                    outcome: Outcome::Served,
+                    took: 50 * MS,
+                    settled: true,
+                    note: None,
+                    alike: Some(12),
+                    load: Load::default(),
+                };
+                b.event(Event::Finished(end));
+                last = Some(worker);
+            }
+            last_far += usize::from(last.is_some_and(|w| far(&w)));
+        }
+        last_far
+    };
+    let (here, elsewhere) = (near("b"), near("a"));
+    assert!(here > 16 && elsewhere < 4, "{here} of 20 in zone b from there, {elsewhere} from zone a");
+}
