--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -233,7 +233,7 @@
         if let Some(program) = self.programs.get(&function).filter(|_| self.blind() && !order.is_empty()) {
             let draw = (mix(self.seed ^ mix(function.0)) >> 11) as f64 / (1u64 << 53) as f64;
             let first = ((draw * program.homes.max(1.0)) as usize).min(order.len() - 1);
-            // Of several homes one in the own zone, where there is one: the way is shorter, and crossing costs.
+            // Of several homes one in the own zone, where there is one: crossing costs time and more.
             let most = (program.homes.max(1.0) as usize).min(order.len());
             let near: Vec<usize> =
                 (0..most).filter(|i| self.nodes[&order[*i]].entry.zone == self.s.zone).collect();
