A silent zone's try may end in any way, and the last zone is never left alone

Cause, found on reading the change again: a zone in trouble was tried once after its time; where that try ended without word and without being overdue, as a refused connection does, or the client left, no further one was ever sent (zone_tried stayed behind shut_until), and where the other zones left the list the zone stayed shut, as nothing looked at it any more. A front end whose own link was down could shut all zones.

Change: whether a try is out is read from the sends that are out, not kept; a try that ends without word shuts the zone anew, with its doubling; zones in trouble are looked at in each round, forgotten once they are heard, gone or all that there is; the last one is not shut. The overdue check is one function for workers and zones; two tests share their zones.

--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -97,6 +97,7 @@
 impl Health {
     /// Leaves the worker alone for a while, longer each time.
     fn shut(&mut self, now: Time) {
+        self.since = now;
         self.shut_until = now + (SHUT_FIRST << self.bad.min(SHUT_STEPS));
         self.bad = (self.bad + 1).min(SHUT_STEPS + 1);
     }
@@ -107,6 +108,13 @@
     1.0 + (stretch - 1.0) * 0.5f64.powf(age as f64 / PACE_AGE as f64)
 }
 
+impl Sent {
+    /// Whether its answer is so late that it counts as silence.
+    fn overdue(&self, now: Time) -> bool {
+        now > self.at + (self.due.saturating_sub(self.at) as f64 * SILENCE_STRETCH) as Time
+    }
+}
+
 impl Node {
     /// Takes in how far a run was stretched here, and beside how many own sends.
     fn learn_pace(&mut self, ratio: f64, crowd: f64) {
@@ -315,6 +323,12 @@
             let lost = if end.outcome == Outcome::Served { late } else { 1.0 };
             self.lost += RUN_GAIN * (lost - self.lost);
         }
+        // A try of a zone that brought no word is as good as overdue.
+        let silent = matches!(end.outcome, Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut);
+        let tried = |z: &&mut Health| silent && sent.at >= z.shut_until;
+        if let Some(zone) = self.zones.get_mut(&node.entry.zone).filter(tried) {
+            zone.shut(now);
+        }
         // The function's calls that stood there, at each of its homes alike, over the lanes of a copy: so
         // many homes does it need. A worker adds copies by itself too, but no cores to run them.
         let told = end.alike.filter(|_| blind && self.s.loading.tells_alike);
@@ -614,9 +628,11 @@
         // A worker in trouble is left alone; once that time is over one send at a time tries it.
         let health = &node.health[open.call.class];
         let idle = || node.out.iter().all(|s| s.class != open.call.class || s.at < health.shut_until);
-        let tried = |z: &Health| z.bad == 0 || self.now >= z.shut_until && self.zone_tried < z.shut_until;
+        // So is a zone; the try may end in any way, then the next one may go.
+        let near = || self.nodes.values().filter(|n| n.entry.zone == node.entry.zone).flat_map(|n| &n.out);
+        let free = |z: &Health| near().all(|s| s.withdrawn || s.at < z.shut_until);
         repeat_ok
-            && self.zones.get(&node.entry.zone).is_none_or(tried)
+            && self.zones.get(&node.entry.zone).is_none_or(|z| self.now >= z.shut_until && free(z))
             && (health.bad == 0 || self.now >= health.shut_until && idle())
             && (node.out.len() as f64) < node.room
             && self.cold_budget_left(node)
@@ -781,9 +797,6 @@
             withdrawn: false,
         });
         node.sends.push_back(now);
-        if self.zones.get(&node.entry.zone).is_some_and(|z| z.bad > 0) {
-            self.zone_tried = now;
-        }
         let copies = node.copies.entry(function).or_default();
         if copies.ready == 0 || seen.cold {
             *copies = Copies { count: 1, ready: now, placed: copies.placed, ..Copies::default() };
@@ -855,10 +868,7 @@
             node.out.retain(|s| !s.withdrawn || s.due > now);
             node.served.retain(|(t, _)| t + keep >= now);
             for class in 0..node.health.len() {
-                let overdue = |s: &&Sent| {
-                    let foreseen = s.due.saturating_sub(s.at) as f64;
-                    s.class == class && now > s.at + (foreseen * SILENCE_STRETCH) as Time
-                };
+                let overdue = |s: &&Sent| s.class == class && s.overdue(now);
                 let count = node.out.iter().filter(overdue).count();
                 let since = node.out.iter().filter(overdue).map(|s| s.at).min().unwrap_or(now);
                 let answers = node.served.iter().filter(|(t, c)| *c == class && *t > since).count();
@@ -903,25 +913,22 @@
             let last = heard.entry(&node.entry.zone).or_default();
             *last = (*last).max(node.heard);
         }
-        // All that there is cannot be left alone.
-        let several = heard.len() > 1;
-        for (zone, last) in heard.into_iter().filter(|_| several) {
-            let health = self.zones.entry(zone.to_string()).or_default();
-            if health.bad > 0 && last > health.since {
-                *health = Health::default();
+        let all = heard.len();
+        self.zones.retain(|zone, z| all > 1 && heard.get(zone.as_str()).is_some_and(|last| *last <= z.since));
+        for (zone, last) in heard {
+            let shut = self.zones.get(zone);
+            // Where all say nothing it is not the zone, and all that there is cannot be left alone.
+            if self.zones.len() - usize::from(shut.is_some()) + 1 >= all {
+                continue;
             }
             let out = || self.nodes.values().filter(|n| n.entry.zone == zone).flat_map(|n| &n.out);
             // What was out when it was shut is no news of it since.
-            let since = last.max(health.since);
-            let overdue = |s: &&Sent| {
-                let foreseen = s.due.saturating_sub(s.at) as f64;
-                s.at > since && now > s.at + (foreseen * SILENCE_STRETCH) as Time
-            };
-            let needed = if health.bad > 0 { 1 } else { SILENT_SENDS };
-            if now >= health.shut_until && out().filter(overdue).count() >= needed {
-                health.shut(now);
-                health.since = now;
+            let since = last.max(shut.map_or(0, |z| z.since));
+            let overdue = out().filter(|s| s.at > since && s.overdue(now)).count();
+            let needed = if shut.is_some() { 1 } else { SILENT_SENDS };
+            if overdue >= needed && shut.is_none_or(|z| now >= z.shut_until) {
                 recalled.extend(out().filter(|s| !s.withdrawn).map(|s| (s.request, s.attempt)));
+                self.zones.entry(zone.to_string()).or_default().shut(now);
             }
         }
     }
--- a/crates/pipithub-policy/src/state.rs
+++ b/crates/pipithub-policy/src/state.rs
@@ -32,9 +32,8 @@
     pub(crate) held_seen: (f64, f64),
     /// Calls that may now be sent on a guess.
     pub(crate) guesses: f64,
-    /// Health of zones, and when a zone in trouble was last sent to.
+    /// Zones that say nothing.
     pub(crate) zones: BTreeMap<String, Health>,
-    pub(crate) zone_tried: Time,
     /// Mean share of their worth that own sends lost: answered late, in error or not at all.
     pub(crate) lost: f64,
 }
@@ -97,7 +96,7 @@
 pub(crate) struct Health {
     pub(crate) bad: u32,
     pub(crate) shut_until: Time,
-    /// When it was shut last; kept for zones alone.
+    /// When it was shut last.
     pub(crate) since: Time,
     /// Share of errors among the last ends, and the function of the last one.
     pub(crate) errors: f64,
--- a/crates/pipithub-policy/tests/trouble.rs
+++ b/crates/pipithub-policy/tests/trouble.rs
@@ -664,16 +664,68 @@
     assert!(slow >= 1 && slow * 2 <= usual, "{slow} beside {usual}");
 }
 
+/// The entries of twelve workers, every second one in a zone `b`, with the given state there.
+fn zoned(state_far: State) -> Vec<Entry> {
+    let one = |i: u32| {
+        let (zone, state) = if i % 2 == 1 { ("b", state_far) } else { ("a", State::Live) };
+        Entry { zone: zone.into(), state, ..entry(&format!("w{i}")) }
+    };
+    (0..12).map(one).collect()
+}
+
+/// Whether a worker of [`zoned`] stands in the zone `b`.
+fn far(worker: &Worker) -> bool {
+    worker.0[1..].parse::<u32>().is_ok_and(|i| i % 2 == 1)
+}
+
+/// A front end of a large tier in one of two zones.
+fn two_zones(zone: &str, tells_alike: bool) -> Bench {
+    let mut s = large_tier();
+    (s.limits.probes, s.loading.tells_alike, s.zone) = (false, tells_alike, zone.to_string());
+    let mut b = Bench::new(s, &[]);
+    b.changes(zoned(State::Live));
+    b
+}
+
+/// Calls in a row of thirty functions; `answer` as in [`play`]. Tells the sends that `which` holds of.
+fn sent_where(
+    b: &mut Bench,
+    calls: u64,
+    which: fn(&Worker) -> bool,
+    answer: impl Fn(&Worker) -> Option<Outcome>,
+) -> usize {
+    play_many(b, calls, answer).1.iter().filter(|w| which(w)).count()
+}
+
+#[test]
+fn a_zone_whose_try_ends_without_word_is_tried_again() {
+    let mut b = two_zones("a", false);
+    sent_where(&mut b, 60, far, |_| Some(Outcome::Served));
+    sent_where(&mut b, 60, far, |w| (!far(w)).then_some(Outcome::Served));
+    // From here on no connection comes up there: no try is ever overdue.
+    let tries =
+        sent_where(&mut b, 400, far, |w| Some(if far(w) { Outcome::Unreachable } else { Outcome::Served }));
+    assert!((2..30).contains(&tries), "some tries in 20 s, not each call: {tries}");
+    sent_where(&mut b, 160, far, |_| Some(Outcome::Served));
+    let back = sent_where(&mut b, 60, far, |_| Some(Outcome::Served));
+    assert!(back > 10, "the zone is used again once it answers: {back}");
+}
+
+#[test]
+fn a_zone_left_alone_that_is_all_there_is_is_used() {
+    let mut b = two_zones("a", false);
+    sent_where(&mut b, 60, far, |_| Some(Outcome::Served));
+    sent_where(&mut b, 60, far, |w| (!far(w)).then_some(Outcome::Served));
+    let gone = zoned(State::Live).into_iter().filter(|e| !far(&e.worker));
+    b.changes(gone.map(|e| Entry { state: State::Gone, ..e }).collect());
+    b.pass(5_000 * MS);
+    let sent = sent_where(&mut b, 60, far, |_| Some(Outcome::Served));
+    assert!(sent > 50, "{sent} of 60 went to the zone that is left");
+}
+
 #[test]
 fn in_a_large_tier_a_zone_that_says_nothing_is_left_and_found_again() {
-    let mut s = large_tier();
-    s.limits.probes = false;
-    let names: Vec<String> = (0..12).map(|i| format!("w{i}")).collect();
-    let mut b = Bench::new(s, &names.iter().map(String::as_str).collect::<Vec<_>>());
-    // Every second worker stands in a second zone.
-    let far = |w: &Worker| w.0[1..].parse::<u32>().is_ok_and(|i| i % 2 == 1);
-    let zoned = |n: &String| Entry { zone: if far(&Worker::new(n)) { "b" } else { "a" }.into(), ..entry(n) };
-    b.changes(names.iter().map(zoned).collect());
+    let mut b = two_zones("a", false);
     let sent_far = |b: &mut Bench, calls: u64, answers: bool| {
         let (_, workers) = play_many(b, calls, |w| (answers || !far(w)).then_some(Outcome::Served));
         workers.iter().filter(|w| far(w)).count()
@@ -703,14 +755,7 @@
 #[test]
 fn of_several_homes_a_front_end_of_a_large_tier_begins_at_one_in_its_zone() {
     let near = |zone: &str| {
-        let mut s = large_tier();
-        (s.limits.probes, s.loading.tells_alike, s.zone) = (false, true, zone.to_string());
-        let names: Vec<String> = (0..12).map(|i| format!("w{i}")).collect();
-        let mut b = Bench::new(s, &names.iter().map(String::as_str).collect::<Vec<_>>());
-        let far = |w: &Worker| w.0[1..].parse::<u32>().is_ok_and(|i| i % 2 == 1);
-        let zoned =
-            |n: &String| Entry { zone: if far(&Worker::new(n)) { "b" } else { "a" }.into(), ..entry(n) };
-        b.changes(names.iter().map(zoned).collect());
+        let mut b = two_zones(zone, true);
         let mut last_far = 0;
         for function in 0..20 {
             let mut last = None;
--- a/crates/pipithub-settings/src/read.rs
+++ b/crates/pipithub-settings/src/read.rs
@@ -311,16 +311,8 @@
     let bounds = root.one("engine").unwrap_or_else(nothing);
     let defaults = EngineSettings::default();
     let tick = bounds.time("tick", MS, MS / 10, 100 * MS);
-    let settings = Settings {
-        front_ends: peers,
-        tick,
-        classes,
-        limits,
-        rules,
-        loading,
-        list_on_request: false,
-        ..Settings::default()
-    };
+    let settings =
+        Settings { front_ends: peers, tick, classes, limits, rules, loading, ..Settings::default() };
     let engine = EngineSettings {
         policy: settings,
         max_open: bounds.whole("max-open", defaults.max_open as u64, 1, 1_000_000) as usize,
