Draws and told calls of others are read in one place each

Cause, found on reading the change again: the number drawn from a seed was written twice, and so was what others had of a function at a worker; the search for a near home ran for functions of one home too, in each placement.

Change: draw() beside mix(); one reading of told calls for copies and homes; homes are looked at only where there are several.

--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -238,14 +238,14 @@
         let mut ranked: Vec<_> = live.map(|(w, n)| (mix(n.hash ^ mix(function.0)), w)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         let mut order: Vec<Worker> = ranked.into_iter().map(|(_, w)| w.clone()).collect();
-        if let Some(program) = self.programs.get(&function).filter(|_| self.blind() && !order.is_empty()) {
-            let draw = (mix(self.seed ^ mix(function.0)) >> 11) as f64 / (1u64 << 53) as f64;
-            let first = ((draw * program.homes.max(1.0)) as usize).min(order.len() - 1);
+        let homes = self.programs.get(&function).map_or(0.0, |p| p.homes);
+        if self.blind() && homes > 1.0 && !order.is_empty() {
+            let draw = draw(self.seed ^ mix(function.0));
             // Of several homes one in the own zone, where there is one: crossing costs time and more.
-            let most = (program.homes.max(1.0) as usize).min(order.len());
-            let near: Vec<usize> =
-                (0..most).filter(|i| self.nodes[&order[*i]].entry.zone == self.s.zone).collect();
-            let first = near.get((draw * near.len() as f64) as usize).copied().unwrap_or(first);
+            let all = 0..(homes as usize).min(order.len());
+            let near: Vec<usize> = all.filter(|i| self.nodes[&order[*i]].entry.zone == self.s.zone).collect();
+            let any = ((draw * homes) as usize).min(order.len() - 1);
+            let first = near.get((draw * near.len() as f64) as usize).copied().unwrap_or(any);
             order[..=first].rotate_right(1);
         }
         order
@@ -331,9 +331,10 @@
         }
         // The function's calls that stood there, at each of its homes alike, over the lanes of a copy: so
         // many homes does it need. A worker adds copies by itself too, but no cores to run them.
-        let told = end.alike.filter(|_| blind && self.s.loading.tells_alike);
-        if let Some((alike, program)) = told.zip(self.programs.get_mut(&sent.function)) {
-            let others = (f64::from(alike.min(1_000)) + 1.0 - sent.same).max(0.0);
+        let alike = end.alike.filter(|_| self.s.loading.tells_alike).map(|a| a.min(1_000));
+        let told = alike.map(|a| (a, (f64::from(a) + 1.0 - sent.same).max(0.0)));
+        let program = self.programs.get_mut(&sent.function).filter(|_| blind);
+        if let Some(((_, others), program)) = told.zip(program) {
             let homes = program.homes.max(1.0);
             let wanted = others * homes / f64::from(program.lanes.max(1));
             program.homes = homes + SPREAD_GAIN * (wanted.clamp(1.0, 64.0) - homes);
@@ -353,10 +354,8 @@
                 let copies = node.copies.entry(sent.function).or_default();
                 copies.ready = if copies.proven { copies.ready } else { now };
                 (copies.count, copies.proven, copies.used) = (copies.count.max(1), true, now);
-                if let Some(alike) = end.alike.filter(|_| self.s.loading.tells_alike) {
+                if let Some((alike, others)) = told {
                     // What others had there, beside our own; and copies enough for all of them at once.
-                    let alike = alike.min(1_000);
-                    let others = (f64::from(alike) + 1.0 - sent.same).max(0.0);
                     copies.others += PACE_GAIN * (others - copies.others);
                     let lanes = self.programs.get(&sent.function).map_or(1, |p| p.lanes.max(1));
                     if end.note == Some(CopyNote::Warm) {
@@ -1052,8 +1051,7 @@
             return sent as f64 + 1.0 <= budget;
         }
         let slot = (rules.fall_span / COLD_SLOTS).max(1);
-        let ticket = mix(self.seed ^ node.hash ^ mix(started ^ (now / slot)));
-        let draw = (ticket >> 11) as f64 / (1u64 << 53) as f64;
+        let draw = draw(self.seed ^ node.hash ^ mix(started ^ (now / slot)));
         node.sends.back().is_none_or(|t| *t < now - now % slot) && draw < COLD_SHARE * rate * slot as f64
     }
 
--- a/crates/pipithub-policy/src/state.rs
+++ b/crates/pipithub-policy/src/state.rs
@@ -205,6 +205,11 @@
     pub(crate) finish: Time,
 }
 
+/// A number drawn from 0 up to 1: equal for equal seeds.
+pub(crate) fn draw(seed: u64) -> f64 {
+    (mix(seed) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 pub(crate) fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
