Front ends begin less often at a home that tells of a crowd above the average

The ten busiest workers had 1,969 of 2,925 fulls.

Word of it is in nearly every answer.

To blame: order() begins at the function's homes whatever the worker told, and told() forgets it after 0.7 s although the crowd lasts as long as the hash order.

Change: what a worker holds is averaged over its reports (half-life 20 s). Beside the average of all known workers it gives the share of front ends that begin there; each draws once for all, and else begins at one of the next three homes.

--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -40,6 +40,13 @@
 const FRESH: Time = 700 * MS;
 /// Weight of a new sample in the number of homes that a function needs in a large tier.
 const SPREAD_GAIN: f64 = 0.3;
+/// At a worker that tells of more calls than the average, this power of the average over its own is the share
+/// of front ends that still begin there; the rest begin at one of so many next in the order. What it tells
+/// sinks in by this weight and fades by half in this time: a crowd of functions lasts.
+const EASE: i32 = 4;
+const EASE_AMONG: usize = 4;
+const HELD_GAIN: f64 = 0.5;
+const HELD_AGE: Time = 20_000 * MS;
 /// A worker whose cores are told to be busier than this has a queue: it is second choice.
 const BUSY: f64 = 0.95;
 /// Calls that may be sent on a guess that others hold a copy, for each call taken, and the most saved up.
@@ -248,9 +255,28 @@
             let first = near.get((draw * near.len() as f64) as usize).copied().unwrap_or(any);
             order[..=first].rotate_right(1);
         }
+        if self.blind() && !order.is_empty() {
+            // Wanted functions may share a home by chance, and it stays full while others idle: each front end
+            // that was told so draws, once for all, whether it still begins there.
+            let known = || self.nodes.values().filter(|n| n.entry.state == State::Live && n.told.at > 0);
+            let mean = known().map(|n| self.usually_holds(n)).sum::<f64>() / known().count().max(1) as f64;
+            let stays = |w: &Worker| {
+                let node = &self.nodes[w];
+                let share = (mean / self.usually_holds(node)).powi(EASE);
+                node.told.at == 0 || draw(self.seed ^ mix(function.0) ^ node.hash) <= share
+            };
+            let first = order.iter().take(EASE_AMONG).position(stays).unwrap_or(0);
+            order[..=first].rotate_right(1);
+        }
         order
     }
 
+    /// What a worker usually holds, as it told; one call where that is long ago.
+    fn usually_holds(&self, node: &Node) -> f64 {
+        let age = self.now.saturating_sub(node.told.at) as f64;
+        1.0 + (node.told.usual - 1.0).max(0.0) * 0.5f64.powf(age / HELD_AGE as f64)
+    }
+
     // ---- beliefs: warm copies, run and load times ----
 
     /// What a run of the call takes at the usual pace, averaged from served answers.
@@ -483,9 +509,17 @@
     /// are placed.
     fn told(&mut self, worker: &Worker, load: Option<Load>, actions: &mut Vec<Action>) {
         if let Some(node) = self.nodes.get_mut(worker) {
+            let usual = match load.and_then(|l| l.held).filter(|h| h.is_finite()) {
+                Some(held) if node.told.at > 0 => {
+                    let age = self.now.saturating_sub(node.told.at) as f64;
+                    let before = node.told.usual * 0.5f64.powf(age / HELD_AGE as f64);
+                    before + HELD_GAIN * (held - before)
+                }
+                held => held.unwrap_or(node.told.usual),
+            };
             let load = load.unwrap_or(Load { held: Some(f64::INFINITY), ..Load::default() });
             let (held, busy) = (load.held.unwrap_or(0.0), load.busy.unwrap_or(0.0));
-            node.told = Told { at: self.now, held, busy };
+            node.told = Told { at: self.now, held, busy, usual };
         }
         for id in self.waiting(|o| o.asks.as_ref() == Some(worker)) {
             self.open.entry(id).and_modify(|o| o.asks = None);
--- a/crates/pipithub-policy/src/state.rs
+++ b/crates/pipithub-policy/src/state.rs
@@ -109,6 +109,8 @@
     pub(crate) at: Time,
     pub(crate) held: f64,
     pub(crate) busy: f64,
+    /// The calls it held over a longer time.
+    pub(crate) usual: f64,
 }
 
 #[derive(Debug)]
--- a/crates/pipithub-policy/tests/fleet.rs
+++ b/crates/pipithub-policy/tests/fleet.rs
@@ -76,11 +76,25 @@
     sum: Sum,
     attempts: BTreeMap<RequestId, u32>,
     asked: BTreeMap<RequestId, (Time, u64)>,
+    /// Answers tell how many calls the worker holds.
+    reports: bool,
 }
 
 impl Fleet {
     /// So many front ends and workers, calls at a rate of `share` of what all cores can run, for some seconds.
     fn play(fronts: usize, machines: usize, share: f64, seconds: u64, change: impl Fn(&mut Settings)) -> Sum {
+        Self::reporting(false, fronts, machines, share, seconds, change)
+    }
+
+    /// The same, where answers may report the worker's load.
+    fn reporting(
+        reports: bool,
+        fronts: usize,
+        machines: usize,
+        share: f64,
+        seconds: u64,
+        change: impl Fn(&mut Settings),
+    ) -> Sum {
         let mut s = settings(Effect::Safe);
         (s.front_ends, s.limits.probes, s.loading.tells_alike) = (fronts as u32, true, true);
         s.rules.ramp = 0;
@@ -97,6 +111,7 @@
             sum: Sum::default(),
             attempts: BTreeMap::new(),
             asked: BTreeMap::new(),
+            reports,
         };
         for front in 0..fronts {
             let entries = (0..machines).map(|m| entry(&format!("w{m}"))).collect();
@@ -218,6 +233,9 @@
     }
 
     fn answer(&mut self, worker: usize, held: &Held, outcome: Outcome) {
+        let machine = &self.machines[worker];
+        let now = (machine.running.len() + machine.waiting.len()) as f64;
+        let load = Load { held: Some(now).filter(|_| self.reports), ..Load::default() };
         let end = Finished {
             request: held.request,
             attempt: held.attempt,
@@ -227,7 +245,7 @@
             settled: outcome == Outcome::Served,
             note: None,
             alike: Some(held.alike),
-            load: Load::default(),
+            load,
         };
         self.at(self.now + MS, What::Answer { front: held.front, end });
     }
@@ -275,3 +293,12 @@
     assert!(told.full * 10 < untold.full * 9, "{told:?}, {untold:?}");
     assert!(told.in_time > untold.in_time && told.loads < untold.loads, "{told:?}, {untold:?}");
 }
+
+#[test]
+fn a_home_that_tells_of_a_crowd_is_left_to_fewer_front_ends_while_others_idle() {
+    // Functions share homes by chance. What answers tell of a worker's load lasts as long as the crowd does.
+    let play = |reports| Fleet::reporting(reports, 60, 40, 0.6, 30, |s| s.prices.probe = 0.1);
+    let (told, untold) = (play(true), play(false));
+    assert!(told.full * 10 < untold.full * 7, "{told:?}, {untold:?}");
+    assert!(told.in_time > untold.in_time, "{told:?}, {untold:?}");
+}
