--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -256,8 +256,8 @@
             order[..=first].rotate_right(1);
         }
         if self.blind() && !order.is_empty() {
-            // Wanted functions may share a home by chance, and it stays full while others idle: each front end
-            // that was told so draws, once for all, whether it still begins there.
+            // Wanted functions may share a home by chance, and it stays full while others idle: each front
+            // end that was told so draws, once for all, whether it still begins there.
             let known = || self.nodes.values().filter(|n| n.entry.state == State::Live && n.told.at > 0);
             let mean = known().map(|n| self.usually_holds(n)).sum::<f64>() / known().count().max(1) as f64;
             let stays = |w: &Worker| {
