--- a/crates/pipithub-bench/src/main.rs
+++ b/crates/pipithub-bench/src/main.rs
@@ -2,6 +2,7 @@
 //! consumer, a hyper client, round robin, no decisions). All are processes on loopback against the same stand-ins.
 
 mod baseline;
+mod members;
 mod roster;
 
 use std::collections::HashMap;
@@ -56,6 +57,15 @@
     },
     /// What tenants add to a call, their directory being up, slow or dead.
     Directories,
+    /// How soon a fleet knows of a death and what membership costs, in simulated time.
+    Members {
+        /// Sizes of fleets.
+        #[arg(long, value_delimiter = ',', default_value = "10,60,300")]
+        sizes: Vec<usize>,
+        /// Runs of each.
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// The pass-through, as a process.
     Baseline {
         /// The broker.
@@ -72,6 +82,10 @@
     let arguments = Arguments::parse();
     match arguments.command {
         Some(Command::Baseline { broker, worker }) => return baseline::run(&broker, worker).await,
+        Some(Command::Members { sizes, seeds }) => {
+            members::run(&sizes, seeds);
+            return Ok(());
+        }
         Some(Command::Roster { users }) => {
             roster::roster(users);
             return Ok(());
--- /dev/null
+++ b/crates/pipithub-check/src/fleet.rs
@@ -0,0 +1,384 @@
+//! Whether a fleet knew itself: claims of its members beside what was true.
+//!
+//! Truth is the rig's own: which process ran when, from which disk, which links it spoilt. The numbers that runs used
+//! are read from datagrams on the way. Only the claims are the members' own, for they are what is judged.
+
+use std::collections::BTreeMap;
+
+/// Nanoseconds of Unix time.
+pub type Time = u64;
+
+/// What a run found on its disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disk {
+    /// What the run before left.
+    Kept,
+    /// Nothing.
+    Empty,
+    /// An older copy.
+    Old,
+}
+
+/// One process, from start to end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The name it was started with.
+    pub name: String,
+    /// When.
+    pub started: Time,
+    /// When it was ended; `None`: it runs.
+    pub ended: Option<Time>,
+    /// From which disk.
+    pub disk: Disk,
+    /// When it was paused.
+    pub paused: Vec<(Time, Time)>,
+}
+
+/// What a run claimed at one moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// When.
+    pub at: Time,
+    /// Which run, as an index into the history's.
+    pub run: usize,
+    /// It says that it takes part.
+    pub joined: bool,
+    /// Which generation it says that it is.
+    pub generation: u64,
+    /// What it says of its disk.
+    pub disk: String,
+    /// Others, by name, and whether it holds them for dead.
+    pub others: BTreeMap<String, bool>,
+}
+
+/// All that was seen of a day.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// The runs.
+    pub runs: Vec<Run>,
+    /// Claims, by time.
+    pub claims: Vec<Claim>,
+    /// Under which generation each run took part, and when first, from datagrams on their way.
+    pub spoken: Vec<(usize, u64, Time)>,
+    /// When links were spoilt.
+    pub unrest: Vec<(Time, Time)>,
+    /// When all was over and settled.
+    pub end: Time,
+}
+
+/// How much time the fleet has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// A death is known to all after this.
+    pub found: Time,
+    /// Whatever was wrong, all is known again after this.
+    pub settle: Time,
+}
+
+/// What must hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// No two runs spoke under one number of one name, where the fleet had time to know of the first.
+    OneNumber,
+    /// A death is found by all.
+    DeadFound,
+    /// Who was there and could be reached was held for dead by nobody.
+    LivingKept,
+    /// A run that started from an old or empty disk says so, under a number that was never used.
+    DiskKnown,
+    /// Of two runs under one name one takes part.
+    OneRun,
+    /// In the end all believe what is true.
+    OneFleet,
+}
+
+impl Rule {
+    /// All of them.
+    pub const ALL: [Rule; 6] =
+        [Rule::OneNumber, Rule::DeadFound, Rule::LivingKept, Rule::DiskKnown, Rule::OneRun, Rule::OneFleet];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::OneNumber => "one run for each number",
+            Rule::DeadFound => "the dead are found",
+            Rule::LivingKept => "the living are kept",
+            Rule::DiskKnown => "old disks are known",
+            Rule::OneRun => "one run for each name",
+            Rule::OneFleet => "one fleet in the end",
+        }
+    }
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// Which.
+    pub rule: Rule,
+    /// What was seen.
+    pub what: String,
+}
+
+impl History {
+    fn quiet(&self, from: Time, to: Time) -> bool {
+        !self.unrest.iter().any(|(a, b)| *a <= to && *b >= from)
+    }
+
+    /// Whether a run was there and awake all the time.
+    fn awake(&self, run: usize, from: Time, to: Time) -> bool {
+        let r = &self.runs[run];
+        r.started <= from
+            && r.ended.is_none_or(|e| e > to)
+            && !r.paused.iter().any(|(a, b)| *a <= to && *b >= from)
+    }
+
+    /// Whether a name had another run at some time within.
+    fn other_run(&self, run: usize, from: Time, to: Time) -> bool {
+        let of = &self.runs[run].name;
+        let within = |r: &Run| r.started <= to && r.ended.is_none_or(|e| e >= from);
+        self.runs.iter().enumerate().any(|(n, r)| n != run && r.name == *of && within(r))
+    }
+}
+
+/// Judges a history.
+pub fn check(history: &History, bounds: Bounds) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    let mut breach = |rule: Rule, what: String| breaches.push(Breach { rule, what });
+    let seconds = |t: Time| t.saturating_sub(history.runs.first().map_or(0, |r| r.started)) as f64 / 1e9;
+
+    let mut numbers: BTreeMap<(&str, u64), (usize, Time)> = BTreeMap::new();
+    let mut spoken = history.spoken.clone();
+    spoken.sort_unstable_by_key(|(_, _, at)| *at);
+    for (run, generation, at) in &spoken {
+        let name = history.runs[*run].name.as_str();
+        let (first, since) = *numbers.entry((name, *generation)).or_insert((*run, *at));
+        // A number is known where word of it could spread: what two take within that time, or from both sides of a
+        // cut, nobody can tell apart but those who agree on epochs.
+        let known =
+            history.quiet(since.max(at.saturating_sub(bounds.settle)), *at) && since + bounds.settle <= *at;
+        if first != *run && known {
+            let what = format!("{name}: runs {first} and {run} both spoke under generation {generation}");
+            breach(Rule::OneNumber, what);
+        }
+    }
+
+    for claim in history.claims.iter().filter(|c| c.joined) {
+        let (me, at) = (&history.runs[claim.run], claim.at);
+        for (n, run) in history.runs.iter().enumerate().filter(|(_, r)| r.name != me.name) {
+            if let Some(ended) = run.ended.filter(|e| e + bounds.found <= at) {
+                let judged = history.quiet(ended, at)
+                    && history.awake(claim.run, ended.saturating_sub(bounds.settle), at)
+                    && !history.other_run(n, ended, at);
+                if judged && claim.others.get(&run.name) == Some(&false) {
+                    let what = format!(
+                        "at {:.1} s {} holds {} for alive, dead since {:.1} s",
+                        seconds(at),
+                        me.name,
+                        run.name,
+                        seconds(ended)
+                    );
+                    breach(Rule::DeadFound, what);
+                }
+            }
+            let since = at.saturating_sub(bounds.settle);
+            let judged = history.quiet(since, at)
+                && history.awake(claim.run, since, at)
+                && history.awake(n, since, at)
+                && !history.other_run(n, since, at)
+                && !history.other_run(claim.run, since, at);
+            if judged && claim.others.get(&run.name) != Some(&false) {
+                let how = if claim.others.contains_key(&run.name) { "for dead" } else { "for unknown" };
+                let what =
+                    format!("at {:.1} s {} holds {} {how}, which runs", seconds(at), me.name, run.name);
+                breach(Rule::LivingKept, what);
+            }
+        }
+    }
+
+    for (n, run) in history.runs.iter().enumerate().filter(|(_, r)| r.disk != Disk::Kept) {
+        let before = history.runs[..n].iter().enumerate().filter(|(_, r)| r.name == run.name);
+        let used: Vec<u64> = before
+            .flat_map(|(b, _)| {
+                let of = move |(r, _, at): &&(usize, u64, Time)| *r == b && *at + bounds.settle < run.started;
+                history.spoken.iter().filter(of).map(|(_, g, _)| *g)
+            })
+            .collect();
+        let (Some(most), Some(last)) =
+            (used.iter().max(), history.claims.iter().rfind(|c| c.run == n && c.joined))
+        else {
+            continue;
+        };
+        let said = match run.disk {
+            Disk::Empty => "empty",
+            Disk::Old => "old",
+            Disk::Kept => "kept",
+        };
+        if last.disk != said || last.generation <= *most {
+            let what = format!(
+                "{} started from a disk that was {said}, says {} and generation {}, {most} was in use before",
+                run.name, last.disk, last.generation
+            );
+            breach(Rule::DiskKnown, what);
+        }
+    }
+
+    for (n, one) in history.runs.iter().enumerate() {
+        for (m, other) in history.runs.iter().enumerate().skip(n + 1).filter(|(_, r)| r.name == one.name) {
+            let from = one.started.max(other.started) + bounds.settle;
+            let joined = |run: usize| {
+                let mine = move |c: &&Claim| c.run == run && c.joined && c.at >= from;
+                history.claims.iter().filter(mine).map(|c| c.at).collect::<Vec<_>>()
+            };
+            let (a, b) = (joined(n), joined(m));
+            let both = a.iter().find(|t| {
+                let near = |u: &&Time| u.abs_diff(**t) < 1_000_000_000;
+                history.quiet(t.saturating_sub(bounds.settle), **t) && b.iter().any(|u| near(&u))
+            });
+            if let Some(at) = both {
+                let what =
+                    format!("at {:.1} s runs {n} and {m} of {} both take part", seconds(*at), one.name);
+                breach(Rule::OneRun, what);
+            }
+        }
+    }
+
+    let here: Vec<usize> = (0..history.runs.len()).filter(|n| history.runs[*n].ended.is_none()).collect();
+    let names: std::collections::BTreeSet<&str> =
+        here.iter().map(|n| history.runs[*n].name.as_str()).collect();
+    for n in here.iter().copied() {
+        let run = &history.runs[n];
+        let twin = here.iter().any(|o| *o != n && history.runs[*o].name == run.name);
+        match history.claims.iter().rfind(|c| c.run == n && c.at >= history.end) {
+            None => breach(Rule::OneFleet, format!("{} (run {n}) claimed nothing in the end", run.name)),
+            Some(claim) if !claim.joined => {
+                if !twin {
+                    breach(Rule::OneFleet, format!("{} (run {n}) takes no part in the end", run.name));
+                }
+            }
+            Some(claim) => {
+                let alive = claim.others.iter().filter(|(_, dead)| !**dead).map(|(name, _)| name.as_str());
+                let mut alive: std::collections::BTreeSet<&str> = alive.collect();
+                alive.insert(&run.name);
+                if alive != names {
+                    let what = format!("{} believes {alive:?} to be there, there are {names:?}", run.name);
+                    breach(Rule::OneFleet, what);
+                }
+            }
+        }
+    }
+    breaches
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: Time = 1_000_000_000;
+    const BOUNDS: Bounds = Bounds { found: 5 * SECOND, settle: 5 * SECOND };
+
+    fn run(name: &str, started: u64, ended: Option<u64>) -> Run {
+        let (started, ended) = (started * SECOND, ended.map(|e| e * SECOND));
+        Run { name: name.into(), started, ended, disk: Disk::Kept, paused: Vec::new() }
+    }
+
+    fn claim(run: usize, at: u64, others: &[(&str, bool)]) -> Claim {
+        let others = others.iter().map(|(n, d)| (n.to_string(), *d)).collect();
+        Claim { at: at * SECOND, run, joined: true, generation: 1, disk: "kept".into(), others }
+    }
+
+    /// Two that run, a third that dies at 20 s; claims at 10, 18, 30 and 40 s.
+    fn good() -> History {
+        let mut history = History {
+            runs: vec![run("a", 0, None), run("b", 0, None), run("c", 0, Some(20))],
+            spoken: vec![(0, 1, 0), (1, 1, 0), (2, 1, 0)],
+            end: 40 * SECOND,
+            ..History::default()
+        };
+        for at in [10, 18, 30, 40] {
+            let dead = at > 20;
+            history.claims.push(claim(0, at, &[("b", false), ("c", dead)]));
+            history.claims.push(claim(1, at, &[("a", false), ("c", dead)]));
+        }
+        history
+    }
+
+    fn broken(history: &History) -> Vec<Rule> {
+        let mut rules: Vec<Rule> = check(history, BOUNDS).into_iter().map(|b| b.rule).collect();
+        rules.dedup();
+        rules
+    }
+
+    #[test]
+    fn a_good_day_is_found_good() {
+        assert_eq!(check(&good(), BOUNDS), vec![]);
+    }
+
+    #[test]
+    fn a_number_used_twice_is_found() {
+        let mut history = good();
+        history.runs.push(run("c", 22, Some(23)));
+        history.spoken.push((3, 1, 22 * SECOND));
+        assert!(broken(&history).contains(&Rule::OneNumber));
+    }
+
+    #[test]
+    fn a_dead_member_believed_alive_is_found() {
+        let mut history = good();
+        history.claims[4].others.insert("c".into(), false);
+        assert_eq!(broken(&history), vec![Rule::DeadFound]);
+    }
+
+    #[test]
+    fn a_living_member_held_for_dead_is_found_but_not_while_links_are_spoilt() {
+        let mut history = good();
+        history.claims[2].others.insert("b".into(), true);
+        assert_eq!(broken(&history), vec![Rule::LivingKept]);
+        history.unrest.push((16 * SECOND, 17 * SECOND));
+        assert_eq!(broken(&history), vec![]);
+        history.unrest = vec![(11 * SECOND, 12 * SECOND)];
+        assert_eq!(broken(&history), vec![Rule::LivingKept]);
+    }
+
+    #[test]
+    fn a_member_that_was_never_heard_of_is_found() {
+        let mut history = good();
+        history.claims[0].others.remove("b");
+        assert_eq!(broken(&history), vec![Rule::LivingKept]);
+    }
+
+    #[test]
+    fn an_old_disk_that_is_believed_is_found() {
+        let mut history = good();
+        history.runs.push(Run { disk: Disk::Old, ..run("c", 31, None) });
+        history.spoken.push((3, 2, 32 * SECOND));
+        history.claims.truncate(6);
+        let mut back = claim(3, 40, &[("a", false), ("b", false)]);
+        (back.generation, back.disk) = (2, "kept".into());
+        history.claims.extend([
+            claim(0, 40, &[("b", false), ("c", false)]),
+            claim(1, 40, &[("a", false), ("c", false)]),
+        ]);
+        history.claims.push(back);
+        assert_eq!(broken(&history), vec![Rule::DiskKnown]);
+        history.claims.last_mut().unwrap().disk = "old".into();
+        assert_eq!(broken(&history), vec![]);
+        history.claims.last_mut().unwrap().generation = 1;
+        assert_eq!(broken(&history), vec![Rule::DiskKnown]);
+    }
+
+    #[test]
+    fn two_runs_of_one_name_that_both_take_part_are_found() {
+        let mut history = good();
+        history.runs.push(run("a", 12, None));
+        history.spoken.push((3, 2, 12 * SECOND));
+        history.claims.push(claim(3, 40, &[("b", false), ("c", true)]));
+        assert_eq!(broken(&history), vec![Rule::OneRun]);
+    }
+
+    #[test]
+    fn a_fleet_that_does_not_come_together_is_found() {
+        let mut history = good();
+        history.claims.last_mut().unwrap().joined = false;
+        assert_eq!(broken(&history), vec![Rule::OneFleet]);
+    }
+}
--- a/crates/pipithub-drill/src/lib.rs
+++ b/crates/pipithub-drill/src/lib.rs
@@ -5,6 +5,7 @@
 //! the queue client that asks; `pipithub publish` uses it too.
 
 pub mod client;
+pub mod fleet;
 pub mod load;
 pub mod process;
 pub mod run;
--- a/crates/pipithub-drill/src/scenario.rs
+++ b/crates/pipithub-drill/src/scenario.rs
@@ -17,6 +17,12 @@
     span: SourceSpan,
 }
 
+impl Unreadable {
+    pub(crate) fn new(message: String, source_code: NamedSource<String>, span: SourceSpan) -> Self {
+        Unreadable { message, source_code, span }
+    }
+}
+
 /// A class of calls.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClassSpec {
@@ -182,25 +188,37 @@
     pub steps: Vec<Step>,
 }
 
-struct Node<'a> {
+pub(crate) struct Node<'a> {
     node: &'a KdlNode,
     text: &'a str,
     file: &'a str,
 }
 
-type Read<T> = Result<T, Box<Unreadable>>;
+pub(crate) type Read<T> = Result<T, Box<Unreadable>>;
 
 impl<'a> Node<'a> {
-    fn fault<T>(&self, message: impl Into<String>) -> Read<T> {
+    pub(crate) fn new(node: &'a KdlNode, text: &'a str, file: &'a str) -> Self {
+        Node { node, text, file }
+    }
+
+    pub(crate) fn name(&self) -> &'a str {
+        self.node.name().value()
+    }
+
+    pub(crate) fn flag(&self, name: &str) -> bool {
+        self.node.get(name).and_then(|v| v.as_bool()).unwrap_or(false)
+    }
+
+    pub(crate) fn fault<T>(&self, message: impl Into<String>) -> Read<T> {
         let source_code = NamedSource::new(self.file, self.text.to_string());
         Err(Box::new(Unreadable { message: message.into(), source_code, span: self.node.span() }))
     }
 
-    fn text_of(&self, name: &str) -> Option<&'a str> {
+    pub(crate) fn text_of(&self, name: &str) -> Option<&'a str> {
         self.node.get(name).and_then(|v| v.as_string())
     }
 
-    fn time(&self, name: &str, default: Option<u64>) -> Read<u64> {
+    pub(crate) fn time(&self, name: &str, default: Option<u64>) -> Read<u64> {
         match (self.node.get(name), default) {
             (None, Some(default)) => Ok(default),
             (Some(v), _) if v.as_string().and_then(duration).is_some() => {
@@ -212,7 +230,7 @@
         }
     }
 
-    fn number(&self, name: &str, default: Option<f64>) -> Read<f64> {
+    pub(crate) fn number(&self, name: &str, default: Option<f64>) -> Read<f64> {
         let value = self.node.get(name);
         let number = value.and_then(|v| v.as_float().or(v.as_integer().map(|n| n as f64)));
         match (value, number.filter(|n| *n >= 0.0), default) {
@@ -222,7 +240,7 @@
         }
     }
 
-    fn allow(&self, names: &[&str]) -> Read<()> {
+    pub(crate) fn allow(&self, names: &[&str]) -> Read<()> {
         let given = self.node.entries().iter().filter_map(|e| e.name().map(|n| n.value()));
         for name in given {
             if !names.contains(&name) {
--- /dev/null
+++ b/crates/pipithub-fleet/src/report.rs
@@ -0,0 +1,183 @@
+//! What operators are told: the view, and why it became so. Bounded, and written whole.
+
+use std::collections::VecDeque;
+
+use pipithub_members::{Event, Standing, State, Time, View};
+use serde::{Deserialize, Serialize};
+
+/// The latest happenings that are kept.
+const HAPPENINGS: usize = 200;
+
+/// A change of view with its evidence.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Happening {
+    /// When, in Unix milliseconds.
+    pub at_ms: u64,
+    /// Whom it is about; the own name where it is this process.
+    pub member: String,
+    /// What was seen, as a sentence.
+    pub what: String,
+}
+
+/// A member as reported.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// Its name.
+    pub name: String,
+    /// Where it is.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// `alive`, `suspect` or `down`.
+    pub state: String,
+    /// For how long it has stood so, in milliseconds.
+    pub for_ms: u64,
+    /// How long ago it spoke to this process itself; `None`: it never did.
+    pub heard_ms: Option<u64>,
+    /// Which start of its name.
+    pub generation: u64,
+    /// `kept`, `empty` or `old`.
+    pub disk: String,
+}
+
+/// The whole report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// When it was written, in Unix milliseconds.
+    pub at_ms: u64,
+    /// The cluster.
+    pub cluster: String,
+    /// The process that wrote it.
+    pub process: u32,
+    /// Where it listens.
+    pub listen: String,
+    /// This process, whose `state` is how it stands.
+    pub me: MemberReport,
+    /// Local health: 0 is sound, 8 the worst.
+    pub doubt: u32,
+    /// How old the newest word in it was then; `None`: there never was any.
+    pub age_ms: Option<u64>,
+    /// The others.
+    pub members: Vec<MemberReport>,
+    /// What happened lately, oldest first.
+    pub happenings: VecDeque<Happening>,
+}
+
+fn ms(time: Time) -> u64 {
+    time / 1_000_000
+}
+
+fn disk(disk: pipithub_members::Disk) -> String {
+    format!("{disk:?}").to_lowercase()
+}
+
+/// How a process stands, in a word.
+pub(crate) fn standing(standing: &Standing) -> String {
+    match standing {
+        Standing::Saving => "saving".into(),
+        Standing::Alone => "alone".into(),
+        Standing::Joined => "joined".into(),
+        Standing::Barred(by) => format!("barred by {} (generation {})", by.address, by.generation),
+        Standing::Left => "left".into(),
+    }
+}
+
+/// An event as a happening; `None` for what is only of use in the log.
+pub(crate) fn happening(event: &Event, me: &str, at_ms: u64, now: Time) -> Happening {
+    let heard = |m: &pipithub_members::Member| match m.heard {
+        Some(heard) => format!("last heard {} ms ago", ms(now.saturating_sub(heard))),
+        None => "never heard by this process itself".to_string(),
+    };
+    let (member, what) = match event {
+        Event::Up(m) => (
+            m.identity.name.clone(),
+            format!("there, generation {} at {}", m.identity.generation, m.identity.address),
+        ),
+        Event::Suspected(m) => {
+            (m.identity.name.clone(), format!("suspected: a probe got no answer; {}", heard(m)))
+        }
+        Event::Down { member, suspected: true } => {
+            (member.identity.name.clone(), format!("held for dead: it did not speak up; {}", heard(member)))
+        }
+        Event::Down { member, suspected: false } => (
+            member.identity.name.clone(),
+            format!("gone: it left, or others found it dead; {}", heard(member)),
+        ),
+        Event::Replaced { before, now } => (
+            now.name.clone(),
+            format!(
+                "another run: generation {} after {}, disk {}",
+                now.generation,
+                before.generation,
+                disk(now.disk)
+            ),
+        ),
+        Event::Standing(s) => (me.to_string(), format!("stands {}", standing(s))),
+        Event::Overslept { by } => {
+            (me.to_string(), format!("was held up for {} ms: what it knew is that much older", ms(*by)))
+        }
+        Event::DiskBehind { disk, seen } => (
+            me.to_string(),
+            format!("its disk says generation {disk}, the fleet has seen {seen}: the disk is old or empty"),
+        ),
+        Event::Refused { from, why, count } => {
+            (from.to_string(), format!("{count} datagrams turned away: {why}"))
+        }
+        Event::Full(who) => {
+            (who.name.clone(), "not let in: as many members as max-members allows".to_string())
+        }
+    };
+    Happening { at_ms, member, what }
+}
+
+/// Keeps the latest happenings.
+#[derive(Debug, Default)]
+pub(crate) struct Happenings(VecDeque<Happening>);
+
+impl Happenings {
+    pub(crate) fn push(&mut self, happening: Happening) {
+        if self.0.len() == HAPPENINGS {
+            self.0.pop_front();
+        }
+        self.0.push_back(happening);
+    }
+
+    pub(crate) fn report(&self, cluster: &str, listen: &str, view: &View, at_ms: u64) -> Report {
+        let state = |s: State| match s {
+            State::Alive => "alive",
+            State::Suspect => "suspect",
+            State::Down => "down",
+        };
+        let member = |m: &pipithub_members::Member| MemberReport {
+            name: m.identity.name.clone(),
+            address: m.identity.address.to_string(),
+            zone: m.identity.zone.clone(),
+            state: state(m.state).to_string(),
+            for_ms: ms(view.at.saturating_sub(m.since)),
+            heard_ms: m.heard.map(|h| ms(view.at.saturating_sub(h))),
+            generation: m.identity.generation,
+            disk: disk(m.identity.disk),
+        };
+        let me = MemberReport {
+            name: view.me.name.clone(),
+            address: view.me.address.to_string(),
+            zone: view.me.zone.clone(),
+            state: standing(&view.standing),
+            for_ms: 0,
+            heard_ms: None,
+            generation: view.me.generation,
+            disk: disk(view.me.disk),
+        };
+        Report {
+            at_ms,
+            cluster: cluster.to_string(),
+            process: std::process::id(),
+            listen: listen.to_string(),
+            me,
+            doubt: view.doubt,
+            age_ms: view.age().map(ms),
+            members: view.members.iter().map(member).collect(),
+            happenings: self.0.clone(),
+        }
+    }
+}
--- a/crates/pipithub-members/src/core.rs
+++ b/crates/pipithub-members/src/core.rs
@@ -22,6 +22,9 @@
 /// First and longest wait between two questions to the seeds.
 const ASK_FIRST: Time = 200 * MS;
 const ASK_MOST: Time = 5_000 * MS;
+/// How long further answers are awaited after the first welcome: a seed that was just started knows nothing of earlier
+/// runs, and one that knows better may answer some milliseconds later.
+const JOIN_WAIT: Time = 200 * MS;
 /// Known members that are asked beside the seeds: all seeds may be stale.
 const ASK_MEMBERS: usize = 4;
 /// So many returns within a suspicion's time are no bad luck: another run of the name pushes this one out.
@@ -115,6 +118,7 @@
 enum Due {
     Swim(Timer<Identity>),
     Ask,
+    Join,
     Forget,
 }
 
@@ -156,6 +160,8 @@
     number: u64,
     now: Time,
     asked: u32,
+    /// Who welcomed it since it asked.
+    welcomes: Vec<Identity>,
     /// When it came back after others had held it for dead.
     returns: Vec<Time>,
     /// Since when refused datagrams are counted, and how many.
@@ -194,6 +200,7 @@
             number: 0,
             now: 0,
             asked: 0,
+            welcomes: Vec::new(),
             returns: Vec::new(),
             refused: (0, 0),
         })
@@ -265,6 +272,7 @@
             match entry.remove() {
                 Due::Swim(timer) => self.swim(out, |engine, wants| engine.handle_timer(timer, wants)),
                 Due::Ask => self.ask(out),
+                Due::Join => self.join(out),
                 Due::Forget => {
                     self.table.forget(now, self.settings.remember);
                     self.at(now + self.settings.remember / 8, Due::Forget);
@@ -366,12 +374,12 @@
                 {
                     return;
                 }
-                if self.engine.is_none() {
-                    self.me.renewal = self.me.renewal.saturating_add(1);
-                    self.build();
+                if self.welcomes.is_empty() {
+                    self.at(self.now + JOIN_WAIT, Due::Join);
+                }
+                if self.welcomes.len() < self.settings.seeds.len() + ASK_MEMBERS {
+                    self.welcomes.push(seed);
                 }
-                self.stand(Standing::Alone, out);
-                self.swim(out, |engine, wants| engine.announce(seed, wants));
             }
             Envelope::Taken { known, active } => self.taken(known, active, out),
             Envelope::Swim(data) => {
@@ -382,6 +390,22 @@
         }
     }
 
+    /// Joins through those who welcomed it, since nobody has said that its name is taken.
+    fn join(&mut self, out: &mut Vec<Output>) {
+        let welcomes = std::mem::take(&mut self.welcomes);
+        if welcomes.is_empty() || !matches!(self.standing, Standing::Alone | Standing::Barred(_)) {
+            return;
+        }
+        if self.engine.is_none() {
+            self.me.renewal = self.me.renewal.saturating_add(1);
+            self.build();
+        }
+        self.stand(Standing::Alone, out);
+        for seed in welcomes {
+            self.swim(out, |engine, wants| engine.announce(seed, wants));
+        }
+    }
+
     /// A process asks who is here. It is told of a run of its name that is not older than itself: that is a twin, or
     /// its own later self, of which its disk knows nothing.
     fn hello(&mut self, newcomer: Identity, out: &mut Vec<Output>) {
@@ -420,6 +444,7 @@
         if active && self.standing == Standing::Joined && known.rank() < self.me.rank() {
             return;
         }
+        self.welcomes.clear();
         if active {
             self.engine = None;
             self.due.retain(|_, due| !matches!(due, Due::Swim(_)));
--- a/crates/pipithub-settings/src/lib.rs
+++ b/crates/pipithub-settings/src/lib.rs
@@ -4,12 +4,14 @@
 //! reason; a file with any fault gives no settings at all, so that what runs keeps running. `docs/operations.md` lists
 //! every node with its default and range.
 
+mod fleet;
 mod read;
 mod tenants;
 
 use std::path::PathBuf;
 use std::sync::Arc;
 
+pub use fleet::FleetSettings;
 use miette::{Diagnostic, NamedSource, SourceSpan};
 use pipithub_amqp::Login;
 use pipithub_consumer::Qos;
@@ -176,6 +178,8 @@
     pub http: HttpConfig,
     /// Logs.
     pub log: LogConfig,
+    /// Its part in a fleet; `None`: it shares nothing.
+    pub fleet: Option<FleetSettings>,
     /// How long a stopped gateway waits for what it holds.
     pub drain: Time,
 }
--- a/crates/pipithub-settings/src/read.rs
+++ b/crates/pipithub-settings/src/read.rs
@@ -348,6 +348,7 @@
         probe_timeout: node.time("probe-timeout", 250 * MS, MS, 60 * SECOND),
     };
     node.finish();
+    let fleet = crate::fleet::read(root, instances);
     let node = root.one("log").unwrap_or_else(nothing);
     let json = node.choice("format", false, &[("text", false), ("json", true)]);
     let log = LogConfig { json, level: node.text("level").unwrap_or_else(|| "info".into()) };
@@ -364,6 +365,7 @@
         workers,
         http,
         log,
+        fleet,
         drain,
     }
 }
--- a/crates/pipithub-standin/src/lib.rs
+++ b/crates/pipithub-standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what the gateway meets in service, each a core without I/O and a thin shell on loopback sockets:
 //! an AMQP broker ([`broker`]), workers that load models on demand ([`worker`]), their shared model store ([`store`]),
-//! the worker list ([`list`]), an LDAP directory server ([`directory`]), and a proxy that does damage between them ([`proxy`]).
+//! the worker list ([`list`]), an LDAP directory server ([`directory`]), a proxy that does damage between them ([`proxy`]), and
+//! one direction of a link for datagrams ([`relay`]).
 //!
 //! They are test tools: they keep nothing on disk and trust whoever reaches them, so they listen on loopback alone.
 
@@ -9,6 +10,7 @@
 pub mod list;
 pub mod proxy;
 pub mod recorder;
+pub mod relay;
 pub mod store;
 pub mod worker;
 
--- a/crates/pipithub/src/main.rs
+++ b/crates/pipithub/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod demo;
+mod members;
 mod publish;
 mod standin;
 mod tenants;
@@ -11,6 +12,7 @@
 use clap::{Parser, Subcommand};
 use miette::{IntoDiagnostic, Result, WrapErr, miette};
 use pipithub_check::rules::Rule;
+use pipithub_drill::fleet::FleetDay;
 use pipithub_drill::run::Judged;
 use pipithub_drill::scenario::Scenario;
 use pipithub_gateway::{Gateway, Policy};
@@ -62,6 +64,11 @@
         #[command(subcommand)]
         command: tenants::Tenants,
     },
+    /// Shows who is in the fleet, as a running front end believes, and why.
+    Members {
+        #[command(subcommand)]
+        command: members::Members,
+    },
     /// Publishes calls to a queue and shows their answers.
     Publish(publish::Publish),
     /// Runs everything on loopback for some seconds and shows what comes of it.
@@ -146,9 +153,13 @@
         Command::Serve { config, baseline } => {
             let config = load(&config)?;
             log(config.log.json, &config.log.level);
+            let fleet = members::start(&config).await?;
             let gateway = Gateway::start_deciding_by(&config, baseline.map(Baseline::policy));
             asked_to_stop().await?;
             gateway.stop().await;
+            if let Some(fleet) = fleet {
+                fleet.stop().await;
+            }
             Ok(ExitCode::SUCCESS)
         }
         Command::Node { config, listen } => {
@@ -174,6 +185,7 @@
             standin::run(command).await?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Members { command } => members::run(command),
         Command::Tenants { command } => tenants::run(command).await,
         Command::Publish(publish) => publish::run(publish).await,
         Command::Demo => demo::run().await,
@@ -182,6 +194,9 @@
             let text = std::fs::read_to_string(&file)
                 .into_diagnostic()
                 .wrap_err_with(|| file.display().to_string())?;
+            if FleetDay::is_one(&text) {
+                return fleet_drill(&file, &text, seed, json, folder).await;
+            }
             let day =
                 Scenario::parse(&file.display().to_string(), &text).map_err(|e| miette::Report::new(*e))?;
             let given = folder.is_some();
@@ -210,6 +225,55 @@
     }
 }
 
+/// Plays a fleet's day.
+async fn fleet_drill(
+    file: &Path,
+    text: &str,
+    seed: u64,
+    json: bool,
+    folder: Option<PathBuf>,
+) -> Result<ExitCode> {
+    use pipithub_check::fleet::Rule;
+    let day = FleetDay::parse(&file.display().to_string(), text).map_err(|e| miette::Report::new(*e))?;
+    let given = folder.is_some();
+    let folder = folder.unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("pipithub-fleet-{}-{seed}", std::process::id()))
+    });
+    let binary = std::env::current_exe().into_diagnostic()?;
+    let judged = pipithub_drill::fleet::run(&day, seed, &binary, &folder).await;
+    let judged = judged.map_err(|e| miette!("{e}; logs are in {}", folder.display()))?;
+    let (history, broken) = (&judged.history, judged.breaches.len());
+    let of = |rule: Rule| judged.breaches.iter().filter(move |b| b.rule == rule).map(|b| b.what.as_str());
+    if json {
+        let rules = Rule::ALL.map(|r| {
+            let breaches: Vec<&str> = of(r).collect();
+            serde_json::json!({"rule": r.name(), "kept": breaches.is_empty(), "breaches": breaches})
+        });
+        let value = serde_json::json!({
+            "day": day.name, "seed": seed, "runs": history.runs.len(), "claims": history.claims.len(),
+            "rules": rules, "faults": judged.faults,
+        });
+        println!("{value}");
+    } else {
+        println!("{}, seed {seed}: {} runs, {} claims", day.name, history.runs.len(), history.claims.len());
+        judged.faults.iter().for_each(|(at, what)| println!("{at:>7.1} s {what}"));
+        for rule in Rule::ALL {
+            let count = of(rule).count();
+            let word = if count == 0 { "kept".to_string() } else { format!("BROKEN {count} times") };
+            println!("{:<30} {word}", rule.name());
+            of(rule).take(10).for_each(|what| println!("    {what}"));
+        }
+    }
+    if broken > 0 {
+        eprintln!("logs and data folders are in {}", folder.display());
+        return Ok(ExitCode::FAILURE);
+    }
+    if !given {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn asked_to_stop() -> Result<()> {
     let mut terminate =
         tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).into_diagnostic()?;
