A run from an old disk is no longer drawn in by word to its dead former self

The engine announces to members that are down, at the address where the new run now listens.

To blame: envelope() handed the engine's datagrams on in the standing Alone, before anybody had said that the name was free.

Change: none are taken until a seed has welcomed the run, except from those that it let in itself while it knew nothing; a welcome from a run of which a later one is known is answered by that.

--- a/crates/pipithub-check/src/fleet.rs
+++ b/crates/pipithub-check/src/fleet.rs
@@ -30,6 +30,8 @@
     pub ended: Option<Time>,
     /// From which disk.
     pub disk: Disk,
+    /// The generation that this disk gives.
+    pub number: u64,
     /// When it was paused.
     pub paused: Vec<(Time, Time)>,
 }
@@ -208,6 +210,10 @@
         else {
             continue;
         };
+        // A number that the fleet had no time to know of cannot tell it.
+        if *most < run.number {
+            continue;
+        }
         let said = match run.disk {
             Disk::Empty => "empty",
             Disk::Old => "old",
@@ -278,7 +284,7 @@
 
     fn run(name: &str, started: u64, ended: Option<u64>) -> Run {
         let (started, ended) = (started * SECOND, ended.map(|e| e * SECOND));
-        Run { name: name.into(), started, ended, disk: Disk::Kept, paused: Vec::new() }
+        Run { name: name.into(), started, ended, disk: Disk::Kept, number: 1, paused: Vec::new() }
     }
 
     fn claim(run: usize, at: u64, others: &[(&str, bool)]) -> Claim {
--- a/crates/pipithub-drill/src/fleet/run.rs
+++ b/crates/pipithub-drill/src/fleet/run.rs
@@ -156,7 +156,16 @@
         let log = self.folder.join(format!("front-{slot}.log"));
         let run = self.history.runs.len();
         let name = self.slots[slot].name.clone();
-        self.history.runs.push(Run { name, started: wall_ns(), ended: None, disk, paused: Vec::new() });
+        let record = std::fs::read_to_string(self.data(slot).join("generation")).ok();
+        let number = record.and_then(|text| Record::read(&text).ok()).map_or(0, |r| r.generation) + 1;
+        self.history.runs.push(Run {
+            name,
+            started: wall_ns(),
+            ended: None,
+            disk,
+            number,
+            paused: Vec::new(),
+        });
         self.spoken.lock().unwrap_or_else(PoisonError::into_inner).runs[slot] = Some(run);
         let process = Process::gateway(self.binary, &arguments, &log)?;
         let s = &mut self.slots[slot];
--- a/crates/pipithub-members/src/core.rs
+++ b/crates/pipithub-members/src/core.rs
@@ -1,6 +1,6 @@
 //! The membership of one process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::envelope::{Envelope, Refused, mark};
+use crate::envelope::{Envelope, Refused, mark, swim_sender};
 use crate::generation::Record;
 use crate::health::Health;
 use crate::identity::{Disk, Identity};
@@ -25,6 +25,8 @@
 /// How long further answers are awaited after the first welcome: a seed that was just started knows nothing of earlier
 /// runs, and one that knows better may answer some milliseconds later.
 const JOIN_WAIT: Time = 200 * MS;
+/// Newcomers that are remembered as let in.
+const LET_IN: usize = 32;
 /// Known members that are asked beside the seeds: all seeds may be stale.
 const ASK_MEMBERS: usize = 4;
 /// So many returns within a suspicion's time are no bad luck: another run of the name pushes this one out.
@@ -160,6 +162,11 @@
     number: u64,
     now: Time,
     asked: u32,
+    /// Somebody who would know said that its name is free, or there is nobody to ask. Until then nothing of the engine's
+    /// is taken: others still talk to the dead run of this name, and would draw a run from an old disk in.
+    cleared: bool,
+    /// Whom it let in while it knew nothing itself: they may talk to it.
+    let_in: VecDeque<String>,
     /// Who welcomed it since it asked.
     welcomes: Vec<Identity>,
     /// When it came back after others had held it for dead.
@@ -200,6 +207,8 @@
             number: 0,
             now: 0,
             asked: 0,
+            cleared: false,
+            let_in: VecDeque::new(),
             welcomes: Vec::new(),
             returns: Vec::new(),
             refused: (0, 0),
@@ -251,6 +260,7 @@
                 if self.standing == Standing::Saving && generation == self.me.generation {
                     self.stand(Standing::Alone, out);
                     self.build();
+                    self.cleared = self.settings.seeds.iter().all(|s| *s == self.me.address);
                     self.asked = 0;
                     self.at(now, Due::Ask);
                     self.at(now + self.settings.remember / 8, Due::Forget);
@@ -374,6 +384,10 @@
                 {
                     return;
                 }
+                // What it knows of that name may be later than what that name's disk said.
+                if let Some(taken @ Envelope::Taken { .. }) = self.answer(&seed) {
+                    return self.tell(seed.address, &taken, out);
+                }
                 if self.welcomes.is_empty() {
                     self.at(self.now + JOIN_WAIT, Due::Join);
                 }
@@ -383,7 +397,9 @@
             }
             Envelope::Taken { known, active } => self.taken(known, active, out),
             Envelope::Swim(data) => {
-                if matches!(self.standing, Standing::Alone | Standing::Joined) {
+                let from = || swim_sender(&data).is_some_and(|from| self.let_in.contains(&from.name));
+                let may = self.cleared || from();
+                if may && matches!(self.standing, Standing::Alone | Standing::Joined) {
                     self.swim(out, |engine, wants| engine.handle_data(&data, wants));
                 }
             }
@@ -400,6 +416,7 @@
             self.me.renewal = self.me.renewal.saturating_add(1);
             self.build();
         }
+        self.cleared = true;
         self.stand(Standing::Alone, out);
         for seed in welcomes {
             self.swim(out, |engine, wants| engine.announce(seed, wants));
@@ -412,25 +429,38 @@
         if !matches!(self.standing, Standing::Alone | Standing::Joined) {
             return;
         }
-        let known = match self.table.get(&newcomer.name) {
-            _ if newcomer.name == self.me.name => Some((self.me.clone(), true)),
+        match self.answer(&newcomer) {
+            Some(answer) => {
+                if !self.cleared && matches!(answer, Envelope::Welcome(_)) {
+                    self.let_in.push_back(newcomer.name.clone());
+                    self.let_in.truncate(LET_IN);
+                }
+                // Told where it says that it is: what stands between may show another address.
+                self.tell(newcomer.address, &answer, out);
+            }
+            None => out.push(Output::Event(Event::Full(newcomer))),
+        }
+    }
+
+    /// What a run of a name is told; nothing where no more are let in.
+    fn answer(&self, run: &Identity) -> Option<Envelope> {
+        let known = match self.table.get(&run.name) {
+            _ if run.name == self.me.name => Some((self.me.clone(), true)),
             Some(row) => Some((row.identity.clone(), row.state != State::Down)),
             None => None,
         };
-        // Answered where it says that it is: what stands between may show another address.
-        let to = newcomer.address;
-        let answer = match known {
-            Some((known, _)) if known.same_run(&newcomer) => Envelope::Welcome(self.me.clone()),
-            Some((known, active)) if known.generation >= newcomer.generation => {
-                Envelope::Taken { known, active }
+        match known {
+            Some((known, _)) if known.same_run(run) => Some(Envelope::Welcome(self.me.clone())),
+            Some((known, active)) if known.generation >= run.generation => {
+                Some(Envelope::Taken { known, active })
             }
-            None if self.table.len() + 1 >= self.settings.max_members => {
-                out.push(Output::Event(Event::Full(newcomer)));
-                return;
-            }
-            _ => Envelope::Welcome(self.me.clone()),
-        };
-        if let Some(bytes) = answer.write(self.mark) {
+            None if self.table.len() + 1 >= self.settings.max_members => None,
+            _ => Some(Envelope::Welcome(self.me.clone())),
+        }
+    }
+
+    fn tell(&self, to: SocketAddr, envelope: &Envelope, out: &mut Vec<Output>) {
+        if let Some(bytes) = envelope.write(self.mark) {
             out.push(Output::Send { to, bytes });
         }
     }
@@ -445,6 +475,7 @@
             return;
         }
         self.welcomes.clear();
+        self.cleared = false;
         if active {
             self.engine = None;
             self.due.retain(|_, due| !matches!(due, Due::Swim(_)));
@@ -539,6 +570,7 @@
             }
             OwnedNotification::Defunct => {
                 self.engine = None;
+                self.cleared = false;
                 self.due.retain(|_, due| !matches!(due, Due::Swim(_)));
                 self.stand(Standing::Alone, out);
                 self.asked = 0;
--- a/crates/pipithub-members/src/envelope.rs
+++ b/crates/pipithub-members/src/envelope.rs
@@ -90,13 +90,16 @@
     match Envelope::read(bytes, mark(cluster)).ok()? {
         Envelope::Welcome(me) => Some(me),
         Envelope::Hello(_) | Envelope::Taken { .. } => None,
-        Envelope::Swim(data) => {
-            let header: foca::Header<Identity> = PostcardCodec.decode_header(&data[..]).ok()?;
-            Some(header.src)
-        }
+        Envelope::Swim(data) => swim_sender(&data),
     }
 }
 
+/// Who says something to the engine.
+pub(crate) fn swim_sender(data: &[u8]) -> Option<Identity> {
+    let header: foca::Header<Identity> = PostcardCodec.decode_header(data).ok()?;
+    Some(header.src)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/pipithub-members/tests/fleet.rs
+++ b/crates/pipithub-members/tests/fleet.rs
@@ -94,6 +94,32 @@
     assert!(view.members.iter().any(|m| m.identity.name == "front-3" && m.identity.disk == Disk::Old));
 }
 
+/// Seed 5 of `drills/members.kdl`: the fleet still spoke to the dead run's address, and the run from the old disk that
+/// listened there was drawn in before any seed could say that its number was used.
+#[test]
+fn a_run_from_an_old_disk_is_not_drawn_in_by_word_to_its_dead_former_self() {
+    for seed in 0..5 {
+        let mut fleet = started(5, seed, Link::default());
+        let old = fleet.disk(4).clone().map(|_| {
+            let generation = 0;
+            pipithub_members::Record { cluster: "campus".into(), name: "front-4".into(), generation }.write()
+        });
+        fleet.kill(4);
+        fleet.run_for(40 * SECOND);
+        *fleet.disk(4) = old;
+        // Its question comes late; what the others say to its former self does not.
+        (0..5).for_each(|n| fleet.net.link(4, n).cut = true);
+        fleet.start(4).unwrap();
+        fleet.run_for(30 * SECOND);
+        assert_ne!(fleet.view(4).unwrap().standing, Standing::Joined, "seed {seed}: drawn in");
+        (0..5).for_each(|n| fleet.net.link(4, n).cut = false);
+        fleet.run_for(20 * SECOND);
+        let me = fleet.view(4).unwrap().me;
+        assert_eq!((me.generation, me.disk), (2, Disk::Old), "seed {seed}");
+        assert!(fleet.agreed(), "seed {seed}");
+    }
+}
+
 #[test]
 fn an_empty_disk_is_told_apart_from_an_old_one() {
     let mut fleet = started(5, 5, Link::default());
