A member that was drawn in by newcomers takes word from all; suspicion is not stretched

Checked: the first probe of a dead member fails at each observer, which raises its own doubt and so doubled the very suspicion that it then began. The two members that front-0 heard were those that it had let in while it knew nothing itself; agreed() of the simulation held for fleets in which nobody took part, so tests could not see it.

Change: health stretches own probes alone, as in Lifeguard; a run that takes part takes word from all, and asks on until somebody who knew welcomes it or says that its number is used; agreed() wants every running process to take part.

--- a/crates/pipithub-fleetsim/src/lib.rs
+++ b/crates/pipithub-fleetsim/src/lib.rs
@@ -197,10 +197,13 @@
         self.run_until(self.net.now() + time);
     }
 
-    /// Whether each process that runs and takes part believes exactly those to be there that do.
+    /// Whether each process that runs takes part and believes exactly those to be there that do.
     pub fn agreed(&self) -> bool {
         let joined = |n: &usize| self.view(*n).is_some_and(|v| v.standing == Standing::Joined);
-        let here: Vec<usize> = (0..self.size()).filter(joined).collect();
+        let here: Vec<usize> = (0..self.size()).filter(|n| self.runs(*n)).collect();
+        if here.is_empty() || !here.iter().all(joined) {
+            return false;
+        }
         let names: Vec<&str> = here.iter().map(|n| self.processes[*n].name.as_str()).collect();
         here.iter().all(|n| {
             let Some(view) = self.view(*n) else { return false };
--- a/crates/pipithub-members/src/core.rs
+++ b/crates/pipithub-members/src/core.rs
@@ -524,12 +524,12 @@
         for note in wants.notes {
             self.note(note, out);
         }
-        // Suspicion lasts longer in a large fleet, as word spreads in logarithmic time; all own doubts last longer
-        // while this process itself is unwell.
+        // Suspicion lasts longer in a large fleet, as word spreads in logarithmic time. Own probes last longer while this
+        // process is unwell; suspicion does not: the first probe of a dead member fails too, and would double it.
         let size = (self.table.active() as f64 + 1.0).log10().max(1.0);
         for (after, timer) in wants.timers {
             let after = match &timer {
-                Timer::ChangeSuspectToDown { .. } => self.health.stretched((after as f64 * size) as Time),
+                Timer::ChangeSuspectToDown { .. } => (after as f64 * size) as Time,
                 Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } => self.health.stretched(after),
                 _ => after,
             };
@@ -547,7 +547,10 @@
             }
             OwnedNotification::ProbeFailed(..) => self.health.probe_failed(),
             OwnedNotification::Active => {
-                self.due.retain(|_, due| !matches!(due, Due::Ask));
+                // Whom it let in drew it in, and may know as little as itself: it takes part, and asks on.
+                if std::mem::replace(&mut self.cleared, true) {
+                    self.due.retain(|_, due| !matches!(due, Due::Ask));
+                }
                 self.stand(Standing::Joined, out);
             }
             OwnedNotification::Idle => {
