Who has joined asks on for names as long as that tells any

Checked: one answer of the engine holds some 25 names within a datagram, its gossip passes each name on ten times, and further answers were asked for each 30 s alone.

To blame: join(), which asked once.

Change: a run that joined asks a random member for names in each probe period, until five answers in a row told nothing new.

--- a/crates/pipithub-members/src/core.rs
+++ b/crates/pipithub-members/src/core.rs
@@ -25,6 +25,9 @@
 /// How long further answers are awaited after the first welcome: a seed that was just started knows nothing of earlier
 /// runs, and one that knows better may answer some milliseconds later.
 const JOIN_WAIT: Time = 200 * MS;
+/// Who has joined asks a member for further names in each probe period, until so many in a row told nothing new: one
+/// answer holds some 25 names, and in a large fleet that starts at once the rest came by chance alone, in minutes.
+const LEARN_IN_VAIN: u32 = 5;
 /// Newcomers that are remembered as let in.
 const LET_IN: usize = 32;
 /// Known members that are asked beside the seeds: all seeds may be stale.
@@ -119,6 +122,7 @@
     Swim(Timer<Identity>),
     Ask,
     Join,
+    Learn,
     Forget,
 }
 
@@ -165,6 +169,8 @@
     cleared: bool,
     /// It takes part, but wants to hear from somebody that its name is still its own.
     unsure: bool,
+    /// How many names it knew when it last asked for more, and how often that told nothing.
+    learnt: (usize, u32),
     /// Whom it let in while it knew nothing itself: they may talk to it.
     let_in: VecDeque<String>,
     /// Who welcomed it since it asked.
@@ -207,6 +213,7 @@
             asked: 0,
             cleared: false,
             unsure: false,
+            learnt: (0, 0),
             let_in: VecDeque::new(),
             welcomes: Vec::new(),
             refused: (0, 0),
@@ -281,6 +288,7 @@
                 Due::Swim(timer) => self.swim(out, |engine, wants| engine.handle_timer(timer, wants)),
                 Due::Ask => self.ask(out),
                 Due::Join => self.join(out),
+                Due::Learn => self.learn(out),
                 Due::Forget => {
                     self.table.forget(now, self.settings.remember);
                     self.at(now + self.settings.remember / 8, Due::Forget);
@@ -419,6 +427,25 @@
         for seed in welcomes {
             self.swim(out, |engine, wants| engine.announce(seed, wants));
         }
+        self.learnt = (0, 0);
+        self.due.retain(|_, due| !matches!(due, Due::Learn));
+        self.at(self.now + self.settings.probe_period, Due::Learn);
+    }
+
+    /// Asks a member for further names, as long as that tells any.
+    fn learn(&mut self, out: &mut Vec<Output>) {
+        let names = self.table.len();
+        self.learnt = if names > self.learnt.0 { (names, 0) } else { (names, self.learnt.1 + 1) };
+        if self.learnt.1 >= LEARN_IN_VAIN || !matches!(self.standing, Standing::Alone | Standing::Joined) {
+            return;
+        }
+        let there: Vec<&Identity> =
+            self.table.rows().filter(|m| m.state == State::Alive).map(|m| &m.identity).collect();
+        if !there.is_empty() {
+            let one = there[self.rng.random_range(0..there.len())].clone();
+            self.swim(out, |engine, wants| engine.announce(one, wants));
+        }
+        self.at(self.now + self.settings.probe_period, Due::Learn);
     }
 
     /// A process asks who is here. It is told of a run of its name that is not older than itself: that is a twin, or
