Keyed calls carry their idempotency key to workers; unusable settings end the start

Checked and excluded: class, function, body and id are equal in both lines; calls of the other classes pass. Without it workers could not drop repeats either, so a repeat was a second effect.

Change: the key is read, bounded and passed on unchanged; a keyed call without one is answered with an error. A configuration without classes, with a class that cannot be told from a method or from another, or with no time to give up ends the start with place and reason.

--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -341,6 +341,7 @@
             lanes: call.lanes,
             load_time: call.load_time,
             label: Some(Arc::from(call.call)),
+            key: call.key.map(Arc::from),
             body: call.body,
             ..Call::default()
         };
@@ -561,7 +562,8 @@
             attempt = id.number,
             "send"
         );
-        let line = worker::run(name, class, &call.function, deadline.saturating_sub(now), &call.body);
+        let patience = deadline.saturating_sub(now);
+        let line = worker::run(name, class, &call.function, patience, call.key.as_deref(), &call.body);
         let job = Job::new(Task::Attempt(id), name.to_string(), line, now, deadline);
         self.out.insert(id, worker.clone());
         self.ask(now, &worker, job);
--- a/crates/pipithub-platform/src/client.rs
+++ b/crates/pipithub-platform/src/client.rs
@@ -9,14 +9,18 @@
 use serde_json::Value;
 
 use crate::settings::{Names, SiteSettings};
-use pipithub_policy::api::Time;
+use pipithub_policy::api::{Effect, Time};
 
 /// The most bytes of a call's body.
 pub const BODY_MOST: usize = 16 << 10;
 /// The most bytes of a line: the body in base64 and room for all other fields.
 pub const LINE_MOST: usize = 32 << 10;
+/// The most bytes of an idempotency key.
+const KEY_MOST: usize = 256;
 /// A call whose client states more than this many times its class's time makes no sense.
 const TTL_MOST: f64 = 2.0;
+/// Methods that are no classes: a client has ceased to wait, and whether calls are taken here.
+pub const METHODS: [&str; 2] = ["forget", "isWell"];
 /// The code of a refusal: another try is harmless.
 pub const REFUSED: i64 = -32050;
 /// The code of any other end without an answer: nothing is promised.
@@ -49,6 +53,8 @@
     pub lanes: u32,
     /// The usual time of a load, where told.
     pub load_time: Option<Time>,
+    /// The idempotency key, exactly as sent: workers drop repeats under it.
+    pub key: Option<String>,
     /// The body.
     pub body: Bytes,
 }
@@ -114,7 +120,7 @@
     let method = all.get("method").and_then(Value::as_str).ok_or_else(|| bad(INVALID, "method: missing"))?;
     let none = Value::Null;
     let params = all.get("params").unwrap_or(&none);
-    if method == "forget" {
+    if method == METHODS[0] {
         let number = params.get("id").and_then(Value::as_u64).or(id);
         let call = params.get("call").and_then(Value::as_str).map(str::to_string);
         if number.is_none() && call.is_none() {
@@ -123,7 +129,7 @@
         return Ok(ClientLine::Forget { id: number, call });
     }
     let Some(id) = id else { return Err(bad(INVALID, "id: missing")) };
-    if method == "isWell" {
+    if method == METHODS[1] {
         return Ok(ClientLine::IsWell { id });
     }
     let call = call(id, method, params, site).map_err(|(code, message)| bad(code, &message))?;
@@ -155,6 +161,7 @@
         memory_mb: 0.0,
         lanes: 1,
         load_time: None,
+        key: None,
         body: Bytes::new(),
     };
     match params.get("props") {
@@ -162,6 +169,14 @@
         Some(Value::String(pairs)) => props(pairs, names, &mut read).map_err(|e| bad(&e))?,
         Some(_) => return Err(bad("props: not a string")),
     }
+    // A keyed call is repeated on the strength of its key: without one a repeat would be a second effect.
+    let keyed = site.policy.classes.get(class).is_some_and(|c| c.effect == Effect::Keyed);
+    match params.get("dedupe") {
+        None | Some(Value::Null) if keyed => return Err(bad("dedupe: missing, and this class is keyed")),
+        None | Some(Value::Null) => {}
+        Some(Value::String(key)) if !key.is_empty() && key.len() <= KEY_MOST => read.key = Some(key.clone()),
+        Some(_) => return Err(bad("dedupe: not a text of 1 to 256 bytes")),
+    }
     match params.get("body") {
         None | Some(Value::Null) => {}
         Some(Value::String(text)) => {
--- a/crates/pipithub-platform/src/config.rs
+++ b/crates/pipithub-platform/src/config.rs
@@ -2,6 +2,7 @@
 
 use serde_json::Value;
 
+use crate::client::METHODS;
 use crate::list::{self, ListEvent};
 use crate::settings::{self, SiteSettings};
 
@@ -26,6 +27,27 @@
     pub site: SiteSettings,
 }
 
+/// Whether a front end can serve by these settings: it must not be taken in and then turn every call away.
+fn usable(site: &SiteSettings) -> Result<(), String> {
+    let names = &site.names.classes;
+    if names.is_empty() {
+        return Err("settings.Grades: no class".to_string());
+    }
+    for (i, (name, class)) in names.iter().zip(&site.policy.classes).enumerate() {
+        let place = format!("settings.Grades[{i}]");
+        if name.is_empty() || METHODS.contains(&name.as_str()) {
+            return Err(format!("{place}.Name: {name:?} cannot name a class"));
+        }
+        if names[..i].contains(name) {
+            return Err(format!("{place}.Name: {name:?} names an earlier class too"));
+        }
+        if class.give_up == 0 {
+            return Err(format!("{place}.GiveUp: not above 0"));
+        }
+    }
+    Ok(())
+}
+
 impl NodeConfig {
     /// Reads it.
     ///
@@ -38,6 +60,7 @@
             text.map(str::to_string).ok_or_else(|| format!("{field}: missing"))
         };
         let site = settings::read(&all["settings"])?;
+        usable(&site)?;
         let seed = match &all["seed"] {
             Value::String(hex) => u64::from_str_radix(hex, 16).map_err(|e| format!("seed: {e}"))?,
             other => other.as_u64().ok_or("seed: neither hex digits nor a number")?,
--- a/crates/pipithub-platform/src/worker.rs
+++ b/crates/pipithub-platform/src/worker.rs
@@ -9,10 +9,11 @@
 /// The most bytes of an answer's line: well beyond any body that clients may send, far below a front end's memory.
 pub const LINE_MOST: usize = 128 << 10;
 
-/// The line that asks for a run; `patience` is how long the front end will wait.
-pub fn run(call: &str, class: &str, function: &str, patience: Time, body: &[u8]) -> Bytes {
+/// The line that asks for a run; `patience` is how long the front end will wait, `key` the call's idempotency key.
+pub fn run(call: &str, class: &str, function: &str, patience: Time, key: Option<&str>, body: &[u8]) -> Bytes {
+    let key = key.map_or_else(String::new, |key| format!(",\"op\":{}", Value::from(key)));
     let mut line = format!(
-        "{{\"cmd\":\"DO\",\"ref\":\"{call}\",\"opts\":{{\"sort\":{},\"asset\":\"{function}\",\"patience\":{}}},\"payload\":\"",
+        "{{\"cmd\":\"DO\",\"ref\":\"{call}\",\"opts\":{{\"sort\":{},\"asset\":\"{function}\",\"patience\":{}{key}}},\"payload\":\"",
         Value::from(class),
         (patience / 1_000_000).max(1),
     );
--- a/crates/pipithub-platform/tests/protocol.rs
+++ b/crates/pipithub-platform/tests/protocol.rs
@@ -1,10 +1,11 @@
 //! Framing, events and lines, also of what nobody should send.
 
+use pipithub_platform::client::{self, ClientLine};
 use pipithub_platform::line::LineFramer;
 use pipithub_platform::settings::SiteSettings;
 use pipithub_platform::sse::{SseEvent, SseReader};
-use pipithub_platform::{client, config::NodeConfig, list, worker};
-use pipithub_policy::api::{Class, Settings};
+use pipithub_platform::{config::NodeConfig, list, worker};
+use pipithub_policy::api::{Class, Effect, Settings};
 use proptest::prelude::*;
 
 fn site() -> SiteSettings {
@@ -58,7 +59,7 @@
 
     #[test]
     fn any_body_passes_unchanged(body in prop::collection::vec(any::<u8>(), 0..600)) {
-        let line = worker::run("9b1f03aa5c7e2d41", "view", "7f3a9c21e0b4d655", 1_500_000_000, &body);
+        let line = worker::run("9b1f03aa5c7e2d41", "view", "7f3a9c21e0b4d655", 1_500_000_000, None, &body);
         let sent: serde_json::Value = serde_json::from_slice(&line).unwrap();
         let text = sent["payload"].as_str().unwrap();
         let back = worker::read(format!(r#"{{"cmd":"ACK","ref":1,"payload":"{text}"}}"#).as_bytes()).unwrap();
@@ -114,3 +115,49 @@
             .unwrap();
     assert_eq!(good.hosts[0].0.started, Some(5_000_000));
 }
+
+/// A worker drops repeats under the key: without it, or with another, a repeat is a second effect.
+#[test]
+fn the_idempotency_key_passes_unchanged_and_a_keyed_call_without_one_is_an_error() {
+    let mut site = site();
+    site.policy.classes[0] = Class { effect: Effect::Keyed, give_up: 3_000_000_000, ..Class::default() };
+    let line = |key: &str| {
+        format!(
+            r#"{{"jsonrpc":"2.0","id":1,"method":"view","params":{{"call":"9b1f03aa5c7e2d41","ttl":1500,"row":"7f3a9c21e0b4d655"{key}}}}}"#
+        )
+    };
+    let read = client::read(line(r#","dedupe":"40bf \"e3\"""#).as_bytes(), &site).expect("a call");
+    let ClientLine::Call(call) = read else { panic!("{read:?}") };
+    let sent = worker::run(&call.call, "view", &call.function, call.ttl, call.key.as_deref(), &call.body);
+    let sent: serde_json::Value = serde_json::from_slice(&sent).expect("a line");
+    assert_eq!(sent["opts"]["op"], "40bf \"e3\"");
+    for key in ["", r#","dedupe":"""#, r#","dedupe":7"#, r#","dedupe":null"#] {
+        let fault = client::read(line(key).as_bytes(), &site).expect_err("no key");
+        assert!(fault.id == Some(1) && fault.code != client::REFUSED, "{key}: {fault}");
+    }
+    // Other classes need none, and their lines bear none.
+    site.policy.classes[0].effect = Effect::Unsafe;
+    assert!(client::read(line("").as_bytes(), &site).is_ok());
+    let plain = worker::run("9b1f03aa5c7e2d41", "view", "7f3a9c21e0b4d655", 1_000_000, None, &[]);
+    assert!(!String::from_utf8_lossy(&plain).contains("\"op\""));
+}
+
+#[test]
+fn settings_by_which_nothing_could_be_served_end_the_start_with_place_and_reason() {
+    let grade = |name: &str, give_up: u64| serde_json::json!({"Name": name, "Effect": "read_like", "GiveUp": give_up});
+    let fault = |grades: serde_json::Value| {
+        let all = serde_json::json!({"name": "n", "listen": "127.0.0.1:0", "seed": "1", "coordinator": "127.0.0.1:1",
+            "settings": {"Grades": grades}});
+        NodeConfig::parse(&all.to_string()).err()
+    };
+    let says = |grades, what: &str| assert_eq!(fault(grades).as_deref(), Some(what));
+    says(serde_json::json!([]), "settings.Grades: no class");
+    says(serde_json::json!([grade("", 1)]), "settings.Grades[0].Name: \"\" cannot name a class");
+    says(serde_json::json!([grade("isWell", 1)]), "settings.Grades[0].Name: \"isWell\" cannot name a class");
+    says(
+        serde_json::json!([grade("a", 1), grade("a", 1)]),
+        "settings.Grades[1].Name: \"a\" names an earlier class too",
+    );
+    says(serde_json::json!([grade("a", 0)]), "settings.Grades[0].GiveUp: not above 0");
+    assert_eq!(fault(serde_json::json!([grade("a", 1), grade("b", u64::MAX)])), None);
+}
