--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -264,9 +264,27 @@
                 self.decide(now, Event::List { kind, entries }, out);
             }
             Input::Drain => self.draining = true,
+            Input::End => self.end(now, out),
         }
     }
 
+    /// Answers all that is open. What was never sent is refused; for the rest nothing is promised, for it may have run.
+    fn end(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.draining = true;
+        let unanswered: Vec<_> =
+            self.open.iter().filter(|(_, o)| o.reply.is_none()).map(|(id, o)| (*id, o.attempts)).collect();
+        for (request, attempts) in unanswered {
+            let verdict = if attempts == 0 { Verdict::Refused } else { Verdict::Failed };
+            self.answer(request, verdict, Cause::Draining, None, None, out);
+            self.decide(now, Event::Left { request }, out);
+        }
+    }
+
+    /// The request that a ticket stands for, as long as it is not settled.
+    pub fn request(&self, ticket: Ticket) -> Option<RequestId> {
+        self.tickets.get(&ticket).copied()
+    }
+
     // ---- triggers ----
 
     /// `refused`: it is not to run. What came before is looked up first all the same: a call that runs here, or was
--- a/crates/pipithub-engine/src/model.rs
+++ b/crates/pipithub-engine/src/model.rs
@@ -194,6 +194,8 @@
     },
     /// Take nothing new from now on; what is open is finished.
     Drain,
+    /// The process may be killed soon: whatever has no answer gets one now, and nothing new is taken.
+    End,
 }
 
 /// The kind of a final answer.
--- a/crates/pipithub-node/src/coordinator.rs
+++ b/crates/pipithub-node/src/coordinator.rs
@@ -11,6 +11,8 @@
 use pipithub_platform::list::{self, ListEvent};
 use pipithub_platform::settings::Names;
 use pipithub_platform::sse::SseReader;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tracing::{info, warn};
@@ -19,6 +21,8 @@
 const SILENCE: Duration = Duration::from_millis(1_600);
 /// A connection and the head of its answer must come within this.
 const CONNECT: Duration = Duration::from_millis(500);
+/// Each wait is stretched by a factor drawn from this: what loses its coordinator together must not ask in step.
+const JITTER: std::ops::Range<f64> = 0.5..1.5;
 /// How long to wait before asking again: doubled each time, up to the most.
 const RETRY_FIRST: Duration = Duration::from_millis(50);
 const RETRY_MOST: Duration = Duration::from_millis(800);
@@ -72,10 +76,11 @@
     mut address: watch::Receiver<String>,
     last: u64,
     names: Names,
+    seed: u64,
     mut take: impl FnMut(ListEvent),
 ) {
     let mut sequence = Sequence::after(last);
-    let mut wait = RETRY_FIRST;
+    let (mut wait, mut rng) = (RETRY_FIRST, StdRng::seed_from_u64(seed));
     loop {
         let place = address.borrow_and_update().clone();
         let mut took = false;
@@ -95,7 +100,7 @@
             wait = RETRY_FIRST;
         }
         tokio::select! {
-            () = tokio::time::sleep(wait) => wait = (wait * 2).min(RETRY_MOST),
+            () = tokio::time::sleep(wait.mul_f64(rng.random_range(JITTER))) => wait = (wait * 2).min(RETRY_MOST),
             // It has moved: what was wrong with the old one says nothing of the new.
             _ = address.changed() => wait = RETRY_FIRST,
         }
--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -1,10 +1,10 @@
 //! The front end without sockets: bytes, list events and time in, effects out.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pipithub_engine::policy::{ListKind, Load, Outcome, State, Worker};
+use pipithub_engine::policy::{Effect as Repeats, ListKind, Load, Outcome, RequestId, State, Worker};
 use pipithub_engine::{
     AttemptEnd, AttemptId, Call, Engine, EngineSettings, Input, OrderEnd, Output, ProbeEnd, Reply, Served,
     SourceId, Stats, Ticket, Time, Trigger, Verdict,
@@ -34,8 +34,13 @@
 const RESERVED: usize = 24;
 /// After SIGTERM clients go on sending for up to 0.6 s, as the platform states; what comes later is refused.
 const TERM_TAKES: Time = 700_000_000;
-/// What a stop waits for at the least, and beyond the longest deadline.
+/// What a stop waits for at the least: clients that were late by themselves are still to find somebody here.
 const TERM_LEAST: Time = 1_000_000_000;
+/// SIGKILL comes no earlier than the longest deadline, counted as the first of these at most, and the second after
+/// SIGTERM. What has no answer a little before that gets it then.
+const KILL_COUNTS: Time = 3_000_000_000;
+const KILL_AFTER: Time = 700_000_000;
+const KILL_MARGIN: Time = 50_000_000;
 /// Answers leave so long before the client's time is up, for their own way back.
 const ANSWER_MARGIN: Time = 5_000_000;
 
@@ -49,11 +54,27 @@
         /// What.
         bytes: Bytes,
     },
-    /// Close a connection once all is written. The core has forgotten it.
+    /// Close a connection: a client's once all is written, a worker's at once, for what is left unwritten must not begin
+    /// there any more. The core has forgotten it.
     Close {
         /// The connection.
         conn: ConnId,
     },
+    /// Hand over what a client has sent by now, then say [`Core::retire`]: a request may come in the very moment in
+    /// which its connection is to be closed.
+    Retire {
+        /// The connection.
+        conn: ConnId,
+    },
+    /// Take back bytes that the system has not taken yet.
+    Unwrite {
+        /// The connection.
+        conn: ConnId,
+        /// Where they begin, in bytes from the connection's first.
+        at: u64,
+        /// How many they are.
+        len: u64,
+    },
     /// Open a connection to a worker; [`Core::worker_up`] or [`Core::worker_failed`] is owed.
     Connect {
         /// The new connection.
@@ -82,6 +103,8 @@
     /// When SIGTERM came.
     stopping: Option<Time>,
     draining: bool,
+    /// Whatever had no answer near the end of a stop was given one.
+    ended: bool,
     listed: bool,
     inputs: VecDeque<Input>,
     outputs: Vec<Output>,
@@ -102,7 +125,9 @@
             ..EngineSettings::default()
         };
         let transport = &site.transport;
-        let pool = Pool::new(workers, transport.streams, transport.connect_timeout, transport.idle_close);
+        let cancel = site.policy.limits.cancel;
+        let (connect, idle) = (transport.connect_timeout, transport.idle_close);
+        let pool = Pool::new(workers, transport.streams, connect, idle, cancel);
         let mut core = Core {
             name: config.name.clone(),
             engine: Engine::new(settings, config.seed),
@@ -116,6 +141,7 @@
             silence_swept: now,
             stopping: None,
             draining: false,
+            ended: false,
             listed: false,
             inputs: VecDeque::new(),
             outputs: Vec::new(),
@@ -168,14 +194,18 @@
         if now >= self.silence_swept + SILENCE_SWEEP {
             self.silence_swept = now;
             for conn in self.desk.silent(now) {
-                debug!(front_end = self.name, conn, "silent client closed");
-                self.drop_client(now, conn);
+                debug!(front_end = self.name, conn, "client is silent");
+                self.effects.push(Effect::Retire { conn });
             }
         }
         if !self.draining && self.stopping.is_some_and(|since| now >= since + TERM_TAKES) {
             self.draining = true;
             self.run(now, Input::Drain);
         }
+        if !self.ended && self.last_answers().is_some_and(|at| now >= at) {
+            self.ended = true;
+            self.run(now, Input::End);
+        }
         self.run(now, Input::Tick);
     }
 
@@ -189,12 +219,22 @@
         }
     }
 
-    /// Whether all that was taken is answered, or cannot be any more.
+    /// Once a stop was asked for: when whatever has no answer gets one, as the process may be killed soon after.
+    fn last_answers(&self) -> Option<Time> {
+        let counted = self.give_up_most.min(KILL_COUNTS);
+        self.stopping.map(|since| since + counted + KILL_AFTER - KILL_MARGIN)
+    }
+
+    /// Whether a stop was asked for and all that was taken is answered. Answers may still be unwritten, and requests
+    /// unread: the shell looks for these.
     pub fn done(&self, now: Time) -> bool {
-        self.stopping.is_some_and(|since| {
-            let quiet = self.engine.open() == 0 && now >= since + TERM_LEAST;
-            quiet || now >= since + self.give_up_most + TERM_LEAST
-        })
+        let least = self.stopping.map(|since| since + TERM_LEAST);
+        self.engine.open() == 0 && least.min(self.last_answers()).is_some_and(|at| now >= at)
+    }
+
+    /// Whether there is no time left for what is still unwritten or unread.
+    pub fn overdue(&self, now: Time) -> bool {
+        self.last_answers().is_some_and(|at| now >= at + KILL_MARGIN * 4 / 5)
     }
 
     // ---- the list ----
@@ -219,19 +259,59 @@
     /// A client has connected.
     pub fn client_opened(&mut self, now: Time, conn: ConnId) {
         if let Some(other) = self.desk.opened(now, conn) {
-            debug!(front_end = self.name, conn = other, "closed: too many clients");
-            self.drop_client(now, other);
+            debug!(front_end = self.name, conn = other, "too many clients");
+            self.effects.push(Effect::Retire { conn: other });
         }
     }
 
+    /// All that a client has sent by now is handed over: its connection is closed, unless that was a request.
+    pub fn retire(&mut self, now: Time, conn: ConnId) {
+        if self.desk.client(conn).is_some_and(|c| c.open.is_empty()) {
+            debug!(front_end = self.name, conn, "client closed");
+            self.drop_client(now, conn);
+        }
+    }
+
+    /// Connections that clients may have at a time.
+    pub fn clients_most(&self) -> usize {
+        self.desk.most()
+    }
+
+    /// Connections that there may be to workers at a time.
+    pub fn workers_most(&self) -> usize {
+        self.pool.most()
+    }
+
     /// A client's connection has ended.
     pub fn client_closed(&mut self, now: Time, conn: ConnId) {
-        let tickets = self.desk.closed(conn);
+        let tickets = self.desk.closed(conn, now + self.give_up_most);
         if !tickets.is_empty() {
             debug!(front_end = self.name, conn, open = tickets.len(), "client has left calls open");
         }
         for ticket in tickets {
-            self.run(now, Input::Left(Ticket { source: CLIENTS, number: ticket }));
+            self.left(now, ticket);
+        }
+    }
+
+    /// A client has ceased to wait. Whatever the settings say of cancelling, what has not left yet does not leave any more.
+    fn left(&mut self, now: Time, ticket: u64) {
+        let ticket = Ticket { source: CLIENTS, number: ticket };
+        let request = self.engine.request(ticket);
+        self.run(now, Input::Left(ticket));
+        self.abandon(now, request);
+        self.settle(now);
+    }
+
+    /// Nobody waits for a request any more: attempts that have not left are taken back.
+    fn abandon(&mut self, now: Time, request: Option<RequestId>) {
+        let Some(request) = request else { return };
+        let of = AttemptId { request, number: 0 }..=AttemptId { request, number: u32::MAX };
+        let out: Vec<_> = self.out.range(of).map(|(id, worker)| (*id, worker.clone())).collect();
+        for (id, worker) in out {
+            if let Some(job) = self.pool.abandon(&worker, id) {
+                let took = now.saturating_sub(job.began);
+                self.attempt_ended(without_answer(id, Outcome::NotSent, took));
+            }
         }
     }
 
@@ -244,34 +324,54 @@
     pub fn client_bytes(&mut self, now: Time, conn: ConnId, bytes: &[u8]) {
         let Some(client) = self.desk.client(conn).filter(|c| !c.condemned) else { return };
         client.framer.push(bytes);
-        loop {
-            // It may be gone, or given up, by what its last line brought about.
-            let Some(client) = self.desk.client(conn).filter(|c| !c.condemned) else { return };
+        let mut lines = Vec::new();
+        let long = loop {
             match client.framer.next_line() {
-                Ok(Some(line)) => self.client_line(now, conn, &line),
-                Ok(None) => {
-                    let partial = client.framer.partial();
-                    client.partial = if partial { client.partial.or(Some(now)) } else { None };
-                    return;
-                }
-                Err(long) => {
-                    let fault = Fault { id: None, code: client::PARSE, message: long.to_string() };
-                    return self.fault(now, conn, &fault);
+                Ok(Some(line)) => lines.push(client::read(&line, &self.site)),
+                Ok(None) => break None,
+                Err(long) => break Some(long),
+            }
+        };
+        let partial = client.framer.partial();
+        client.partial =
+            if partial { client.partial.filter(|_| lines.is_empty()).or(Some(now)) } else { None };
+        // What was asked and taken back in one breath has nobody who waits for it: it is not begun.
+        let (mut ids, mut names) = (BTreeSet::new(), BTreeSet::new());
+        for line in &lines {
+            if let Ok(ClientLine::Forget { id, call }) = line {
+                ids.extend(*id);
+                names.extend(call.clone());
+            }
+        }
+        for line in lines {
+            // It may be gone, or given up, by what its last line brought about.
+            if self.desk.client(conn).is_none_or(|c| c.condemned) {
+                return;
+            }
+            match line {
+                Ok(ClientLine::Call(call)) if ids.contains(&call.id) || names.contains(&call.call) => {
+                    debug!(front_end = self.name, conn, call = call.call, "forgotten before it began");
                 }
+                line => self.client_line(now, conn, line),
             }
         }
+        if let Some(long) = long.filter(|_| self.desk.client(conn).is_some_and(|c| !c.condemned)) {
+            let fault = Fault { id: None, code: client::PARSE, message: long.to_string() };
+            self.fault(now, conn, &fault);
+        }
     }
 
-    fn client_line(&mut self, now: Time, conn: ConnId, line: &[u8]) {
+    fn client_line(&mut self, now: Time, conn: ConnId, line: Result<ClientLine, Fault>) {
         let Some(client) = self.desk.client(conn) else { return };
-        client.partial = None;
-        match client::read(line, &self.site) {
+        match line {
             Ok(ClientLine::Call(call)) => self.call(now, conn, *call),
             Ok(ClientLine::Forget { id, call }) => {
                 client.active = now;
                 if let Some(ticket) = self.desk.find(conn, id, call.as_deref()) {
-                    self.desk.end(now, ticket);
-                    self.run(now, Input::Left(Ticket { source: CLIENTS, number: ticket }));
+                    if let Some(caller) = self.desk.end(now, ticket).filter(|c| c.once) {
+                        self.desk.note(now + self.give_up_most, &caller.call);
+                    }
+                    self.left(now, ticket);
                 }
             }
             Ok(ClientLine::IsWell { id }) => {
@@ -317,6 +417,10 @@
             // Its namesake may be running: to call a further try harmless would be wrong.
             return self.fault(now, conn, &invalid("call: open already"));
         }
+        if self.desk.may_have_run(now, &call.call) {
+            // The same again of what must not run twice.
+            return self.fault(now, conn, &invalid("call: has ended, and may have run"));
+        }
         if many {
             // A client may count a call as over whose end has not come here yet; this one has not run.
             let limits = &self.site.policy.limits;
@@ -332,7 +436,8 @@
         if let Some(client) = self.desk.client(conn) {
             (client.active, client.spoke) = (now, true);
         }
-        let number = self.desk.begin(Caller { conn, id: call.id, call: call.call.clone() });
+        let once = self.site.policy.classes.get(call.class).is_some_and(|c| c.effect == Repeats::Unsafe);
+        let number = self.desk.begin(Caller { conn, id: call.id, call: call.call.clone(), once });
         let call = Call {
             function: Arc::from(call.function),
             class: call.class,
@@ -359,11 +464,18 @@
     /// A connection to a worker is up.
     pub fn worker_up(&mut self, now: Time, conn: ConnId) {
         self.pool.up(now, conn);
+        self.lose(now);
     }
 
-    /// A connection to a worker did not come up.
-    pub fn worker_failed(&mut self, now: Time, conn: ConnId) {
-        self.pool.failed(conn);
+    /// A connection to a worker did not come up; `own`: for want of something here.
+    pub fn worker_failed(&mut self, now: Time, conn: ConnId, own: bool) {
+        self.pool.failed(conn, own);
+        self.lose(now);
+    }
+
+    /// A worker does not read, the system having taken so many bytes for it so far; or, with `None`, it reads again.
+    pub fn worker_blocked(&mut self, now: Time, conn: ConnId, written: Option<u64>) {
+        self.pool.blocked(now, conn, written);
         self.lose(now);
     }
 
@@ -462,6 +574,7 @@
         for (worker, job, how) in self.pool.lost() {
             let outcome = match how {
                 Lost::NotSent => Outcome::Unreachable,
+                Lost::Unsent => Outcome::NotSent,
                 Lost::Broken => Outcome::Broken,
                 Lost::Spoilt => Outcome::Error,
                 Lost::TimedOut => Outcome::TimedOut,
@@ -512,9 +625,12 @@
             Output::Send { id, worker, call, deadline } => self.send(now, id, worker, &call, deadline),
             Output::Cancel(id) => {
                 let Some(worker) = self.out.get(&id).cloned() else { return };
-                let job = self.pool.withdraw(&worker, id);
-                let took = job.map_or(0, |j| now.saturating_sub(j.began));
-                self.attempt_ended(without_answer(id, Outcome::Cancelled, took));
+                let (took, back) = self
+                    .pool
+                    .withdraw(&worker, id)
+                    .map_or((0, false), |(job, back)| (now.saturating_sub(job.began), back));
+                let outcome = if back { Outcome::NotSent } else { Outcome::Cancelled };
+                self.attempt_ended(without_answer(id, outcome, took));
             }
             Output::Hold { worker, function, name, copies } => {
                 debug!(front_end = self.name, worker = &*worker.0, function = &*name, copies, "order");
@@ -541,6 +657,8 @@
                 self.ask(now, &worker, Job::new(Task::Probe, tag, line, now, now + PROBE_MOST));
             }
             Output::Answer { ticket, reply } => {
+                let request = self.engine.request(ticket);
+                self.abandon(now, request);
                 self.reply(now, ticket.number, &reply);
                 self.inputs.push_back(Input::Settled(ticket));
             }
@@ -582,6 +700,9 @@
 
     fn reply(&mut self, now: Time, ticket: u64, reply: &Arc<Reply>) {
         let Some(caller) = self.desk.end(now, ticket) else { return };
+        if caller.once && reply.attempts > 0 && reply.verdict != Verdict::Refused {
+            self.desk.note(now + self.give_up_most, &caller.call);
+        }
         debug!(
             front_end = self.name,
             call = caller.call,
--- a/crates/pipithub-node/src/desk.rs
+++ b/crates/pipithub-node/src/desk.rs
@@ -1,6 +1,6 @@
 //! Clients: their connections, what is open on each, and what makes one be turned away.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use pipithub_engine::Time;
 use pipithub_platform::client::LINE_MOST;
@@ -21,6 +21,9 @@
 /// closed. Silent connections would else take all descriptors.
 const SILENT_MOST: Time = 2_000_000_000;
 
+/// Ended calls that are remembered against repeats: some seconds of them at the most that a front end takes.
+const RAN_MOST: usize = 4096;
+
 /// One client's connection.
 #[derive(Debug)]
 pub struct Client {
@@ -48,6 +51,8 @@
     pub id: u64,
     /// Its name.
     pub call: String,
+    /// It must not run twice.
+    pub once: bool,
 }
 
 /// All clients.
@@ -57,6 +62,9 @@
     clients: BTreeMap<ConnId, Client>,
     callers: BTreeMap<u64, Caller>,
     calls: HashMap<String, u64>,
+    /// Calls that must not run twice and may have run, each until when it is remembered; and in that order.
+    ran: HashSet<String>,
+    ran_order: VecDeque<(Time, String)>,
     next: u64,
 }
 
@@ -68,6 +76,8 @@
             clients: BTreeMap::new(),
             callers: BTreeMap::new(),
             calls: HashMap::new(),
+            ran: HashSet::new(),
+            ran_order: VecDeque::new(),
             next: 1,
         }
     }
@@ -92,6 +102,11 @@
         idle.min_by_key(|(_, c)| (c.spoke, c.active)).map(|(id, _)| *id).or(Some(conn))
     }
 
+    /// Connections that there may be.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
     /// The client of a connection.
     pub fn client(&mut self, conn: ConnId) -> Option<&mut Client> {
         self.clients.get_mut(&conn)
@@ -112,6 +127,28 @@
         self.calls.contains_key(call)
     }
 
+    /// Remembers a call that has ended, may have run and must not run again, until the given time.
+    pub fn note(&mut self, until: Time, call: &str) {
+        if self.ran_order.len() >= RAN_MOST
+            && let Some((_, oldest)) = self.ran_order.pop_front()
+        {
+            self.ran.remove(&oldest);
+        }
+        if self.ran.insert(call.to_string()) {
+            self.ran_order.push_back((until, call.to_string()));
+        }
+    }
+
+    /// Whether a call of this name has ended here lately, may have run and must not run again.
+    pub fn may_have_run(&mut self, now: Time, call: &str) -> bool {
+        while self.ran_order.front().is_some_and(|(until, _)| *until < now) {
+            if let Some((_, oldest)) = self.ran_order.pop_front() {
+                self.ran.remove(&oldest);
+            }
+        }
+        self.ran.contains(call)
+    }
+
     /// Notes a call; its ticket.
     pub fn begin(&mut self, caller: Caller) -> u64 {
         let ticket = self.next;
@@ -162,16 +199,19 @@
         })
     }
 
-    /// A connection has ended; the tickets that were open on it, none of them owed an answer any more.
-    pub fn closed(&mut self, conn: ConnId) -> Vec<u64> {
+    /// A connection has ended; the tickets that were open on it, none of them owed an answer any more. What of it must not
+    /// run twice is remembered until the given time.
+    pub fn closed(&mut self, conn: ConnId, until: Time) -> Vec<u64> {
         let Some(client) = self.clients.remove(&conn) else { return Vec::new() };
         let tickets: Vec<u64> = client.open.into_values().collect();
         for ticket in &tickets {
-            if let Some(caller) = self.callers.remove(ticket)
-                && self.calls.get(&caller.call) == Some(ticket)
-            {
+            let Some(caller) = self.callers.remove(ticket) else { continue };
+            if self.calls.get(&caller.call) == Some(ticket) {
                 self.calls.remove(&caller.call);
             }
+            if caller.once {
+                self.note(until, &caller.call);
+            }
         }
         tickets
     }
--- a/crates/pipithub-node/src/pool.rs
+++ b/crates/pipithub-node/src/pool.rs
@@ -20,6 +20,8 @@
 const REWRITES: u32 = 2;
 /// The most jobs to wait for a connection to one worker.
 const WAITING_MOST: usize = 256;
+/// Names that a connection remembers as used. Second answers come within moments, so few suffice.
+const SPENT_MOST: usize = 16;
 
 /// What is asked of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,20 +50,24 @@
     /// It ends as timed out by then.
     pub deadline: Time,
     rewrites: u32,
+    /// Nobody waits for it any more: it must not be written again.
+    abandoned: bool,
 }
 
 impl Job {
     /// A job that has not been tried.
     pub fn new(task: Task, reference: String, line: Bytes, began: Time, deadline: Time) -> Self {
-        Job { task, reference, line, began, deadline, rewrites: 0 }
+        Job { task, reference, line, began, deadline, rewrites: 0, abandoned: false }
     }
 }
 
 /// How a job ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lost {
-    /// It never arrived whole: it did not run.
+    /// The worker could not be reached, or the job never arrived whole: it did not run.
     NotSent,
+    /// It never left, for reasons of this front end's own: it did not run, and the worker is not to blame.
+    Unsent,
     /// Its connection broke: it may have run.
     Broken,
     /// What came back cannot be read: the worker is there, and it may have run.
@@ -86,7 +92,12 @@
     up: bool,
     framer: LineFramer,
     carried: BTreeMap<String, Carried>,
+    /// Attempts that it carried lately: an answer may come twice, the second time under a name that is in use again.
+    spent: VecDeque<String>,
+    /// Bytes handed to the shell so far.
     queued: u64,
+    /// The worker does not read: the bytes that the system has taken so far.
+    blocked: Option<u64>,
     /// Jobs that it has carried so far.
     uses: u64,
     used: Time,
@@ -101,21 +112,53 @@
             up: false,
             framer: LineFramer::new(LINE_MOST),
             carried: BTreeMap::new(),
+            spent: VecDeque::new(),
             queued: 0,
+            blocked: None,
             uses: 0,
             used: now,
         }
     }
 
-    /// Takes out a job of which the answer is not waited for any more; the worker is told to give a run up.
-    fn give_up(&mut self, conn: ConnId, reference: &str, effects: &mut Vec<Effect>) -> Option<Job> {
-        let job = self.carried.remove(reference)?.job;
-        if matches!(job.task, Task::Attempt(_)) {
+    /// Takes out a job of which the answer is not waited for any more. One that is still in the shell's own buffer is
+    /// taken back: an UNDO behind it would not keep it from beginning once the worker reads again. Otherwise the worker is
+    /// told to give a run up, where the settings let us. Whether it was taken back.
+    fn give_up(
+        &mut self,
+        conn: ConnId,
+        reference: &str,
+        cancel: bool,
+        effects: &mut Vec<Effect>,
+    ) -> Option<(Job, bool)> {
+        let Carried { job, whole_at, .. } = self.carried.remove(reference)?;
+        if let Some(at) = self.unbegun(whole_at, &job) {
+            let len = job.line.len() as u64;
+            self.queued -= len;
+            self.carried.values_mut().filter(|c| c.whole_at > whole_at).for_each(|c| c.whole_at -= len);
+            effects.push(Effect::Unwrite { conn, at, len });
+            return Some((job, true));
+        }
+        self.spend(reference);
+        if cancel && matches!(job.task, Task::Attempt(_)) {
             let bytes = undo(reference);
             self.queued += bytes.len() as u64;
             effects.push(Effect::Write { conn, bytes });
         }
-        Some(job)
+        Some((job, false))
+    }
+
+    /// Where a job's line begins, if the system has taken nothing of it yet.
+    fn unbegun(&self, whole_at: u64, job: &Job) -> Option<u64> {
+        let begins = whole_at - job.line.len() as u64;
+        self.blocked.filter(|written| *written <= begins).map(|_| begins)
+    }
+
+    /// Notes that a name was used here: a late second answer must not be taken for that of its next use.
+    fn spend(&mut self, reference: &str) {
+        if self.spent.len() >= SPENT_MOST {
+            self.spent.pop_front();
+        }
+        self.spent.push_back(reference.to_string());
     }
 }
 
@@ -134,6 +177,8 @@
     streams: usize,
     connect_timeout: Time,
     idle_close: Time,
+    /// Workers may be told to give a run up.
+    cancel: bool,
     peers: BTreeMap<Worker, Peer>,
     links: BTreeMap<ConnId, Link>,
     next: ConnId,
@@ -143,13 +188,14 @@
 }
 
 impl Pool {
-    /// At most so many connections, each carrying so many jobs.
-    pub fn new(most: usize, streams: usize, connect_timeout: Time, idle_close: Time) -> Self {
+    /// At most so many connections, each carrying so many jobs. `cancel`: workers may be told to give a run up.
+    pub fn new(most: usize, streams: usize, connect_timeout: Time, idle_close: Time, cancel: bool) -> Self {
         Pool {
             most: most.max(1),
             streams: streams.max(1),
             connect_timeout,
             idle_close,
+            cancel,
             peers: BTreeMap::new(),
             links: BTreeMap::new(),
             next: 1,
@@ -180,6 +226,11 @@
         self.links.len()
     }
 
+    /// Connections that there may be, those under way included.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
         self.links.is_empty()
@@ -216,6 +267,11 @@
     fn dispatch(&mut self, now: Time, worker: &Worker) {
         while let Some(id) = self.connection(now, worker) {
             let Some(job) = self.peers.get_mut(worker).and_then(|p| p.waiting.pop_front()) else { return };
+            if now >= job.deadline {
+                // Its time ran out between two sweeps: nobody waits for it.
+                self.lost.push((worker.clone(), job, Lost::NotSent));
+                continue;
+            }
             let Some(link) = self.links.get_mut(&id) else { return };
             let idle = now.saturating_sub(link.used);
             debug!(
@@ -250,7 +306,8 @@
         let here = links.filter(|(_, l)| l.address == peer.address);
         let fits = |l: &Link| {
             let stale = l.carried.is_empty() && l.uses > 0 && limit.is_some_and(|t| now >= l.used + t);
-            l.up && !stale && l.carried.len() < self.streams && !l.carried.contains_key(reference)
+            let used = l.carried.contains_key(reference) || l.spent.contains(reference);
+            l.up && !stale && !used && l.blocked.is_none() && l.carried.len() < self.streams
         };
         let free = here.clone().filter(|(_, l)| fits(l) && l.carried.is_empty()).max_by_key(|(_, l)| l.used);
         if let Some((id, _)) = free {
@@ -258,8 +315,11 @@
         }
         let shared =
             here.clone().filter(|(_, l)| fits(l)).min_by_key(|(_, l)| l.carried.len()).map(|(id, _)| id);
-        let mut coming = here.filter(|(_, l)| !l.up).count();
-        let part = (self.most / live).max(1);
+        let mut coming = here.clone().filter(|(_, l)| !l.up).count();
+        // One more where all that are up have carried this name before.
+        let spent = here.clone().any(|(_, l)| l.up)
+            && here.filter(|(_, l)| l.up).all(|(_, l)| l.spent.contains(reference));
+        let part = (self.most / live).max(1) + usize::from(spent);
         while coming < peer.waiting.len() && peer.links.len() < part && self.links.len() < self.most {
             let (id, address) = (self.next, peer.address.clone());
             self.next += 1;
@@ -282,8 +342,21 @@
         self.dispatch(now, &worker);
     }
 
-    /// A connection did not come up: nothing that waits for it was sent.
-    pub fn failed(&mut self, conn: ConnId) {
+    /// The worker behind a connection does not read, or reads again: the bytes that the system has taken so far. Meanwhile
+    /// nothing more is put on it.
+    pub fn blocked(&mut self, now: Time, conn: ConnId, written: Option<u64>) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let clear = link.blocked.is_some() && written.is_none();
+        link.blocked = written;
+        if clear {
+            let worker = link.worker.clone();
+            self.dispatch(now, &worker);
+        }
+    }
+
+    /// A connection did not come up: nothing that waits for it was sent. `own`: for want of something here, so that the
+    /// worker is not to blame.
+    pub fn failed(&mut self, conn: ConnId, own: bool) {
         let Some(link) = self.links.remove(&conn) else { return };
         let Some(peer) = self.peers.get_mut(&link.worker) else { return };
         peer.links.retain(|id| *id != conn);
@@ -291,7 +364,8 @@
         let coming = peer.links.iter().filter(|id| self.links.get(id).is_some_and(|l| !l.up)).count();
         while peer.waiting.len() > coming {
             let Some(job) = peer.waiting.pop_front() else { break };
-            self.lost.push((link.worker.clone(), job, Lost::NotSent));
+            let how = if own { Lost::Unsent } else { Lost::NotSent };
+            self.lost.push((link.worker.clone(), job, how));
         }
     }
 
@@ -305,6 +379,9 @@
         let link = self.links.get_mut(&conn)?;
         let carried = link.carried.remove(reference)?;
         link.used = now;
+        if matches!(carried.job.task, Task::Attempt(_)) {
+            link.spend(reference);
+        }
         if let Some(idle) = carried.idle {
             self.staleness.learn(now, idle, false);
         }
@@ -325,6 +402,8 @@
             }
             if whole_at <= written {
                 self.lost.push((link.worker.clone(), job, how));
+            } else if job.abandoned {
+                self.lost.push((link.worker.clone(), job, Lost::Unsent));
             } else if job.rewrites < REWRITES && peer.waiting.len() < WAITING_MOST {
                 job.rewrites += 1;
                 peer.waiting.push_back(job);
@@ -351,21 +430,44 @@
         self.closed(now, conn, handed, Lost::Spoilt);
     }
 
-    /// Withdraws an attempt; its job.
-    pub fn withdraw(&mut self, worker: &Worker, id: AttemptId) -> Option<Job> {
-        let is = |job: &Job| job.task == Task::Attempt(id);
-        let peer = self.peers.get_mut(worker)?;
-        if let Some(at) = peer.waiting.iter().position(is) {
-            return peer.waiting.remove(at);
+    /// Withdraws an attempt: its job, and whether it is certain that it was not sent.
+    pub fn withdraw(&mut self, worker: &Worker, id: AttemptId) -> Option<(Job, bool)> {
+        if let Some(job) = self.take_waiting(worker, id) {
+            return Some((job, true));
         }
-        for conn in &peer.links {
-            let Some(link) = self.links.get_mut(conn) else { continue };
-            let name = link.carried.iter().find(|(_, c)| is(&c.job)).map(|(name, _)| name.clone());
-            if let Some(name) = name {
-                return link.give_up(*conn, &name, &mut self.effects);
-            }
+        let (conn, name) = self.carrying(worker, id)?;
+        let link = self.links.get_mut(&conn)?;
+        link.give_up(conn, &name, self.cancel, &mut self.effects)
+    }
+
+    /// Nobody waits for an attempt any more, whatever the settings say of cancelling: it is given back if it has not left,
+    /// and is not written again if its connection ends.
+    pub fn abandon(&mut self, worker: &Worker, id: AttemptId) -> Option<Job> {
+        if let Some(job) = self.take_waiting(worker, id) {
+            return Some(job);
         }
-        None
+        let (conn, name) = self.carrying(worker, id)?;
+        let link = self.links.get_mut(&conn)?;
+        let carried = link.carried.get_mut(&name)?;
+        carried.job.abandoned = true;
+        let whole_at = carried.whole_at;
+        link.unbegun(whole_at, &link.carried[&name].job)?;
+        link.give_up(conn, &name, false, &mut self.effects).map(|(job, _)| job)
+    }
+
+    fn take_waiting(&mut self, worker: &Worker, id: AttemptId) -> Option<Job> {
+        let waiting = &mut self.peers.get_mut(worker)?.waiting;
+        let at = waiting.iter().position(|job| job.task == Task::Attempt(id))?;
+        waiting.remove(at)
+    }
+
+    /// The connection that carries an attempt, and its name there.
+    fn carrying(&self, worker: &Worker, id: AttemptId) -> Option<(ConnId, String)> {
+        self.peers.get(worker)?.links.iter().find_map(|conn| {
+            let carried = &self.links.get(conn)?.carried;
+            let (name, _) = carried.iter().find(|(_, c)| c.job.task == Task::Attempt(id))?;
+            Some((*conn, name.clone()))
+        })
     }
 
     /// Ends what is overdue, lets go of connections that stay idle and of workers that are gone.
@@ -385,8 +487,9 @@
             let over: Vec<String> =
                 link.carried.iter().filter(|(_, c)| now >= c.job.deadline).map(|(n, _)| n.clone()).collect();
             for name in over {
-                if let Some(job) = link.give_up(*id, &name, &mut self.effects) {
-                    self.lost.push((link.worker.clone(), job, Lost::TimedOut));
+                if let Some((job, back)) = link.give_up(*id, &name, self.cancel, &mut self.effects) {
+                    let how = if back { Lost::NotSent } else { Lost::TimedOut };
+                    self.lost.push((link.worker.clone(), job, how));
                 }
             }
             let peer = self.peers.get(&link.worker);
--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -2,31 +2,52 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use pipithub_clock::Clock;
 use pipithub_engine::Time;
 use pipithub_platform::config::NodeConfig;
+use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
-use tracing::{error, info, warn};
+use tokio::time::Instant;
+use tracing::{debug, error, info, warn};
 
 use crate::coordinator;
 use crate::core::{ConnId, Core, Effect};
 
-/// What is read at a time.
-const READ: usize = 16 << 10;
+/// What is read at a time: more than a usual client sends in one breath, so that its close behind that is seen with it.
+const READ: usize = 64 << 10;
+/// A buffer that has grown beyond this is let go once it is empty.
+const KEPT: usize = 16 << 10;
 /// The most that waits to be written on a connection: who does not read is cut off.
 const UNWRITTEN_MOST: usize = 1 << 20;
-/// How long a closing connection may take for its last bytes.
+/// How long a client whose connection is closed may take to read its last answers: some round trips of a slow network.
 const LINGER: Duration = Duration::from_millis(250);
+/// Connections of clients that may linger so at a time, beyond those that clients may have; newcomers beyond both, for
+/// which others are about to be closed; and connections to workers that are about to be. All are among the descriptors
+/// that the core keeps free; the process itself needs twelve of these.
+const LINGERING_MOST: usize = 6;
+const NEWCOMERS_MOST: usize = 3;
+const CLOSING_MOST: usize = 3;
+/// Before it ends, the process must have seen nothing new on its sockets for so long: long beside a turn of the loop.
+const LAST_LOOK: Time = 20_000_000;
+/// A configuration that cannot be read is looked at again after this, doubling, so often: somebody may be writing it. All
+/// of it lies within the 4 s after SIGHUP in which the new coordinator is to be followed.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+const LOOKS_MOST: u32 = 6;
+
+/// EAGAIN, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS and ENOMEM, on Linux: what this machine lacks tells nothing of a worker.
+const OWN_WANT: [i32; 6] = [11, 23, 24, 99, 105, 12];
 
 /// Why a front end could not start.
 #[derive(Debug, thiserror::Error)]
@@ -61,6 +82,7 @@
 
 /// One connection as the shell knows it.
 struct Socket {
+    side: Side,
     stream: TcpStream,
     unwritten: RefCell<BytesMut>,
     written: Cell<u64>,
@@ -68,22 +90,82 @@
     closing: Cell<bool>,
     /// It cannot be written any more.
     broken: Cell<bool>,
+    /// What the core was last told of a worker that does not read.
+    blocked: Cell<Option<u64>>,
     wake: Notify,
+    _slot: Slot,
+}
+
+/// Descriptors of one side that are in use, those of connections that are closing or under way included.
+#[derive(Default)]
+struct Slots {
+    used: Cell<usize>,
+    freed: Notify,
+}
+
+/// One of them.
+struct Slot(Rc<Slots>);
+
+impl Slots {
+    fn take(self: &Rc<Self>) -> Slot {
+        self.used.set(self.used.get() + 1);
+        Slot(self.clone())
+    }
+
+    /// Waits until fewer than so many are in use.
+    async fn below(&self, most: usize) {
+        while self.used.get() >= most {
+            self.freed.notified().await;
+        }
+        if self.used.get() + 1 < most {
+            // Others may wait too.
+            self.freed.notify_one();
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.used.set(self.0.used.get() - 1);
+        self.0.freed.notify_one();
+    }
 }
 
 impl Socket {
-    fn new(stream: TcpStream) -> Rc<Self> {
+    fn new(stream: TcpStream, side: Side, slot: Slot) -> Rc<Self> {
         let _ = stream.set_nodelay(true);
         Rc::new(Socket {
+            side,
             stream,
             unwritten: RefCell::default(),
             written: Cell::new(0),
             closing: Cell::new(false),
             broken: Cell::new(false),
+            blocked: Cell::new(None),
             wake: Notify::new(),
+            _slot: slot,
         })
     }
 
+    /// Whether the peer is known to have closed its side, though nobody has read that far yet.
+    fn peer_closed(&self) -> bool {
+        let ready = std::pin::pin!(self.stream.ready(Interest::READABLE));
+        let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
+    /// Takes back bytes that the system has not taken, counted from the first ever written.
+    fn unwrite(&self, at: u64, len: u64) {
+        let mut unwritten = self.unwritten.borrow_mut();
+        let (Some(at), len) = (at.checked_sub(self.written.get()), len as usize) else { return };
+        let at = at as usize;
+        if at + len <= unwritten.len() {
+            let mut rest = unwritten.split_off(at);
+            rest.advance(len);
+            unwritten.unsplit(rest);
+        }
+    }
+
     /// Writes at once what the system takes, and keeps the rest.
     fn write(&self, bytes: &[u8]) {
         let mut unwritten = self.unwritten.borrow_mut();
@@ -110,7 +192,7 @@
                 Err(_) => self.broken.set(true),
             }
         }
-        if unwritten.is_empty() && unwritten.capacity() > READ {
+        if unwritten.is_empty() && unwritten.capacity() > KEPT {
             *unwritten = BytesMut::new();
         }
     }
@@ -120,6 +202,14 @@
 struct Shell {
     core: RefCell<Core>,
     sockets: RefCell<HashMap<ConnId, Rc<Socket>>>,
+    clients: Rc<Slots>,
+    workers: Rc<Slots>,
+    lingering: Cell<usize>,
+    /// When something was last read from a client or written to one, or a client came.
+    active: Cell<Time>,
+    /// Connections to workers on which was written, and clients to be closed unless they have just asked for something.
+    touched: RefCell<Vec<ConnId>>,
+    retiring: RefCell<Vec<ConnId>>,
     clock: Clock,
     scratch: RefCell<Vec<u8>>,
     /// When the timer is set to go off, and how to set it anew.
@@ -132,27 +222,73 @@
     fn with(self: &Rc<Self>, act: impl FnOnce(&mut Core, Time)) {
         let now = self.clock.now();
         let mut effects = Vec::new();
-        let due = {
-            let mut core = self.core.borrow_mut();
-            act(&mut core, now);
-            core.effects(&mut effects);
-            core.next_due()
-        };
-        for effect in effects {
-            self.carry_out(effect);
+        act(&mut self.core.borrow_mut(), now);
+        loop {
+            self.core.borrow_mut().effects(&mut effects);
+            for effect in effects.drain(..) {
+                self.carry_out(effect);
+            }
+            // Only now is the buffers' state one that the core can reckon with.
+            let (touched, retiring) = (self.touched.take(), self.retiring.take());
+            if touched.is_empty() && retiring.is_empty() {
+                break;
+            }
+            for conn in touched {
+                self.tell_blocked(now, conn);
+            }
+            for conn in retiring {
+                self.retire(now, conn);
+            }
         }
-        if due < self.armed.get() {
+        if self.core.borrow().next_due() < self.armed.get() {
             self.rearm.notify_one();
         }
     }
 
+    /// Tells the core how far the system has taken what is written to a worker that does not read.
+    fn tell_blocked(&self, now: Time, conn: ConnId) {
+        let Some(socket) = self.sockets.borrow().get(&conn).cloned() else { return };
+        let blocked = (!socket.unwritten.borrow().is_empty()).then(|| socket.written.get());
+        if socket.blocked.replace(blocked) != blocked {
+            self.core.borrow_mut().worker_blocked(now, conn, blocked);
+        }
+    }
+
+    /// Closes a client's connection, unless a request has come on it in this very moment.
+    fn retire(&self, now: Time, conn: ConnId) {
+        let Some(socket) = self.sockets.borrow().get(&conn).cloned() else { return };
+        let mut scratch = self.scratch.borrow_mut();
+        let mut core = self.core.borrow_mut();
+        if let Ok(n) = socket.stream.try_read(&mut scratch)
+            && n > 0
+        {
+            core.client_bytes(now, conn, &scratch[..n]);
+        }
+        core.retire(now, conn);
+    }
+
     fn carry_out(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Write { conn, bytes } => {
                 if let Some(socket) = self.sockets.borrow().get(&conn) {
+                    if socket.side == Side::Worker {
+                        if socket.peer_closed() {
+                            // Whatever is written now would be lost, and nobody could say whether it ran.
+                            socket.broken.set(true);
+                        }
+                        self.touched.borrow_mut().push(conn);
+                    } else {
+                        self.active.set(self.clock.now());
+                    }
                     socket.write(&bytes);
                 }
             }
+            Effect::Unwrite { conn, at, len } => {
+                if let Some(socket) = self.sockets.borrow().get(&conn) {
+                    socket.unwrite(at, len);
+                }
+            }
+            Effect::Retire { conn } => self.retiring.borrow_mut().push(conn),
             Effect::Close { conn } => {
                 if let Some(socket) = self.sockets.borrow_mut().remove(&conn) {
                     socket.closing.set(true);
@@ -163,14 +299,25 @@
                 let shell = self.clone();
                 tokio::task::spawn_local(async move {
                     let within = Duration::from_nanos(within);
-                    match tokio::time::timeout(within, TcpStream::connect(&*address)).await {
-                        Ok(Ok(stream)) => {
-                            let socket = Socket::new(stream);
+                    let most = shell.core.borrow().workers_most() + CLOSING_MOST;
+                    let connect = async {
+                        shell.workers.below(most).await;
+                        let slot = shell.workers.take();
+                        TcpStream::connect(&*address).await.map(|stream| (stream, slot))
+                    };
+                    match tokio::time::timeout(within, connect).await {
+                        Ok(Ok((stream, slot))) => {
+                            let socket = Socket::new(stream, Side::Worker, slot);
                             shell.sockets.borrow_mut().insert(conn, socket.clone());
                             shell.with(|core, now| core.worker_up(now, conn));
-                            shell.pump(conn, Side::Worker, socket).await;
+                            shell.pump(conn, socket).await;
+                        }
+                        Ok(Err(error)) => {
+                            debug!(conn, %error, "cannot connect");
+                            let own = error.raw_os_error().is_some_and(|code| OWN_WANT.contains(&code));
+                            shell.with(|core, now| core.worker_failed(now, conn, own));
                         }
-                        _ => shell.with(|core, now| core.worker_failed(now, conn)),
+                        Err(_) => shell.with(|core, now| core.worker_failed(now, conn, false)),
                     }
                 });
             }
@@ -178,7 +325,7 @@
     }
 
     /// Moves the bytes of one connection until it ends.
-    async fn pump(self: &Rc<Self>, conn: ConnId, side: Side, socket: Rc<Socket>) {
+    async fn pump(self: &Rc<Self>, conn: ConnId, socket: Rc<Socket>) {
         loop {
             let empty = socket.unwritten.borrow().is_empty();
             if socket.closing.get() || socket.broken.get() {
@@ -190,60 +337,101 @@
                 () = socket.wake.notified() => continue,
             };
             let Ok(ready) = ready else { break };
-            if ready.is_readable() && !self.read(conn, side, &socket) {
+            if ready.is_readable() && !self.read(conn, &socket) {
                 break;
             }
-            if ready.is_writable() {
+            if ready.is_writable() && !empty {
                 socket.flush(&mut socket.unwritten.borrow_mut());
+                if socket.side == Side::Worker {
+                    self.with(|_, _| self.touched.borrow_mut().push(conn));
+                } else {
+                    self.active.set(self.clock.now());
+                }
             }
         }
         if socket.closing.get() {
-            // The core has let go of it; its last words may still leave.
-            let last = async {
-                while !socket.unwritten.borrow().is_empty() && !socket.broken.get() {
-                    if socket.stream.writable().await.is_err() {
-                        break;
-                    }
-                    socket.flush(&mut socket.unwritten.borrow_mut());
-                }
-            };
-            let _ = tokio::time::timeout(LINGER, last).await;
+            // The core has let go of it.
+            let told = socket.written.get() > 0 || !socket.unwritten.borrow().is_empty();
+            if socket.side == Side::Client && told && self.lingering.get() < LINGERING_MOST {
+                self.lingering.set(self.lingering.get() + 1);
+                let _ = tokio::time::timeout(LINGER, self.linger(&socket)).await;
+                self.lingering.set(self.lingering.get() - 1);
+            }
             return;
         }
         self.sockets.borrow_mut().remove(&conn);
-        self.with(|core, now| match side {
+        self.with(|core, now| match socket.side {
             Side::Client => core.client_closed(now, conn),
             Side::Worker => core.worker_closed(now, conn, socket.written.get()),
         });
     }
 
-    /// Reads once; whether the connection goes on.
-    fn read(self: &Rc<Self>, conn: ConnId, side: Side, socket: &Socket) -> bool {
-        let mut scratch = self.scratch.borrow_mut();
-        match socket.stream.try_read(&mut scratch) {
-            Ok(0) => false,
-            Ok(n) => {
-                let bytes = &scratch[..n];
-                self.with(|core, now| match side {
-                    Side::Client => core.client_bytes(now, conn, bytes),
-                    Side::Worker => core.worker_bytes(now, conn, bytes),
-                });
-                true
+    /// Sends a client its last answers, says that no more follow, and reads on until it has closed too: a close with input
+    /// unread is a reset, which would destroy answers that the client has not read yet.
+    async fn linger(&self, socket: &Socket) {
+        while !socket.unwritten.borrow().is_empty() && !socket.broken.get() {
+            if socket.stream.writable().await.is_err() {
+                return;
+            }
+            socket.flush(&mut socket.unwritten.borrow_mut());
+        }
+        if socket.broken.get() || SockRef::from(&socket.stream).shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        while socket.stream.readable().await.is_ok() {
+            match socket.stream.try_read(&mut self.scratch.borrow_mut()) {
+                Ok(0) => return,
+                Err(e) if !passing(&e) => return,
+                _ => {}
             }
-            Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
         }
     }
 
+    /// Reads what there is; whether the connection goes on.
+    fn read(self: &Rc<Self>, conn: ConnId, socket: &Socket) -> bool {
+        let mut bytes = Vec::new();
+        {
+            let mut scratch = self.scratch.borrow_mut();
+            let mut filled = 0;
+            while filled < scratch.len() {
+                match socket.stream.try_read(&mut scratch[filled..]) {
+                    Ok(n) if n > 0 => filled += n,
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    // A client that has closed has gone: nothing that it asked for before is begun for nobody. What a
+                    // worker said before its close counts.
+                    _ if socket.side == Side::Client || filled == 0 => return false,
+                    _ => break,
+                }
+            }
+            bytes.extend_from_slice(&scratch[..filled]);
+        }
+        if bytes.is_empty() {
+            return true;
+        }
+        self.with(|core, now| match socket.side {
+            Side::Client => core.client_bytes(now, conn, &bytes),
+            Side::Worker => core.worker_bytes(now, conn, &bytes),
+        });
+        if socket.side == Side::Client {
+            self.active.set(self.clock.now());
+        }
+        true
+    }
+
     async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let most = self.core.borrow().clients_most() + LINGERING_MOST + NEWCOMERS_MOST;
         loop {
+            self.clients.below(most).await;
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let conn = self.core.borrow_mut().number();
-                    let socket = Socket::new(stream);
+                    let socket = Socket::new(stream, Side::Client, self.clients.take());
+                    self.active.set(self.clock.now());
                     self.sockets.borrow_mut().insert(conn, socket.clone());
                     self.with(|core, now| core.client_opened(now, conn));
                     let shell = self.clone();
-                    tokio::task::spawn_local(async move { shell.pump(conn, Side::Client, socket).await });
+                    tokio::task::spawn_local(async move { shell.pump(conn, socket).await });
                 }
                 Err(error) => {
                     // Out of descriptors, most likely: those that close make room.
@@ -254,6 +442,17 @@
         }
     }
 
+    /// Whether the process may end: all that was taken is answered and written, and for a while nothing new was seen on
+    /// any socket, so that no request stands unread in the system.
+    fn over(&self) -> bool {
+        let (now, core) = (self.clock.now(), self.core.borrow());
+        let written = || {
+            self.sockets.borrow().values().all(|s| s.side == Side::Worker || s.unwritten.borrow().is_empty())
+        };
+        let quiet = || now >= self.active.get() + LAST_LOOK && self.lingering.get() == 0;
+        core.overdue(now) || core.done(now) && quiet() && written()
+    }
+
     /// Tells the core that time has passed, until it is done.
     async fn time(self: &Rc<Self>) {
         loop {
@@ -265,13 +464,26 @@
             }
             self.armed.set(Time::MAX);
             self.with(|core, now| core.tick(now));
-            if self.core.borrow().done(self.clock.now()) {
+            if self.over() {
                 return;
             }
         }
     }
 }
 
+/// Waits until a time; for ever where there is none.
+async fn at(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Whether an error says only that there is nothing at the moment.
+fn passing(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 fn load(path: &Path) -> Result<NodeConfig, StartError> {
     let fault = |reason: String| StartError::Config { place: path.to_path_buf(), reason };
     let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
@@ -294,10 +506,10 @@
     /// # Errors
     /// [`StartError`] where it cannot start.
     pub async fn bind(path: &Path, listen: Option<String>) -> Result<Self, StartError> {
-        let config = load(path)?;
-        // From here on a signal is heard, though it is served later.
+        // From here on a signal is heard, though it is served later: a file replaced after it is read is read again.
         let (terminate, interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let reload = signal(SignalKind::hangup())?;
+        let config = load(path)?;
         let address = listen.unwrap_or_else(|| config.listen.clone());
         let listener = TcpListener::bind(&*address).await;
         let listener = listener.map_err(|reason| StartError::Listen { address, reason })?;
@@ -320,6 +532,12 @@
         let shell = Rc::new(Shell {
             core: RefCell::new(Core::new(clock.now(), &config)),
             sockets: RefCell::default(),
+            clients: Rc::default(),
+            workers: Rc::default(),
+            lingering: Cell::new(0),
+            active: Cell::new(clock.now()),
+            touched: RefCell::default(),
+            retiring: RefCell::default(),
             clock,
             scratch: RefCell::new(vec![0; READ]),
             armed: Cell::new(Time::MAX),
@@ -329,7 +547,7 @@
         let (coordinator, followed) = watch::channel(config.coordinator.clone());
         let names = config.site.names.clone();
         let told = shell.clone();
-        tokio::task::spawn_local(coordinator::follow(followed, last, names, move |event| {
+        tokio::task::spawn_local(coordinator::follow(followed, last, names, config.seed, move |event| {
             told.with(|core, now| core.list(now, &event));
         }));
         let address = listener.local_addr().map_or_else(|e| e.to_string(), |a| a.to_string());
@@ -337,18 +555,37 @@
         info!(front_end = config.name, address, coordinator = config.coordinator, "front end up");
         let over = shell.time();
         tokio::pin!(over);
+        // How often a configuration that could not be read was looked at, and when to look again.
+        let (mut looks, mut again) = (0, None);
         loop {
-            tokio::select! {
+            let look = tokio::select! {
                 () = &mut over => break,
-                _ = terminate.recv() => shell.with(|core, now| core.stop(now)),
-                _ = interrupt.recv() => shell.with(|core, now| core.stop(now)),
-                _ = reload.recv() => match load(&place) {
-                    Ok(fresh) => {
-                        info!(coordinator = fresh.coordinator, "configuration read again");
-                        coordinator.send_replace(fresh.coordinator);
+                _ = terminate.recv() => { shell.with(|core, now| core.stop(now)); false }
+                _ = interrupt.recv() => { shell.with(|core, now| core.stop(now)); false }
+                _ = reload.recv() => { looks = 0; true }
+                () = at(again) => true,
+            };
+            if !look {
+                continue;
+            }
+            again = None;
+            match load(&place) {
+                Ok(fresh) => {
+                    info!(coordinator = fresh.coordinator, "configuration read again");
+                    // One that has not moved is not asked anew: each call for the list costs the fleet.
+                    coordinator.send_if_modified(|now| {
+                        let moved = *now != fresh.coordinator;
+                        *now = fresh.coordinator;
+                        moved
+                    });
+                }
+                Err(reason) => {
+                    error!(%reason, looks, "previous configuration stays in force");
+                    if looks < LOOKS_MOST {
+                        again = Some(Instant::now() + LOOK_AGAIN * 2u32.pow(looks));
+                        looks += 1;
                     }
-                    Err(reason) => error!(%reason, "previous configuration stays in force"),
-                },
+                }
             }
         }
         accepting.abort();
--- a/crates/pipithub-node/tests/core.rs
+++ b/crates/pipithub-node/tests/core.rs
@@ -86,6 +86,10 @@
                         written.push((conn, String::from_utf8(bytes.to_vec()).expect("text")));
                     }
                     Effect::Close { conn } => written.push((conn, "closed".to_string())),
+                    Effect::Retire { conn } => self.core.retire(self.now, conn),
+                    Effect::Unwrite { conn, at, len } => {
+                        written.push((conn, format!("unwritten {at}+{len}")))
+                    }
                 }
             }
         }
@@ -244,9 +248,9 @@
     let (client, _) = b.sent("view");
     for _ in 0..200 {
         b.client();
+        assert!(!b.written().contains(&(client, "closed".to_string())));
+        assert!(b.core.connections().0 <= 24, "the descriptors of 64 suffice");
     }
-    assert!(b.core.connections().0 <= 24, "the descriptors of 64 suffice");
-    assert!(!b.written().contains(&(client, "closed".to_string())));
 }
 
 #[test]
@@ -368,3 +372,100 @@
         }
     }
 }
+
+const FORGET: &str = r#"{"jsonrpc":"2.0","method":"forget","params":{"id":7}}"#;
+
+/// Asked and taken back within what was read at once: to begin it would be an attempt for nobody.
+#[test]
+fn a_call_that_is_forgotten_in_the_same_breath_is_not_begun() {
+    for forget in [FORGET, r#"{"jsonrpc":"2.0","method":"forget","params":{"call":"0000000000000007"}}"#] {
+        let mut b = Bench::new();
+        let client = b.client();
+        let call = r#"{"jsonrpc":"2.0","id":7,"method":"view","params":{"call":"0000000000000007","ttl":1500,"row":"00000000000000aa"}}"#;
+        b.say(client, &format!("{call}\n{forget}"));
+        assert_eq!((b.written(), b.core.open()), (vec![], 0));
+        b.call(client, 8, "view");
+        assert!(b.written().iter().any(|(_, line)| line.contains("\"DO\"")), "others are");
+    }
+}
+
+/// A request may come in the very moment in which its connection is to be closed as silent, or to make room.
+#[test]
+fn a_silent_client_whose_request_comes_as_it_is_to_be_closed_is_served() {
+    let mut b = Bench::new();
+    let silent = b.client();
+    b.pass(2_100 * MS);
+    assert!(b.effects().contains(&Effect::Retire { conn: silent }), "the shell looks once more");
+    b.call(silent, 7, "view");
+    b.core.retire(b.now, silent);
+    let written = b.written();
+    assert!(written.iter().any(|(_, line)| line.contains("\"DO\"")), "{written:?}");
+    assert!(!written.contains(&(silent, "closed".to_string())), "{written:?}");
+}
+
+/// The same name again, after what must not run twice has ended: by answer, by a close, by a forget.
+#[test]
+fn a_call_that_may_have_run_is_not_run_again_under_its_name() {
+    for how in ["answered", "closed", "forgotten"] {
+        let mut b = Bench::new();
+        let (client, worker) = b.sent("assign");
+        match how {
+            "answered" => b.core.worker_bytes(b.now, worker, SERVED),
+            "closed" => b.core.client_closed(b.now, client),
+            _ => b.say(client, FORGET),
+        }
+        b.written();
+        let other = b.client();
+        b.call(other, 7, "assign");
+        let written = b.written();
+        assert!(
+            written.len() == 1 && written[0].0 == other && written[0].1.contains("-32600"),
+            "{how}: {written:?}"
+        );
+        // Not for ever: the name means nothing once nobody can wait for it any more.
+        b.pass(3_100 * MS);
+        let other = b.client();
+        b.call(other, 7, "assign");
+        assert!(b.written().iter().any(|(_, line)| line.contains("\"DO\"")), "{how}");
+    }
+    // What may be repeated is.
+    let mut b = Bench::new();
+    let (client, worker) = b.sent("view");
+    b.core.worker_bytes(b.now, worker, SERVED);
+    b.call(client, 7, "view");
+    assert!(b.written().iter().any(|(_, line)| line.contains("\"DO\"")));
+}
+
+/// A worker turns a call away and its answer comes twice; the second must not end the next attempt, which then would be
+/// taken for one that never ran.
+#[test]
+fn a_second_copy_of_an_answer_does_not_end_a_later_call_of_the_same_name() {
+    let mut b = Bench::new();
+    let (client, worker) = b.sent("view");
+    b.core.worker_bytes(b.now, worker, SERVED);
+    b.written();
+    b.call(client, 7, "view");
+    b.written();
+    b.core.worker_bytes(b.now, worker, SERVED);
+    assert!(b.written().iter().all(|(conn, _)| *conn != client), "the second call is still open");
+    assert_eq!(b.core.open(), 1);
+}
+
+/// A deadline of a minute: it counts as 3 s.
+#[test]
+fn a_stop_does_not_wait_for_deadlines_beyond_those_that_the_platform_counts() {
+    let mut config = config();
+    config.site.policy.classes.iter_mut().for_each(|c| c.give_up = 60_000 * MS);
+    let mut b = Bench { core: Core::new(START, &config), now: START };
+    let client = b.client();
+    let line = r#"{"jsonrpc":"2.0","id":7,"method":"assign","params":{"call":"0000000000000007","ttl":60000,"row":"00000000000000aa"}}"#;
+    b.say(client, line);
+    b.written();
+    b.core.stop(b.now);
+    b.pass(3_690 * MS);
+    assert!(b.written().iter().any(|(conn, line)| *conn == client && line.contains("-32000")));
+    assert!(b.core.done(b.now));
+    // Whoever comes later still is refused at once.
+    b.call(client, 9, "view");
+    assert!(b.written().iter().any(|(conn, line)| *conn == client && line.contains("-32050")));
+}
--- a/crates/pipithub-node/tests/pool.rs
+++ b/crates/pipithub-node/tests/pool.rs
@@ -22,7 +22,7 @@
 
 impl Bench {
     fn new(most: usize) -> Self {
-        let mut pool = Pool::new(most, 4, 250 * MS, 30_000 * MS);
+        let mut pool = Pool::new(most, 4, 250 * MS, 30_000 * MS, true);
         let worker = Worker::new("w");
         pool.place(&worker, "10.0.0.1:1", false);
         Bench { pool, worker, effects: Vec::new() }
@@ -62,7 +62,7 @@
                     wrote = Some(conn);
                 }
                 Effect::Write { conn, .. } => wrote = Some(conn),
-                Effect::Close { .. } => {}
+                Effect::Close { .. } | Effect::Retire { .. } | Effect::Unwrite { .. } => {}
             }
         }
         wrote
@@ -110,7 +110,7 @@
     let mut b = Bench::new(4);
     b.ask(0, 1);
     let conn = b.connected()[0];
-    b.pool.failed(conn);
+    b.pool.failed(conn, false);
     assert_eq!(b.lost(), [(1, Lost::NotSent)]);
     assert!(b.pool.is_empty());
 }
@@ -168,7 +168,7 @@
 
 #[test]
 fn what_was_not_handed_over_when_an_answer_is_spoilt_did_not_run() {
-    let mut pool = Pool::new(1, 1, 250 * MS, 30_000 * MS);
+    let mut pool = Pool::new(1, 1, 250 * MS, 30_000 * MS, true);
     let worker = Worker::new("w");
     pool.place(&worker, "10.0.0.1:1", false);
     let mut b = Bench { pool, worker, effects: Vec::new() };
@@ -193,3 +193,117 @@
     b.pool.spoilt(MS, conn);
     assert_eq!(b.lost(), [(2, Lost::Spoilt)]);
 }
+
+/// A pool that may not tell workers to give runs up.
+fn uncancelled() -> Bench {
+    let mut b = Bench::new(4);
+    b.pool = Pool::new(4, 4, 250 * MS, 30_000 * MS, false);
+    b.pool.place(&b.worker, "10.0.0.1:1", false);
+    b
+}
+
+fn attempt(request: u64) -> AttemptId {
+    AttemptId { request, number: 0 }
+}
+
+#[test]
+fn where_the_settings_forbid_cancelling_no_worker_is_told_to_give_up() {
+    let mut b = uncancelled();
+    let conn = b.call(0, 1).expect("written");
+    b.effects();
+    b.pool.sweep(5_000 * MS);
+    assert_eq!(b.lost(), [(1, Lost::TimedOut)]);
+    assert_eq!(b.effects(), [], "no UNDO");
+    assert!(b.pool.answered(5_001 * MS, conn, "0000000000000001").is_none(), "its answer belongs to nothing");
+}
+
+/// The client has left, while its call waits for a connection, or for another one after the first broke.
+#[test]
+fn what_nobody_waits_for_is_not_sent_where_cancelling_is_forbidden_either() {
+    let mut b = uncancelled();
+    b.ask(0, 1);
+    let conn = b.connected()[0];
+    assert!(b.pool.abandon(&b.worker.clone(), attempt(1)).is_some(), "it has not left");
+    b.pool.up(100 * MS, conn);
+    assert_eq!(b.effects(), [], "nothing is written on the connection that comes up late");
+
+    b.ask(200 * MS, 2);
+    assert!(matches!(&b.effects()[..], [Effect::Write { .. }]));
+    assert!(b.pool.abandon(&b.worker.clone(), attempt(2)).is_none(), "it may have left");
+    b.pool.closed(201 * MS, conn, 3, Lost::Broken);
+    assert_eq!((b.lost(), b.effects()), (vec![(2, Lost::Unsent)], vec![]), "not written again");
+}
+
+/// A worker stops reading: what lies behind in the shell's own buffer begins whenever it reads again, UNDO or not.
+#[test]
+fn what_waits_behind_a_worker_that_does_not_read_is_taken_back() {
+    let mut pool = Pool::new(1, 8, 250 * MS, 30_000 * MS, true);
+    let worker = Worker::new("w");
+    pool.place(&worker, "10.0.0.1:1", false);
+    let mut b = Bench { pool, worker, effects: Vec::new() };
+    let conn = b.call(0, 1).expect("written");
+    b.effects();
+    (2..=4).for_each(|request| b.ask(0, request));
+    assert_eq!(b.effects().len(), 3, "each line has seven bytes");
+    // The system took the first line and a part of the second.
+    b.pool.blocked(MS, conn, Some(9));
+    b.ask(MS, 5);
+    assert_eq!(b.effects(), [], "nothing more is put behind");
+    let (_, back) = b.pool.withdraw(&b.worker.clone(), attempt(3)).expect("open");
+    assert!(back, "it is certain that it was not sent");
+    assert_eq!(b.effects(), [Effect::Unwrite { conn, at: 14, len: 7 }]);
+    // The one behind has moved up, and the one that has begun cannot be taken back.
+    let (_, back) = b.pool.withdraw(&b.worker.clone(), attempt(4)).expect("open");
+    assert!(back);
+    assert_eq!(b.effects(), [Effect::Unwrite { conn, at: 14, len: 7 }]);
+    let (_, back) = b.pool.withdraw(&b.worker.clone(), attempt(2)).expect("open");
+    assert!(!back && matches!(&b.effects()[..], [Effect::Write { .. }]), "told to give it up");
+    // It reads again: the fifth goes out.
+    b.pool.blocked(2 * MS, conn, None);
+    assert!(matches!(&b.effects()[..], [Effect::Write { .. }]));
+    assert_eq!(b.lost(), []);
+}
+
+#[test]
+fn a_call_whose_time_ran_out_before_its_connection_came_up_is_not_sent() {
+    let mut b = Bench::new(4);
+    let mut late = job(0, 1);
+    late.deadline = 50 * MS;
+    b.pool.ask(0, &b.worker.clone(), late);
+    let conn = b.connected()[0];
+    b.pool.up(50 * MS, conn);
+    assert_eq!((b.effects(), b.lost()), (vec![], vec![(1, Lost::NotSent)]));
+}
+
+/// An answer may come twice. The name is used again, by a further attempt or by a client that repeats itself.
+#[test]
+fn a_name_that_is_used_again_is_not_answered_by_a_second_copy_of_the_first_answer() {
+    let mut b = Bench::new(4);
+    let first = b.call(0, 1).expect("written");
+    b.pool.answered(MS, first, "0000000000000001").expect("open");
+    let second = b.call(2 * MS, 1).expect("written");
+    assert_ne!(first, second, "not where a second copy may still come");
+    assert!(b.pool.answered(3 * MS, first, "0000000000000001").is_none());
+    assert!(b.pool.answered(4 * MS, second, "0000000000000001").is_some());
+    // Nor by the answer that was on its way when it was given up.
+    let third = b.call(5 * MS, 2).expect("written");
+    b.pool.withdraw(&b.worker.clone(), attempt(2));
+    let fourth = b.call(6 * MS, 2).expect("written");
+    assert_ne!(third, fourth);
+    // Where a worker may have one connection only, a further one is made for that.
+    let mut b = Bench::new(1);
+    let first = b.call(0, 1).expect("written");
+    b.pool.answered(MS, first, "0000000000000001").expect("open");
+    b.ask(2 * MS, 1);
+    b.pool.sweep(20_000 * MS);
+    assert_eq!(b.lost(), [(1, Lost::NotSent)], "or it is given back unsent");
+}
+
+#[test]
+fn a_connection_that_fails_for_want_of_descriptors_here_is_not_the_workers_fault() {
+    let mut b = Bench::new(4);
+    b.ask(0, 1);
+    let conn = b.connected()[0];
+    b.pool.failed(conn, true);
+    assert_eq!(b.lost(), [(1, Lost::Unsent)]);
+}
