Crossings forced on real sockets; what is taken back frees its connection

The front end runs in the test's own thread and nothing of it runs between two waits, so whatever the test does there lies in the system together.

Found by the blocked worker's test: after the last unbegun line was taken back nobody told the core that the connection was clear, and no further call went out on it (shell.rs, `Effect::Unwrite`).

--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -286,6 +286,7 @@
             Effect::Unwrite { conn, at, len } => {
                 if let Some(socket) = self.sockets.borrow().get(&conn) {
                     socket.unwrite(at, len);
+                    self.touched.borrow_mut().push(conn);
                 }
             }
             Effect::Retire { conn } => self.retiring.borrow_mut().push(conn),
--- /dev/null
+++ b/crates/pipithub-node/tests/crossings.rs
@@ -0,0 +1,276 @@
+//! What may come between any two lines: a close, an end of file, a reset, an answer. Each crossing is forced on real
+//! sockets, see `rig`.
+
+mod rig;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rig::{Peer, call, config, event, listener, served, start};
+use serde_json::json;
+use socket2::{Domain, SockRef, Socket, Type};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+
+async fn within<T>(test: impl Future<Output = T>) -> T {
+    LocalSet::new().run_until(tokio::time::timeout(Duration::from_secs(60), test)).await.expect("it ends")
+}
+
+/// A front end with one worker, whose list says no more.
+async fn one_worker() -> (TcpListener, TcpListener, SocketAddr) {
+    let ((worker, at), (list, list_at)) = (listener().await, listener().await);
+    let node = start(&config(list_at, &[event(1, true, &[("w1", at, "SERVING")])])).await;
+    (worker, list, node)
+}
+
+#[tokio::test]
+async fn a_call_whose_client_has_closed_right_behind_it_is_not_begun() {
+    within(async {
+        let (worker, _list, node) = one_worker().await;
+        let mut gone = Peer::connect(node).await;
+        let mut stays = Peer::connect(node).await;
+        assert!(gone.is_well(1).await && stays.is_well(1).await);
+        // A connection to the worker stands ready: nothing holds the call back.
+        stays.send(&call(6, "assign", "")).await;
+        let mut at_worker = Peer::of(worker.accept().await.expect("a connection").0);
+        let asked = at_worker.next().await.expect("a call");
+        at_worker.send(&served(&asked)).await;
+        stays.next().await.expect("an answer");
+        // Both lie in the system before the front end reads any of it.
+        gone.say(&call(7, "assign", ""));
+        drop(gone);
+        stays.is_well(2).await;
+        stays.send(&call(8, "assign", "")).await;
+        assert_eq!(at_worker.next().await.expect("a call")["ref"], "0000000000000008", "the next one");
+    })
+    .await;
+}
+
+/// The worker closes a connection that has been idle, and a call comes in the same moment.
+#[tokio::test]
+async fn a_call_is_not_written_to_a_worker_that_is_known_to_have_closed() {
+    within(async {
+        let (worker, _list, node) = one_worker().await;
+        let mut client = Peer::connect(node).await;
+        client.send(&call(7, "assign", "")).await;
+        let mut idle = Peer::of(worker.accept().await.expect("a connection").0);
+        let asked = idle.next().await.expect("a call");
+        idle.send(&served(&asked)).await;
+        assert!(client.next().await.expect("an answer")["result"].is_object());
+        // The call first, so that it is handled first; the end of file is known by then, though nobody has read it.
+        client.say(&call(8, "assign", ""));
+        drop(idle);
+        let mut second = Peer::of(worker.accept().await.expect("a new connection").0);
+        let asked = second.next().await.expect("a call");
+        assert_eq!(asked["ref"], "0000000000000008");
+        second.send(&served(&asked)).await;
+        assert!(
+            client.next().await.expect("an answer")["result"].is_object(),
+            "it must not run twice, and did not"
+        );
+    })
+    .await;
+}
+
+/// A close with input unread is a reset, which takes along what its client has not read yet.
+#[tokio::test]
+async fn a_client_that_is_given_up_reads_its_answers_and_a_clean_end() {
+    within(async {
+        let (worker, _list, node) = one_worker().await;
+        let mut client = Peer::connect(node).await;
+        client.send(&call(7, "assign", "d29ybGQ=")).await;
+        let mut at_worker = Peer::of(worker.accept().await.expect("a connection").0);
+        let asked = at_worker.next().await.expect("a call");
+        client.send("noise\n").await;
+        assert!(client.next().await.expect("an answer")["error"].is_object(), "it is given up");
+        // The worker's answer ends it; more input stands unread behind.
+        at_worker.say(&served(&asked));
+        client.say(&"more noise\n".repeat(1000));
+        assert_eq!(client.next().await.expect("an answer")["result"]["body"], "d29ybGQ=");
+        assert_eq!(client.next().await, None, "and an end without a reset");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_reset_with_half_an_answer_read_is_no_answer_and_nothing_is_run_again() {
+    within(async {
+        let (worker, _list, node) = one_worker().await;
+        let mut client = Peer::connect(node).await;
+        client.send(&call(7, "assign", "d29ybGQ=")).await;
+        let mut at_worker = Peer::of(worker.accept().await.expect("a connection").0);
+        let asked = at_worker.next().await.expect("a call");
+        let answer = served(&asked);
+        at_worker.say(&answer[..answer.len() - 9]);
+        let stream = at_worker.lines.into_inner().into_inner().reunite(at_worker.write).expect("both halves");
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+        drop(stream);
+        let answer = client.next().await.expect("an answer");
+        assert_eq!(answer["error"]["code"], -32000, "it may have run: {answer}");
+        // The next one runs, on a new connection.
+        client.send(&call(8, "view", "")).await;
+        let mut second = Peer::of(worker.accept().await.expect("a new connection").0);
+        assert_eq!(second.next().await.expect("a call")["ref"], "0000000000000008");
+    })
+    .await;
+}
+
+/// A second answer comes late, when the name is in use again.
+#[tokio::test]
+async fn a_late_second_answer_is_not_taken_for_that_of_a_later_call_of_its_name() {
+    within(async {
+        let (worker, _list, node) = one_worker().await;
+        let mut client = Peer::connect(node).await;
+        client.send(&call(7, "view", "Zmlyc3Q=")).await;
+        let mut first = Peer::of(worker.accept().await.expect("a connection").0);
+        let asked = first.next().await.expect("a call");
+        first.send(&served(&asked)).await;
+        client.next().await.expect("an answer");
+        client.send(&call(7, "view", "c2Vjb25k")).await;
+        let mut second = Peer::of(worker.accept().await.expect("a connection of its own").0);
+        let again = second.next().await.expect("a call");
+        first.say(&served(&asked));
+        second.say(&served(&again));
+        assert_eq!(client.next().await.expect("an answer")["result"]["body"], "c2Vjb25k");
+    })
+    .await;
+}
+
+/// What the system holds of the connections with this port: unacknowledged and unread bytes, from its tables.
+fn held_by_the_system(port: u16) -> usize {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table");
+    let of = |line: &str| -> Option<usize> {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let port_of = |field: &str| u16::from_str_radix(field.split(':').nth(1)?, 16).ok();
+        let ports = (port_of(fields.get(1)?)?, port_of(fields.get(2)?)?);
+        let (tx, rx) = fields.get(4)?.split_once(':')?;
+        let bytes = |hex: &str| usize::from_str_radix(hex, 16).ok();
+        // Established alone: a listener's figures mean something else.
+        let ours = fields.get(3) == Some(&"01") && (ports.0 == port || ports.1 == port);
+        Some(bytes(tx)? + bytes(rx)?).filter(|_| ours)
+    };
+    table.lines().filter_map(of).sum()
+}
+
+/// A worker stops reading while its calls' clients leave; later it reads again. What lay in the front end's own buffer
+/// must not begin then.
+#[cfg(target_os = "linux")]
+#[tokio::test]
+async fn what_stood_behind_a_worker_that_did_not_read_does_not_begin_once_its_clients_have_gone() {
+    within(async {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("set");
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+        socket.listen(16).expect("listens");
+        socket.set_nonblocking(true).expect("set");
+        let worker = TcpListener::from_std(socket.into()).expect("listens");
+        let at = worker.local_addr().expect("bound");
+        let (_list, list_at) = listener().await;
+        // Workers that drain have their part of the connections, so that one is left for the one that serves.
+        let names: Vec<String> = (0..200).map(|n| format!("d{n}")).collect();
+        let mut hosts: Vec<_> = names.iter().map(|n| (n.as_str(), at, "DRAINING")).collect();
+        hosts.push(("w1", at, "SERVING"));
+        let mut config = config(list_at, &[event(1, true, &hosts)]);
+        // So much time, and so many classes, that the module takes them all: they are more than the system buffers.
+        let class = |n: u64| {
+            json!({"Name": format!("c{n}"), "Effect": "read_like", "Aim": 3_000_000_000_000u64,
+            "GiveUp": 3_000_000_000_000u64, "LateWorth": 0.5})
+        };
+        config["settings"]["Grades"] = (0..9).map(class).collect();
+        let node = start(&config).await;
+        let call = |id: u64, class: u64, body: &str| {
+            call(id, &format!("c{class}"), body).replace(":60000", ":3000000")
+        };
+        // Some are served first, so that the module knows the function to stand there and to be quick.
+        let mut watcher = Peer::connect(node).await;
+        watcher.send(&call(1000, 8, "")).await;
+        let mut at_worker = Peer::of(worker.accept().await.expect("a connection").0);
+        for id in 1001..1200 {
+            let asked = at_worker.next().await.expect("a call");
+            at_worker.send(&served(&asked)).await;
+            watcher.next().await.expect("an answer");
+            watcher.send(&call(id, 8, "")).await;
+        }
+        let asked = at_worker.next().await.expect("a call");
+        at_worker.send(&served(&asked)).await;
+        watcher.next().await.expect("an answer");
+        let body = "A".repeat(21_844);
+        let mut clients = Vec::new();
+        for n in 0..8u64 {
+            let mut client = Peer::connect(node).await;
+            for id in 0..32 {
+                client.send(&call(100 * (n + 1) + id, n, &body)).await;
+            }
+            client.is_well(99).await;
+            clients.push(client);
+        }
+        watcher.is_well(1).await;
+        drop(clients);
+        watcher.is_well(2).await;
+        watcher.is_well(3).await;
+        let held = held_by_the_system(at.port());
+        // It reads again. A last call shows the end of what was there before.
+        watcher.send(&call(9, 8, "")).await;
+        let mut began = 0;
+        loop {
+            let asked = at_worker.next().await.expect("it stays open");
+            let length = asked["payload"].as_str().map_or(0, str::len);
+            if asked["ref"] == "0000000000000009" {
+                break;
+            }
+            if asked["cmd"] == "DO" {
+                began += length;
+            }
+        }
+        // What began is what the system held when the clients had gone, and the line of which it held a part.
+        assert!(held < 200 * body.len(), "not all of it went out: {held}");
+        assert!(began <= held + body.len(), "{began} bytes of calls began, {held} were out of reach");
+    })
+    .await;
+}
+
+/// A coordinator that fails in all its ways in turn; the list is had in the end, and asked for from where it stood.
+#[tokio::test]
+async fn the_list_is_had_from_a_coordinator_that_falls_silent_in_every_way() {
+    within(async {
+        let ((worker, at), (list, list_at)) = (listener().await, listener().await);
+        let node = start(&config(list_at, &[])).await;
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+        let told =
+            |n: u64, whole| format!("id: {n}\ndata: {}\n\n", event(n, whole, &[("w1", at, "SERVING")]));
+        // What each connection says before it falls silent while it stays open, and what the next one is asked from.
+        let scripts = [
+            (String::new(), "last-event-id: 0"),
+            (head[..20].to_string(), "last-event-id: 0"),
+            (format!("{head}: ping\n\n"), "last-event-id: 0"),
+            (format!("{head}{}", &told(1, true)[..30]), "last-event-id: 0"),
+            // A gap: asked about once, at once.
+            (format!("{head}{}{}", told(1, true), told(3, false)), "last-event-id: 0"),
+            (format!("{head}{}{}{}", told(1, true), told(2, false), told(3, false)), "last-event-id: 1"),
+        ];
+        let mut open: Vec<TcpStream> = Vec::new();
+        for (says, asked_from) in scripts {
+            let (mut stream, _) = list.accept().await.expect("it asks");
+            let mut request = Vec::new();
+            while !request.ends_with(b"\r\n\r\n") {
+                request.push(stream.read_u8().await.expect("a request"));
+            }
+            let request = String::from_utf8_lossy(&request).to_lowercase();
+            assert!(request.contains(asked_from), "{request}");
+            assert_eq!(stream.try_write(says.as_bytes()).unwrap_or(0), says.len());
+            open.push(stream);
+        }
+        let mut client = Peer::connect(node).await;
+        let mut id = 1;
+        while !client.is_well(id).await {
+            id += 1;
+        }
+        client.send(&call(id + 1, "view", "")).await;
+        let mut at_worker = Peer::of(worker.accept().await.expect("a connection").0);
+        let asked = at_worker.next().await.expect("a call");
+        at_worker.send(&served(&asked)).await;
+        assert!(client.next().await.expect("an answer")["result"].is_object());
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/pipithub-node/tests/rig/mod.rs
@@ -0,0 +1,113 @@
+//! A front end in the test's own thread, beside workers and a coordinator played by hand.
+//!
+//! Nothing of the front end runs while the test does not wait: whatever the test does on its sockets between two waits
+//! lies in the system together, in that order, before the front end sees any of it. That is how crossings are forced.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use pipithub_node::shell::Node;
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A listener on a port of the system's choice, and where it is.
+pub async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
+}
+
+/// An event that names these workers: with its number, and whether it holds all of them.
+pub fn event(index: u64, whole: bool, hosts: &[(&str, SocketAddr, &str)]) -> Value {
+    let hosts: Vec<Value> = hosts
+        .iter()
+        .map(
+            |(id, dial, health)| json!({"host": id, "dial": dial.to_string(), "site": "a", "health": health}),
+        )
+        .collect();
+    json!({"index": index, "endpoints": {"seq": index, "whole": whole, "hosts": hosts}})
+}
+
+/// The configuration of a front end with these workers: `view` may be repeated, `assign` must not run twice.
+pub fn config(coordinator: SocketAddr, known: &[Value]) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"Name": name, "Effect": effect, "Aim": 30_000_000_000u64,
+        "GiveUp": 60_000_000_000u64, "LateWorth": 0.5})
+    };
+    json!({
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "1", "coordinator": coordinator.to_string(),
+        "limits": {"memory_mb": 512, "sockets": 256},
+        "known": {"index": known.len(), "updates": known},
+        "settings": {"PeersTotal": 1, "Granularity": 2_000_000,
+            "Limits": {"MostTries": 4, "MayCancel": true, "StreamsPerConn": 1000, "ConnectTimeout": 10_000_000_000u64},
+            "Grades": [class("view", "read_like"), class("assign", "non_idempotent")]}
+    })
+}
+
+/// Starts a front end; where clients connect. Must be called within a `LocalSet`.
+pub async fn start(config: &Value) -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let place = std::env::temp_dir().join(format!("pipithub-node-{}-{number}.json", std::process::id()));
+    std::fs::write(&place, config.to_string()).expect("written");
+    let node = Node::bind(&place, None).await.expect("starts");
+    std::fs::remove_file(&place).expect("removed");
+    let address = node.address().expect("bound");
+    tokio::task::spawn_local(node.serve());
+    address
+}
+
+/// One end of a connection, by lines.
+pub struct Peer {
+    pub lines: Lines<BufReader<OwnedReadHalf>>,
+    pub write: OwnedWriteHalf,
+}
+
+impl Peer {
+    pub fn of(stream: TcpStream) -> Self {
+        let (read, write) = stream.into_split();
+        Peer { lines: BufReader::new(read).lines(), write }
+    }
+
+    pub async fn connect(address: SocketAddr) -> Self {
+        Peer::of(TcpStream::connect(address).await.expect("connects"))
+    }
+
+    /// The next line, as JSON; `None` at a clean end.
+    pub async fn next(&mut self) -> Option<Value> {
+        let line = self.lines.next_line().await.expect("no reset")?;
+        Some(serde_json::from_str(&line).expect("JSON"))
+    }
+
+    /// Writes without waiting, so that the other side has not run when this returns.
+    pub fn say(&mut self, text: &str) {
+        assert_eq!(self.write.try_write(text.as_bytes()).expect("room"), text.len());
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.write.write_all(text.as_bytes()).await.expect("written");
+    }
+
+    /// Waits until the front end has handled all that stood in the system before, and says whether it is healthy.
+    pub async fn is_well(&mut self, id: u64) -> bool {
+        self.send(&format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"isWell\"}}\n")).await;
+        let answer = self.next().await.expect("an answer");
+        answer["result"]["healthy"] == true
+    }
+}
+
+/// The line of a call.
+pub fn call(id: u64, class: &str, body: &str) -> String {
+    let call = json!({"jsonrpc": "2.0", "id": id, "method": class, "params":
+        {"call": format!("{id:016x}"), "ttl": 60_000, "row": "00000000000000aa", "props": "memory_mb:1;lanes:1000", "body": body}});
+    format!("{call}\n")
+}
+
+/// The line with which a worker serves what this line asked for.
+pub fn served(asked: &Value) -> String {
+    let answer = json!({"cmd": "ACK", "ref": asked["ref"], "payload": asked["payload"]});
+    format!("{answer}\n")
+}
