--- a/crates/pipithub/tests/run_line.rs
+++ b/crates/pipithub/tests/run_line.rs
@@ -3,14 +3,17 @@
 //! must not slip into it.
 #![cfg(target_os = "linux")]
 
+mod rig;
+
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 
 use object::read::elf::{Dyn, FileHeader, ProgramHeader};
 use object::{Endianness, elf};
 use procfs::process::{FDTarget, Process};
+use rig::{Running, worker};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_pipithub");
 
@@ -112,33 +115,6 @@
     std::fs::remove_file(&path).expect("removed");
 }
 
-/// A process that is ended when dropped.
-struct Running(Child);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// Answers every line of a worker's protocol; ends with the test.
-fn worker(listener: TcpListener) {
-    for stream in listener.incoming().map_while(Result::ok) {
-        std::thread::spawn(move || {
-            let mut write = stream.try_clone().expect("a second handle");
-            for line in BufReader::new(stream).lines().map_while(Result::ok) {
-                let asked: serde_json::Value = serde_json::from_str(&line).expect("a request");
-                let answer =
-                    serde_json::json!({"cmd": "ACK", "ref": asked["ref"], "payload": asked["payload"]});
-                if write.write_all(format!("{answer}\n").as_bytes()).is_err() {
-                    return;
-                }
-            }
-        });
-    }
-}
-
 #[test]
 fn a_front_end_at_work_is_one_process_with_sockets_over_ipv4_alone() {
     let bind = || TcpListener::bind("127.0.0.1:0").expect("bound");
