--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -301,8 +301,10 @@
                 tokio::task::spawn_local(async move {
                     let within = Duration::from_nanos(within);
                     let most = shell.core.borrow().workers_most() + CLOSING_MOST;
+                    let dialled = Cell::new(false);
                     let connect = async {
                         shell.workers.below(most).await;
+                        dialled.set(true);
                         let slot = shell.workers.take();
                         TcpStream::connect(&*address).await.map(|stream| (stream, slot))
                     };
@@ -318,7 +320,7 @@
                             let own = error.raw_os_error().is_some_and(|code| OWN_WANT.contains(&code));
                             shell.with(|core, now| core.worker_failed(now, conn, own));
                         }
-                        Err(_) => shell.with(|core, now| core.worker_failed(now, conn, false)),
+                        Err(_) => shell.with(|core, now| core.worker_failed(now, conn, !dialled.get())),
                     }
                 });
             }
--- a/crates/pipithub-policy/tests/fleet.rs
+++ b/crates/pipithub-policy/tests/fleet.rs
@@ -23,11 +23,44 @@
 enum What {
     Call(usize),
     Timer(usize, u64),
-    Arrives { front: usize, worker: usize, request: RequestId, attempt: u32, function: u64 },
-    Done { worker: usize, function: u64 },
-    Loaded { worker: usize, function: u64 },
-    Answer { front: usize, end: Finished },
-    Told { front: usize, worker: usize },
+    Arrives {
+        front: usize,
+        worker: usize,
+        request: RequestId,
+        attempt: u32,
+        function: u64,
+    },
+    Done {
+        worker: usize,
+        function: u64,
+    },
+    Loaded {
+        worker: usize,
+        function: u64,
+    },
+    Answer {
+        front: usize,
+        end: Finished,
+    },
+    Told {
+        front: usize,
+        worker: usize,
+    },
+    /// A worker goes, and a new and cold one comes in its place.
+    Replaced {
+        old: usize,
+    },
+    /// A front end hears of that.
+    Heard {
+        front: usize,
+        old: usize,
+        new: usize,
+        started: Time,
+    },
+    /// A front end starts anew and knows the list alone.
+    Restarted {
+        front: usize,
+    },
 }
 
 struct Held {
@@ -78,6 +111,11 @@
     asked: BTreeMap<RequestId, (Time, u64)>,
     /// Answers tell how many calls the worker holds.
     reports: bool,
+    settings: Settings,
+    /// The list of workers as it stands.
+    list: BTreeMap<usize, Entry>,
+    /// Workers that came cold: when, and when a call came to each.
+    cold: BTreeMap<usize, (Time, Vec<Time>)>,
 }
 
 impl Fleet {
@@ -86,6 +124,25 @@
         Self::reporting(false, fronts, machines, share, seconds, change)
     }
 
+    /// The same, with a release: `replaced` workers give way to new and cold ones, one each 0.3 s from the fourth second on,
+    /// of which each front end hears up to a second late, and one in five front ends starts anew meanwhile. When each cold
+    /// worker came, and when calls came to it.
+    fn release(
+        fronts: usize,
+        machines: usize,
+        share: f64,
+        replaced: usize,
+        change: impl Fn(&mut Settings),
+    ) -> BTreeMap<usize, (Time, Vec<Time>)> {
+        let start = 1_000_000 * MS;
+        let mut happens: Vec<(Time, What)> = (0..replaced)
+            .map(|old| (start + (4_000 + 300 * old as u64) * MS, What::Replaced { old }))
+            .collect();
+        let restart = |front| (start + (4_500 + 37 * front as u64) * MS, What::Restarted { front });
+        happens.extend((0..fronts).step_by(5).map(restart));
+        Self::playing(false, fronts, machines, share, 20, change, happens).cold
+    }
+
     /// The same, where answers may report the worker's load.
     fn reporting(
         reports: bool,
@@ -95,6 +152,18 @@
         seconds: u64,
         change: impl Fn(&mut Settings),
     ) -> Sum {
+        Self::playing(reports, fronts, machines, share, seconds, change, Vec::new()).sum
+    }
+
+    fn playing(
+        reports: bool,
+        fronts: usize,
+        machines: usize,
+        share: f64,
+        seconds: u64,
+        change: impl Fn(&mut Settings),
+        happens: Vec<(Time, What)>,
+    ) -> Fleet {
         let mut s = settings(Effect::Safe);
         (s.front_ends, s.limits.probes, s.loading.tells_alike) = (fronts as u32, true, true);
         s.rules.ramp = 0;
@@ -112,11 +181,17 @@
             attempts: BTreeMap::new(),
             asked: BTreeMap::new(),
             reports,
+            settings: s.clone(),
+            list: (0..machines).map(|m| (m, entry(&format!("w{m}")))).collect(),
+            cold: BTreeMap::new(),
         };
         for front in 0..fronts {
             let entries = (0..machines).map(|m| entry(&format!("w{m}"))).collect();
             fleet.event(front, Event::List { kind: ListKind::Remembered, entries });
         }
+        for (at, what) in happens {
+            fleet.at(at, what);
+        }
         let gap = RUN as f64 / (share * (machines * CORES) as f64);
         let mut at = start as f64;
         while at < (start + seconds * 1_000 * MS) as f64 {
@@ -130,7 +205,7 @@
             let what = fleet.what.remove(&number).expect("noted");
             fleet.one(what);
         }
-        fleet.sum
+        fleet
     }
 
     fn at(&mut self, at: Time, what: What) {
@@ -161,6 +236,9 @@
             }
             What::Timer(front, token) => self.event(front, Event::Timer { token }),
             What::Arrives { front, worker, request, attempt, function } => {
+                if let Some((_, came)) = self.cold.get_mut(&worker) {
+                    came.push(self.now);
+                }
                 let machine = &mut self.machines[worker];
                 let loading = machine.loading.values().flatten();
                 let all = || machine.running.iter().chain(&machine.waiting).chain(loading.clone());
@@ -201,6 +279,28 @@
                 }
                 self.event(front, Event::Finished(end));
             }
+            What::Replaced { old } => {
+                let new = self.machines.len();
+                self.machines.push(Machine::default());
+                self.cold.insert(new, (self.now, Vec::new()));
+                self.list.remove(&old);
+                self.list.insert(new, Entry { started: Some(self.now), ..entry(&format!("w{new}")) });
+                for front in 0..self.fronts.len() {
+                    let late = (self.draw.next() * 1_000.0) as u64 * MS;
+                    self.at(self.now + late, What::Heard { front, old, new, started: self.now });
+                }
+            }
+            What::Heard { front, old, new, started } => {
+                let gone = Entry { state: State::Gone, ..entry(&format!("w{old}")) };
+                let here = Entry { started: Some(started), ..entry(&format!("w{new}")) };
+                self.event(front, Event::List { kind: ListKind::Changes, entries: vec![gone, here] });
+            }
+            What::Restarted { front } => {
+                let seed = 1_000 + 77 * front as u64;
+                self.fronts[front] = FrontEnd::new(self.settings.clone(), seed);
+                let entries = self.list.values().cloned().collect();
+                self.event(front, Event::List { kind: ListKind::Remembered, entries });
+            }
             What::Told { front, worker } => {
                 let held = (self.machines[worker].running.len() + self.machines[worker].waiting.len()) as f64;
                 let load = Load { held: Some(held), ..Load::default() };
@@ -302,3 +402,33 @@
     assert!(told.full * 10 < untold.full * 7, "{told:?}, {untold:?}");
     assert!(told.in_time > untold.in_time, "{told:?}, {untold:?}");
 }
+
+/// The operators hold a cold worker to the sum of all that it is sent: beyond the N calls of its budget only twice the root
+/// of N and two more are put down to chance, in a fleet of some as of many.
+#[test]
+fn cold_workers_bear_what_a_whole_fleet_sends_them_however_many_send() {
+    for fronts in [3, 9, 20, 30, 90] {
+        for (share, replaced) in [(0.6, 4), (1.3, 8)] {
+            let rules =
+                Rules { cold_from: 0.2, ramp: 10_000 * MS, fall_multiple: 3.0, fall_span: 2_000 * MS };
+            let cold = Fleet::release(fronts, 12, share, replaced, |s| s.rules = rules.clone());
+            assert_eq!(cold.len(), replaced);
+            assert!(cold.values().any(|(_, came)| came.len() > 5), "none is shut out");
+            for (worker, (started, mut came)) in cold {
+                // After its ramp it is as warm as any.
+                came.retain(|t| *t < started + rules.ramp);
+                for (first, last) in came.iter().enumerate() {
+                    let within = came[..=first].iter().filter(|t| **t + rules.fall_span > *last).count();
+                    let part = (last - started) as f64 / rules.ramp as f64;
+                    let capacity =
+                        CORES as f64 / RUN as f64 * (rules.cold_from + (1.0 - rules.cold_from) * part);
+                    let budget = rules.fall_multiple * capacity * rules.fall_span as f64;
+                    assert!(
+                        within as f64 <= budget + 2.0 * budget.sqrt() + 2.0,
+                        "{fronts} front ends, share {share}: w{worker} was sent {within} of {budget:.1} at {part:.2}"
+                    );
+                }
+            }
+        }
+    }
+}
