--- a/crates/pipithub-node/src/coordinator.rs
+++ b/crates/pipithub-node/src/coordinator.rs
@@ -17,13 +17,15 @@
 use tokio::sync::watch;
 use tracing::{info, warn};
 
-/// A comment comes each second: after so long without a byte the stream is dead, though it may look open.
+/// A comment comes each second: after so long without a byte the stream is dead, though it may look open. What it would
+/// have told counts as told 4 s after it fell silent, which leaves time for two further tries.
 const SILENCE: Duration = Duration::from_millis(1_600);
-/// A connection and the head of its answer must come within this.
+/// A connection and the head of its answer must come within this: many round trips, and a small part of those 4 s.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Each wait is stretched by a factor drawn from this: what loses its coordinator together must not ask in step.
 const JITTER: std::ops::Range<f64> = 0.5..1.5;
-/// How long to wait before asking again: doubled each time, up to the most.
+/// How long to wait before asking again: doubled each time, up to the most, which together with a silence stays well
+/// within those 4 s.
 const RETRY_FIRST: Duration = Duration::from_millis(50);
 const RETRY_MOST: Duration = Duration::from_millis(800);
 
--- a/crates/pipithub-node/src/desk.rs
+++ b/crates/pipithub-node/src/desk.rs
@@ -18,7 +18,8 @@
 /// How much a call beyond those that may be open counts: client and front end may for a moment differ on what is over.
 pub const BEYOND: u32 = 1;
 /// A connection that has sent no whole line for so long after it was made, or holds one half sent for so long, is
-/// closed. Silent connections would else take all descriptors.
+/// closed, well before the 3 s within which the platform owes a bad client an end. Silent connections would else take
+/// all descriptors.
 const SILENT_MOST: Time = 2_000_000_000;
 
 /// Ended calls that are remembered against repeats: some seconds of them at the most that a front end takes.
