Three more crossings forced: between two attempts, in wait for a load, a late connection

A client that has gone between two attempts, or while its call waited for an ordered load, gets no attempt; a connection that comes up after its wait was given up carries nothing.

--- a/crates/pipithub-node/tests/core.rs
+++ b/crates/pipithub-node/tests/core.rs
@@ -469,3 +469,46 @@
     b.call(client, 9, "view");
     assert!(b.written().iter().any(|(conn, line)| *conn == client && line.contains("-32050")));
 }
+
+/// Wherever its call stands, a client that has gone gets no further attempt: here between two.
+#[test]
+fn a_worker_that_turns_a_call_away_after_its_client_has_gone_does_not_send_it_on() {
+    for forgets in [true, false] {
+        let mut b = Bench::new();
+        let (client, worker) = b.sent("view");
+        if forgets {
+            b.say(client, FORGET);
+        } else {
+            b.core.client_closed(b.now, client);
+        }
+        b.written();
+        b.core.worker_bytes(b.now, worker, b"{\"cmd\":\"AGAIN\",\"ref\":\"0000000000000007\"}\n");
+        assert_eq!((b.written(), b.core.open()), (vec![], 0));
+        b.core.worker_closed(b.now, worker, u64::MAX);
+        b.pass(5_000 * MS);
+        assert!(b.written().iter().all(|(_, line)| !line.contains("\"DO\"")));
+    }
+}
+
+/// And here while it waits, unsent, for a load that it had ordered.
+#[test]
+fn a_call_whose_client_has_gone_while_it_waited_for_a_load_is_not_sent() {
+    let mut config = config();
+    config.site.policy.loading.call_loads = false;
+    let mut b = Bench { core: Core::new(START, &config), now: START };
+    // Nothing stands anywhere: found missing at its home, it is ordered there.
+    let (client, home) = b.sent("view");
+    b.core.worker_bytes(b.now, home, b"{\"cmd\":\"NOENT\",\"ref\":\"0000000000000007\"}\n");
+    let written = b.written();
+    let (worker, order) = written.iter().find(|(_, line)| line.contains("\"PIN\"")).expect("ordered").clone();
+    b.core.client_closed(b.now, client);
+    let tag = order.split('"').nth(7).expect("a tag");
+    b.core.worker_bytes(
+        b.now,
+        worker,
+        format!("{{\"cmd\":\"ACK\",\"ref\":\"{tag}\",\"opts\":{{\"n\":1}}}}\n").as_bytes(),
+    );
+    b.pass(1_000 * MS);
+    let written = b.written();
+    assert!(written.iter().all(|(_, line)| !line.contains("\"DO\"")), "{written:?}");
+}
--- a/crates/pipithub-node/tests/crossings.rs
+++ b/crates/pipithub-node/tests/crossings.rs
@@ -3,7 +3,9 @@
 
 mod rig;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rig::{Peer, call, config, event, listener, served, start};
@@ -274,3 +276,60 @@
     })
     .await;
 }
+
+/// The worker's machine answers late: its connection comes up after the wait for it was given up.
+#[cfg(target_os = "linux")]
+#[tokio::test]
+async fn a_connection_that_comes_up_after_its_wait_was_given_up_carries_nothing() {
+    within(async {
+        // One place in its queue, which is taken: further connections come up only once somebody accepts.
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+        socket.listen(0).expect("listens");
+        socket.set_nonblocking(true).expect("set");
+        let worker = TcpListener::from_std(socket.into()).expect("listens");
+        let at = worker.local_addr().expect("bound");
+        let filler = TcpStream::connect(at).await.expect("the one place");
+        let (_list, list_at) = listener().await;
+        let mut config = config(list_at, &[event(1, true, &[("w1", at, "SERVING")])]);
+        config["settings"]["Limits"]["ConnectTimeout"] = 250_000_000u64.into();
+        let node = start(&config).await;
+        let mut client = Peer::connect(node).await;
+        client.send(&call(7, "assign", "")).await;
+        let answer = client.next().await.expect("an answer");
+        assert_eq!(answer["error"]["code"], -32050, "it was never sent: {answer}");
+        // Now there is room. What comes up late was given up: whoever gets through bears no call of that name.
+        drop(filler);
+        drop(worker.accept().await.expect("the filler"));
+        let seen = Rc::new(Cell::new(false));
+        let again = async {
+            let mut id = 8;
+            loop {
+                client.send(&call(id, "assign", "")).await;
+                if client.next().await.expect("an answer")["result"].is_object() {
+                    return;
+                }
+                id += 1;
+            }
+        };
+        let serves = async {
+            loop {
+                let mut peer = Peer::of(worker.accept().await.expect("a connection").0);
+                let seen = seen.clone();
+                tokio::task::spawn_local(async move {
+                    while let Ok(Some(line)) = peer.lines.next_line().await {
+                        let asked: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+                        seen.set(seen.get() || asked["ref"] == "0000000000000007");
+                        peer.send(&served(&asked)).await;
+                    }
+                });
+            }
+        };
+        tokio::select! {
+            () = again => {}
+            () = serves => {}
+        }
+        assert!(!seen.get(), "it was answered long ago");
+    })
+    .await;
+}
