Answers that many clients do not read are bounded in the sum, not for each alone

Cause, by reading: shell.rs let 1 MiB wait for each client that does not read; some hundred connections allow more than the 32 to 192 MB that a front end has, and over it the process is killed. Change: while all together have more than an eighth of the memory waiting, who has more than 16 KiB waiting and is written to is cut off.

--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -29,8 +29,10 @@
 const READ: usize = 64 << 10;
 /// A buffer that has grown beyond this is let go once it is empty.
 const KEPT: usize = 16 << 10;
-/// The most that waits to be written on a connection: who does not read is cut off.
+/// The most that waits to be written on a connection: who does not read is cut off. So is who has more than [`KEPT`]
+/// waiting while all together have more than this part of the memory: many that do not read must not fill it.
 const UNWRITTEN_MOST: usize = 1 << 20;
+const UNWRITTEN_PART: usize = 8;
 /// How long a client whose connection is closed may take to read its last answers: some round trips of a slow network.
 const LINGER: Duration = Duration::from_millis(250);
 /// Connections of clients that may linger so at a time, beyond those that clients may have; newcomers beyond both, for
@@ -93,7 +95,14 @@
     /// What the core was last told of a worker that does not read.
     blocked: Cell<Option<u64>>,
     wake: Notify,
-    _slot: Slot,
+    slot: Slot,
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        let left = self.unwritten.get_mut().len();
+        self.slot.0.unwritten.set(self.slot.0.unwritten.get() - left);
+    }
 }
 
 /// Descriptors of one side that are in use, those of connections that are closing or under way included.
@@ -101,12 +110,19 @@
 struct Slots {
     used: Cell<usize>,
     freed: Notify,
+    /// Bytes that wait to be written on all of them, and the most.
+    unwritten: Cell<usize>,
+    unwritten_most: usize,
 }
 
 /// One of them.
 struct Slot(Rc<Slots>);
 
 impl Slots {
+    fn new(unwritten_most: usize) -> Rc<Self> {
+        Rc::new(Slots { unwritten_most, ..Slots::default() })
+    }
+
     fn take(self: &Rc<Self>) -> Slot {
         self.used.set(self.used.get() + 1);
         Slot(self.clone())
@@ -143,7 +159,7 @@
             broken: Cell::new(false),
             blocked: Cell::new(None),
             wake: Notify::new(),
-            _slot: slot,
+            slot,
         })
     }
 
@@ -163,6 +179,7 @@
             let mut rest = unwritten.split_off(at);
             rest.advance(len);
             unwritten.unsplit(rest);
+            self.slot.0.unwritten.set(self.slot.0.unwritten.get() - len);
         }
     }
 
@@ -170,10 +187,12 @@
     fn write(&self, bytes: &[u8]) {
         let mut unwritten = self.unwritten.borrow_mut();
         unwritten.extend_from_slice(bytes);
-        if unwritten.len() > UNWRITTEN_MOST {
+        self.slot.0.unwritten.set(self.slot.0.unwritten.get() + bytes.len());
+        self.flush(&mut unwritten);
+        let crowded = self.slot.0.unwritten.get() > self.slot.0.unwritten_most && unwritten.len() > KEPT;
+        if crowded || unwritten.len() > UNWRITTEN_MOST {
             self.broken.set(true);
         }
-        self.flush(&mut unwritten);
         if !unwritten.is_empty() || self.broken.get() {
             self.wake.notify_one();
         }
@@ -186,6 +205,7 @@
                 Ok(n) => {
                     self.written.set(self.written.get() + n as u64);
                     unwritten.advance(n);
+                    self.slot.0.unwritten.set(self.slot.0.unwritten.get() - n);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -532,11 +552,12 @@
     pub async fn serve(self) {
         let Node { config, place, listener, mut terminate, mut interrupt, mut reload } = self;
         let clock = Clock::unix();
+        let unwritten_most = ((config.memory_mb as usize) << 20) / UNWRITTEN_PART;
         let shell = Rc::new(Shell {
             core: RefCell::new(Core::new(clock.now(), &config)),
             sockets: RefCell::default(),
-            clients: Rc::default(),
-            workers: Rc::default(),
+            clients: Slots::new(unwritten_most),
+            workers: Slots::new(unwritten_most),
             lingering: Cell::new(0),
             active: Cell::new(clock.now()),
             touched: RefCell::default(),
