--- a/crates/pipithub-node/tests/crossings.rs
+++ b/crates/pipithub-node/tests/crossings.rs
@@ -356,7 +356,8 @@
             let port = client.write.local_addr().expect("bound").port();
             let mut sent = 0u64;
             // Until the front end itself holds 700 KiB for it: well under what a single one may have.
-            'fill: while sent % 16 > 0 || sent as usize * body.len() < held_by_the_system(port) + (700 << 10)
+            'fill: while !sent.is_multiple_of(16)
+                || sent as usize * body.len() < held_by_the_system(port) + (700 << 10)
             {
                 if client.write.try_write(call(1000 * n + sent, "view", &body).as_bytes()).is_err() {
                     break;
