--- a/crates/pipithub-platform/src/config.rs
+++ b/crates/pipithub-platform/src/config.rs
@@ -60,7 +60,6 @@
             text.map(str::to_string).ok_or_else(|| format!("{field}: missing"))
         };
         let site = settings::read(&all["settings"])?;
-        usable(&site)?;
         let seed = match &all["seed"] {
             Value::String(hex) => u64::from_str_radix(hex, 16).map_err(|e| format!("seed: {e}"))?,
             other => other.as_u64().ok_or("seed: neither hex digits nor a number")?,
@@ -76,6 +75,7 @@
                 figure.map(|f| f as u64).ok_or_else(|| format!("limits.{field}: not a figure from 1 on"))
             }
         };
+        usable(&site)?;
         Ok(NodeConfig {
             name: string("name")?,
             listen: string("listen")?,
