A line is not pushed out while the core takes it back as never sent

Cause, found on reading the change again: shell.rs `Socket::write` flushed whatever was kept before it. The core takes lines back by what it was last told the system had taken; where room came in the same moment, the UNDO written first in a batch let the kept lines leave, `Unwrite` then found nothing and did nothing, and the core called an attempt that ran never sent: an unsafe call could have run twice, and all later offsets of the connection were wrong.

Seen: forced on sockets (a client leaves, and the worker has read 80 lines that nobody has heard of): calls 1f5 and 33f begun without an UNDO, three times of three. Change: behind what is kept nothing leaves but by the pump, which tells the core at once.

--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -183,12 +183,16 @@
         }
     }
 
-    /// Writes at once what the system takes, and keeps the rest.
+    /// Writes at once what the system takes, and keeps the rest. Behind what is kept nothing leaves here: the core takes
+    /// back by what it was told of that, and a line that left meanwhile would count as never sent.
     fn write(&self, bytes: &[u8]) {
         let mut unwritten = self.unwritten.borrow_mut();
+        let first = unwritten.is_empty();
         unwritten.extend_from_slice(bytes);
         self.slot.0.unwritten.set(self.slot.0.unwritten.get() + bytes.len());
-        self.flush(&mut unwritten);
+        if first {
+            self.flush(&mut unwritten);
+        }
         let crowded = self.slot.0.unwritten.get() > self.slot.0.unwritten_most && unwritten.len() > KEPT;
         if crowded || unwritten.len() > UNWRITTEN_MOST {
             self.broken.set(true);
--- a/crates/pipithub-node/tests/crossings.rs
+++ b/crates/pipithub-node/tests/crossings.rs
@@ -4,6 +4,7 @@
 mod rig;
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -155,65 +156,85 @@
     table.lines().filter_map(of).sum()
 }
 
-/// A worker stops reading while its calls' clients leave; later it reads again. What lay in the front end's own buffer
-/// must not begin then.
+/// A worker that has stopped reading, and clients whose calls stand before it: more than the system buffers.
 #[cfg(target_os = "linux")]
-#[tokio::test]
-async fn what_stood_behind_a_worker_that_did_not_read_does_not_begin_once_its_clients_have_gone() {
-    within(async {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.set_recv_buffer_size(4096).expect("set");
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
-        socket.listen(16).expect("listens");
-        socket.set_nonblocking(true).expect("set");
-        let worker = TcpListener::from_std(socket.into()).expect("listens");
-        let at = worker.local_addr().expect("bound");
-        let (_list, list_at) = listener().await;
-        // Workers that drain have their part of the connections, so that one is left for the one that serves.
-        let names: Vec<String> = (0..200).map(|n| format!("d{n}")).collect();
-        let mut hosts: Vec<_> = names.iter().map(|n| (n.as_str(), at, "DRAINING")).collect();
-        hosts.push(("w1", at, "SERVING"));
-        let mut config = config(list_at, &[event(1, true, &hosts)]);
-        // So much time, and so many classes, that the module takes them all: they are more than the system buffers.
-        let class = |n: u64| {
-            json!({"Name": format!("c{n}"), "Effect": "read_like", "Aim": 3_000_000_000_000u64,
+struct Blocked {
+    at: SocketAddr,
+    at_worker: Peer,
+    worker: TcpListener,
+    watcher: Peer,
+    clients: Vec<Peer>,
+    body: String,
+    _list: TcpListener,
+}
+
+#[cfg(target_os = "linux")]
+fn class_call(id: u64, class: u64, body: &str) -> String {
+    call(id, &format!("c{class}"), body).replace(":60000", ":3000000")
+}
+
+#[cfg(target_os = "linux")]
+async fn blocked_worker() -> Blocked {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("set");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+    socket.listen(16).expect("listens");
+    socket.set_nonblocking(true).expect("set");
+    let worker = TcpListener::from_std(socket.into()).expect("listens");
+    let at = worker.local_addr().expect("bound");
+    let (list, list_at) = listener().await;
+    // Workers that drain have their part of the connections, so that one is left for the one that serves.
+    let names: Vec<String> = (0..200).map(|n| format!("d{n}")).collect();
+    let mut hosts: Vec<_> = names.iter().map(|n| (n.as_str(), at, "DRAINING")).collect();
+    hosts.push(("w1", at, "SERVING"));
+    let mut config = config(list_at, &[event(1, true, &hosts)]);
+    // So much time, and so many classes, that the module takes them all: they are more than the system buffers.
+    let class = |n: u64| {
+        json!({"Name": format!("c{n}"), "Effect": "read_like", "Aim": 3_000_000_000_000u64,
             "GiveUp": 3_000_000_000_000u64, "LateWorth": 0.5})
-        };
-        config["settings"]["Grades"] = (0..9).map(class).collect();
-        let node = start(&config).await;
-        let call = |id: u64, class: u64, body: &str| {
-            call(id, &format!("c{class}"), body).replace(":60000", ":3000000")
-        };
-        // Some are served first, so that the module knows the function to stand there and to be quick.
-        let mut watcher = Peer::connect(node).await;
-        watcher.send(&call(1000, 8, "")).await;
-        let mut at_worker = Peer::of(worker.accept().await.expect("a connection").0);
-        for id in 1001..1200 {
-            let asked = at_worker.next().await.expect("a call");
-            at_worker.send(&served(&asked)).await;
-            watcher.next().await.expect("an answer");
-            watcher.send(&call(id, 8, "")).await;
-        }
+    };
+    config["settings"]["Grades"] = (0..9).map(class).collect();
+    let node = start(&config).await;
+    // Some are served first, so that the module knows the function to stand there and to be quick.
+    let mut watcher = Peer::connect(node).await;
+    watcher.send(&class_call(1000, 8, "")).await;
+    let mut at_worker = Peer::of(worker.accept().await.expect("a connection").0);
+    for id in 1001..1200 {
         let asked = at_worker.next().await.expect("a call");
         at_worker.send(&served(&asked)).await;
         watcher.next().await.expect("an answer");
-        let body = "A".repeat(21_844);
-        let mut clients = Vec::new();
-        for n in 0..8u64 {
-            let mut client = Peer::connect(node).await;
-            for id in 0..32 {
-                client.send(&call(100 * (n + 1) + id, n, &body)).await;
-            }
-            client.is_well(99).await;
-            clients.push(client);
+        watcher.send(&class_call(id, 8, "")).await;
+    }
+    let asked = at_worker.next().await.expect("a call");
+    at_worker.send(&served(&asked)).await;
+    watcher.next().await.expect("an answer");
+    let body = "A".repeat(21_844);
+    let mut clients = Vec::new();
+    for n in 0..8u64 {
+        let mut client = Peer::connect(node).await;
+        for id in 0..32 {
+            client.send(&class_call(100 * (n + 1) + id, n, &body)).await;
         }
-        watcher.is_well(1).await;
+        client.is_well(99).await;
+        clients.push(client);
+    }
+    watcher.is_well(1).await;
+    Blocked { at, at_worker, worker, watcher, clients, body, _list: list }
+}
+
+/// A worker stops reading while its calls' clients leave; later it reads again. What lay in the front end's own buffer
+/// must not begin then.
+#[cfg(target_os = "linux")]
+#[tokio::test]
+async fn what_stood_behind_a_worker_that_did_not_read_does_not_begin_once_its_clients_have_gone() {
+    within(async {
+        let Blocked { at, mut at_worker, mut watcher, clients, body, .. } = blocked_worker().await;
         drop(clients);
         watcher.is_well(2).await;
         watcher.is_well(3).await;
         let held = held_by_the_system(at.port());
         // It reads again. A last call shows the end of what was there before.
-        watcher.send(&call(9, 8, "")).await;
+        watcher.send(&class_call(9, 8, "")).await;
         let mut began = 0;
         loop {
             let asked = at_worker.next().await.expect("it stays open");
@@ -232,6 +253,72 @@
     .await;
 }
 
+/// The same, and room has come just before one of them leaves, of which the front end has not heard yet: what it takes back
+/// then must not have left meanwhile, or a call that runs would be taken for one that never did.
+#[cfg(target_os = "linux")]
+#[tokio::test]
+async fn what_is_taken_back_as_a_worker_begins_to_read_again_has_not_left() {
+    within(async {
+        let Blocked { at, mut at_worker, worker: _worker, mut watcher, mut clients, body, _list } =
+            blocked_worker().await;
+        // The client whose call has left in part: its later calls can be taken back.
+        let line = pipithub_platform::worker::run(
+            &"0".repeat(16),
+            "c0",
+            &"0".repeat(16),
+            2_999_000_000_000,
+            None,
+            &[],
+        );
+        let line = line.len() + body.len();
+        let partial = held_by_the_system(at.port()) / line / 32;
+        drop(clients.remove(partial));
+        // Room, of which the front end hears together with the close and after it.
+        let mut read = Vec::new();
+        let stream = at_worker.write.as_ref();
+        let mut piece = vec![0; 1 << 16];
+        while let Ok(n) = stream.try_read(&mut piece) {
+            read.extend_from_slice(&piece[..n]);
+            if n == 0 || read.len() > 80 * line {
+                break;
+            }
+        }
+        assert!(read.len() > 40 * line, "there is room for some more: {}", read.len());
+        watcher.is_well(5).await;
+        drop(clients);
+        watcher.is_well(6).await;
+        watcher.send(&class_call(9, 8, "")).await;
+        let (mut began, mut undone) = (BTreeSet::new(), BTreeSet::new());
+        let mut note = |line: &str| {
+            let asked: serde_json::Value = serde_json::from_str(line).expect("JSON");
+            let name = asked["ref"].as_str().expect("a name").to_string();
+            let last = name == "0000000000000009";
+            if asked["cmd"] == "UNDO" {
+                undone.insert(name)
+            } else {
+                began.insert(name)
+            };
+            last
+        };
+        let whole = read.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
+        let rest = String::from_utf8(read.split_off(whole)).expect("text");
+        for line in String::from_utf8(read).expect("text").lines() {
+            note(line);
+        }
+        let mut rest = Some(rest);
+        loop {
+            let line = at_worker.lines.next_line().await.expect("no reset").expect("it stays open");
+            if note(&format!("{}{line}", rest.take().unwrap_or_default())) {
+                break;
+            }
+        }
+        began.remove("0000000000000009");
+        let kept: Vec<_> = began.difference(&undone).collect();
+        assert!(kept.is_empty(), "begun, and taken for never sent: {kept:?}");
+    })
+    .await;
+}
+
 /// A coordinator that fails in all its ways in turn; the list is had in the end, and asked for from where it stood.
 #[tokio::test]
 async fn the_list_is_had_from_a_coordinator_that_falls_silent_in_every_way() {
