One copy less on each read; a flag that could be derived is gone; methods have names

Cause, found on reading the change again: shell.rs copied all that was read once more for each read, on the path of every call, only because closing a client used the same buffer (it has its own now, being rare); core.rs kept a flag for the end of a stop, though answering what is open again does nothing; client.rs compared with METHODS[0] and [1]; pool.rs remembered tags of probes and orders as spent names, which pushed those of calls out. No behaviour is meant to change but the last.

--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -103,8 +103,6 @@
     /// When SIGTERM came.
     stopping: Option<Time>,
     draining: bool,
-    /// Whatever had no answer near the end of a stop was given one.
-    ended: bool,
     listed: bool,
     inputs: VecDeque<Input>,
     outputs: Vec<Output>,
@@ -141,7 +139,6 @@
             silence_swept: now,
             stopping: None,
             draining: false,
-            ended: false,
             listed: false,
             inputs: VecDeque::new(),
             outputs: Vec::new(),
@@ -202,8 +199,7 @@
             self.draining = true;
             self.run(now, Input::Drain);
         }
-        if !self.ended && self.last_answers().is_some_and(|at| now >= at) {
-            self.ended = true;
+        if self.last_answers().is_some_and(|at| now >= at) {
             self.run(now, Input::End);
         }
         self.run(now, Input::Tick);
--- a/crates/pipithub-node/src/pool.rs
+++ b/crates/pipithub-node/src/pool.rs
@@ -138,7 +138,9 @@
             effects.push(Effect::Unwrite { conn, at, len });
             return Some((job, true));
         }
-        self.spend(reference);
+        if matches!(job.task, Task::Attempt(_)) {
+            self.spend(reference);
+        }
         if cancel && matches!(job.task, Task::Attempt(_)) {
             let bytes = undo(reference);
             self.queued += bytes.len() as u64;
--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -281,12 +281,11 @@
     /// Closes a client's connection, unless a request has come on it in this very moment.
     fn retire(&self, now: Time, conn: ConnId) {
         let Some(socket) = self.sockets.borrow().get(&conn).cloned() else { return };
-        let mut scratch = self.scratch.borrow_mut();
-        let mut core = self.core.borrow_mut();
-        if let Ok(n) = socket.stream.try_read(&mut scratch)
+        let (mut bytes, mut core) = (vec![0; READ], self.core.borrow_mut());
+        if let Ok(n) = socket.stream.try_read(&mut bytes)
             && n > 0
         {
-            core.client_bytes(now, conn, &scratch[..n]);
+            core.client_bytes(now, conn, &bytes[..n]);
         }
         core.retire(now, conn);
     }
@@ -405,10 +404,13 @@
         if socket.broken.get() || SockRef::from(&socket.stream).shutdown(Shutdown::Write).is_err() {
             return;
         }
+        let mut waste = vec![0; KEPT];
         while socket.stream.readable().await.is_ok() {
-            match socket.stream.try_read(&mut self.scratch.borrow_mut()) {
+            match socket.stream.try_read(&mut waste) {
                 Ok(0) => return,
-                Err(e) if !passing(&e) => return,
+                Err(e) if !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                    return;
+                }
                 _ => {}
             }
         }
@@ -416,29 +418,26 @@
 
     /// Reads what there is; whether the connection goes on.
     fn read(self: &Rc<Self>, conn: ConnId, socket: &Socket) -> bool {
-        let mut bytes = Vec::new();
-        {
-            let mut scratch = self.scratch.borrow_mut();
-            let mut filled = 0;
-            while filled < scratch.len() {
-                match socket.stream.try_read(&mut scratch[filled..]) {
-                    Ok(n) if n > 0 => filled += n,
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    // A client that has closed has gone: nothing that it asked for before is begun for nobody. What a
-                    // worker said before its close counts.
-                    _ if socket.side == Side::Client || filled == 0 => return false,
-                    _ => break,
-                }
+        let mut scratch = self.scratch.borrow_mut();
+        let mut filled = 0;
+        while filled < scratch.len() {
+            match socket.stream.try_read(&mut scratch[filled..]) {
+                Ok(n) if n > 0 => filled += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                // A client that has closed has gone: nothing that it asked for before is begun for nobody. What a
+                // worker said before its close counts.
+                _ if socket.side == Side::Client || filled == 0 => return false,
+                _ => break,
             }
-            bytes.extend_from_slice(&scratch[..filled]);
         }
-        if bytes.is_empty() {
+        if filled == 0 {
             return true;
         }
+        let bytes = &scratch[..filled];
         self.with(|core, now| match socket.side {
-            Side::Client => core.client_bytes(now, conn, &bytes),
-            Side::Worker => core.worker_bytes(now, conn, &bytes),
+            Side::Client => core.client_bytes(now, conn, bytes),
+            Side::Worker => core.worker_bytes(now, conn, bytes),
         });
         if socket.side == Side::Client {
             self.active.set(self.clock.now());
@@ -506,11 +505,6 @@
     }
 }
 
-/// Whether an error says only that there is nothing at the moment.
-fn passing(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
-}
-
 fn load(path: &Path) -> Result<NodeConfig, StartError> {
     let fault = |reason: String| StartError::Config { place: path.to_path_buf(), reason };
     let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
--- a/crates/pipithub-platform/src/client.rs
+++ b/crates/pipithub-platform/src/client.rs
@@ -19,8 +19,12 @@
 const KEY_MOST: usize = 256;
 /// A call whose client states more than this many times its class's time makes no sense.
 const TTL_MOST: f64 = 2.0;
-/// Methods that are no classes: a client has ceased to wait, and whether calls are taken here.
-pub const METHODS: [&str; 2] = ["forget", "isWell"];
+/// The method by which a client says that it has ceased to wait.
+const FORGET: &str = "forget";
+/// The method that asks whether calls are taken here.
+const IS_WELL: &str = "isWell";
+/// Methods that are no classes.
+pub const METHODS: [&str; 2] = [FORGET, IS_WELL];
 /// The code of a refusal: another try is harmless.
 pub const REFUSED: i64 = -32050;
 /// The code of any other end without an answer: nothing is promised.
@@ -120,7 +124,7 @@
     let method = all.get("method").and_then(Value::as_str).ok_or_else(|| bad(INVALID, "method: missing"))?;
     let none = Value::Null;
     let params = all.get("params").unwrap_or(&none);
-    if method == METHODS[0] {
+    if method == FORGET {
         let number = params.get("id").and_then(Value::as_u64).or(id);
         let call = params.get("call").and_then(Value::as_str).map(str::to_string);
         if number.is_none() && call.is_none() {
@@ -129,7 +133,7 @@
         return Ok(ClientLine::Forget { id: number, call });
     }
     let Some(id) = id else { return Err(bad(INVALID, "id: missing")) };
-    if method == METHODS[1] {
+    if method == IS_WELL {
         return Ok(ClientLine::IsWell { id });
     }
     let call = call(id, method, params, site).map_err(|(code, message)| bad(code, &message))?;
