Scale tests: the command, slopes and plots, without any part measured yet

The change: pipithub-bench scale with points, fits over logarithms, JSON and SVG; a counter of workers looked at in the module's crate, off by default.

--- a/crates/pipithub-bench/src/main.rs
+++ b/crates/pipithub-bench/src/main.rs
@@ -4,6 +4,7 @@
 mod baseline;
 mod members;
 mod roster;
+mod scale;
 
 use std::collections::HashMap;
 use std::error::Error;
@@ -66,6 +67,8 @@
         #[arg(long, default_value_t = 3)]
         seeds: u64,
     },
+    /// How each part of a site grows: slopes over several sizes, and what they say of the planned one.
+    Scale(scale::Scale),
     /// The pass-through, as a process.
     Baseline {
         /// The broker.
@@ -94,6 +97,10 @@
             roster::morning(fronts, users, calls);
             return Ok(());
         }
+        Some(Command::Scale(scale)) => {
+            let beside = std::env::current_exe()?.with_file_name("pipithub");
+            return scale::run(scale, arguments.binary.unwrap_or(beside)).await;
+        }
         Some(Command::Directories) | None => {}
     }
     let me = std::env::current_exe()?;
--- /dev/null
+++ b/crates/pipithub-bench/src/scale/mod.rs
@@ -0,0 +1,201 @@
+//! Scale tests: each part is measured at several sizes, and its slope says what a larger site would need.
+
+mod council;
+mod decisions;
+mod fit;
+mod front_ends;
+mod members;
+mod plot;
+mod settings;
+mod workers;
+
+use std::path::PathBuf;
+
+use clap::{Args, ValueEnum};
+use serde::Serialize;
+
+pub use fit::Fit;
+
+use crate::Result;
+
+/// What is measured and where the figures go.
+#[derive(Args)]
+pub struct Scale {
+    /// Parts; all of them by default.
+    #[arg(value_enum)]
+    parts: Vec<Part>,
+    /// Sizes in place of each part's own.
+    #[arg(long, value_delimiter = ',')]
+    sizes: Vec<u64>,
+    /// Seed of all that is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Plays of each size, of which the median counts.
+    #[arg(long, default_value_t = 3)]
+    plays: usize,
+    /// Writes all series to this file.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Writes a plot of each series into this folder.
+    #[arg(long)]
+    plot: Option<PathBuf>,
+}
+
+/// A part of the site whose growth is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Part {
+    /// What a call, a list event and an idle tick cost the decision module.
+    Decisions,
+    /// What a front end's process holds, reads and asks, and what hands out the list spends.
+    FrontEnds,
+    /// Membership, in simulated time.
+    Members,
+    /// Agreed entries of the council's core.
+    Council,
+    /// How a change of configuration reaches all front ends.
+    Settings,
+    /// What a worker sees of all front ends, from the fleet test's own counts.
+    Workers,
+}
+
+/// How a part is to be measured.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Sizes in place of the part's own; empty: its own.
+    pub sizes: Vec<u64>,
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// Plays of each size, of which the median counts.
+    pub plays: usize,
+    /// The pipithub binary, for real processes.
+    pub binary: PathBuf,
+}
+
+impl Plan {
+    /// The sizes to measure, of which these are the usual ones.
+    pub fn sizes_or(&self, usual: &[u64]) -> Vec<u64> {
+        if self.sizes.is_empty() { usual.to_vec() } else { self.sizes.clone() }
+    }
+}
+
+/// What was measured at one size.
+#[derive(Clone, Debug, Serialize)]
+pub struct Point {
+    /// The size.
+    pub size: u64,
+    /// The median of the plays.
+    pub value: f64,
+    /// The least and the greatest of them.
+    pub least: f64,
+    /// See `least`.
+    pub greatest: f64,
+    /// How many plays there were.
+    pub plays: usize,
+}
+
+impl Point {
+    /// The median of these values; 0 where there are none.
+    pub fn of(size: u64, mut values: Vec<f64>) -> Point {
+        values.sort_by(f64::total_cmp);
+        let at = |i: usize| values.get(i).copied().unwrap_or(0.0);
+        let plays = values.len();
+        Point { size, value: at(plays / 2), least: at(0), greatest: at(plays.saturating_sub(1)), plays }
+    }
+}
+
+/// One figure over several sizes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Series {
+    /// The part it belongs to.
+    pub part: String,
+    /// What was measured, in words.
+    pub what: String,
+    /// The unit of the values.
+    pub unit: String,
+    /// What the sizes count.
+    pub of: String,
+    /// How it was run: `processes`, `hollow`, `simulated time` or `core`.
+    pub how: String,
+    /// The points, by size.
+    pub points: Vec<Point>,
+    /// The size that is planned for.
+    pub planned: u64,
+    /// The slope through the points.
+    pub fit: Option<Fit>,
+}
+
+impl Series {
+    /// A series and the slope through its points.
+    pub fn new(part: &str, what: &str, unit: &str, of: &str, how: &str, planned: u64) -> Series {
+        let [part, what, unit, of, how] = [part, what, unit, of, how].map(str::to_string);
+        Series { part, what, unit, of, how, points: Vec::new(), planned, fit: None }
+    }
+
+    /// Adds what was measured at one size.
+    pub fn push(&mut self, size: u64, values: Vec<f64>) {
+        self.points.push(Point::of(size, values));
+    }
+
+    /// The furthest size that was really run.
+    pub fn furthest(&self) -> u64 {
+        self.points.iter().map(|p| p.size).max().unwrap_or(0)
+    }
+
+    fn print(&self) {
+        println!("\n{} / {} [{}], {}", self.part, self.what, self.unit, self.how);
+        for p in &self.points {
+            println!(
+                "  {:>8} {:<12} {:>14.3}   ({:.3} to {:.3}, {} plays)",
+                p.size, self.of, p.value, p.least, p.greatest, p.plays
+            );
+        }
+        if let Some(fit) = &self.fit {
+            let at = fit.at(self.planned);
+            println!(
+                "  grows as size^{:.2}, residual {:.0}%; furthest run {}; at {} {} it would be {at:.3} ({:.1} times the furthest)",
+                fit.exponent,
+                fit.residual * 100.0,
+                self.furthest(),
+                self.planned,
+                self.of,
+                self.planned as f64 / self.furthest().max(1) as f64
+            );
+        }
+    }
+}
+
+/// Measures the parts and shows their slopes.
+pub async fn run(scale: Scale, binary: PathBuf) -> Result<()> {
+    let plan = Plan { sizes: scale.sizes, seed: scale.seed, plays: scale.plays.max(1), binary };
+    let parts = if scale.parts.is_empty() { Part::value_variants().to_vec() } else { scale.parts };
+    let mut all = Vec::new();
+    for part in parts {
+        let mut series: Vec<Series> = measure(part, &plan).await?;
+        for one in &mut series {
+            one.fit = Fit::through(&one.points);
+            one.print();
+        }
+        all.append(&mut series);
+    }
+    if let Some(path) = scale.json {
+        std::fs::write(path, serde_json::to_string_pretty(&all)?)?;
+    }
+    if let Some(folder) = scale.plot {
+        std::fs::create_dir_all(&folder)?;
+        for series in &all {
+            plot::draw(series, &folder)?;
+        }
+    }
+    Ok(())
+}
+
+async fn measure(part: Part, plan: &Plan) -> Result<Vec<Series>> {
+    match part {
+        Part::Decisions => decisions::measure(plan).await,
+        Part::FrontEnds => front_ends::measure(plan).await,
+        Part::Members => members::measure(plan).await,
+        Part::Council => council::measure(plan).await,
+        Part::Settings => settings::measure(plan).await,
+        Part::Workers => workers::measure(plan).await,
+    }
+}
--- a/crates/pipithub-policy/src/lib.rs
+++ b/crates/pipithub-policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod api;
 pub mod decide;
 mod state;
+pub mod work;
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
--- /dev/null
+++ b/crates/pipithub-policy/src/work.rs
@@ -0,0 +1,23 @@
+//! Counts the workers looked at, in builds with the feature `count`; elsewhere nothing is counted.
+//!
+//! Counted work says how a decision grows with the tier on any machine, where time would not.
+
+#[cfg(feature = "count")]
+thread_local! {
+    static LOOKED: std::cell::Cell<u64> = const { std::cell::Cell::new(0) };
+}
+
+/// Notes that so many workers were looked at.
+#[inline]
+pub fn looked(_workers: u64) {
+    #[cfg(feature = "count")]
+    LOOKED.with(|n| n.set(n.get() + _workers));
+}
+
+/// How many were looked at on this thread since this was asked last; 0 in builds that do not count.
+pub fn taken() -> u64 {
+    #[cfg(feature = "count")]
+    return LOOKED.with(|n| n.replace(0));
+    #[cfg(not(feature = "count"))]
+    0
+}
