Module: what a call asks of all workers is kept as things happen, not looked for

The change: workers stand in a tier with sets and sums that follow each change (src/tier.rs, no decision in it); an order goes through 512 workers at the most, those that come next to the function on a ring of hashes. decide.rs has 1,059 lines of 1,060.

--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -7,7 +7,7 @@
 use crate::api::*;
 pub use crate::state::FrontEnd;
 use crate::state::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// Nanoseconds in a millisecond.
 const MS: Time = 1_000_000;
@@ -60,6 +60,8 @@
 const PAD: f64 = 1.6;
 /// A pace that no answer refreshes goes half the way back to the usual in this time.
 const PACE_AGE: Time = 3_000 * MS;
+/// A function's order goes through so many workers at the most: a call costs no more in a larger tier.
+const ORDER_MOST: usize = 512;
 /// A send is overdue at this multiple of what was foreseen; a worker is silent when more of a class's sends
 /// are than it has answered since the first of them, and at least so many.
 const SILENCE_STRETCH: f64 = 3.0;
@@ -142,6 +144,23 @@
     }
 }
 
+impl Changed<'_> {
+    /// Notes an error. A worker whose calls mostly fail answers fast, so it looks free and draws more: it is
+    /// left alone, for as long as it is worse than the others: a broken disk, a bad release, a lost secret.
+    /// What fails everywhere alike, a program or a client's nonsense, shuts nobody: of one function's errors
+    /// in a row one counts. Harm: where a worker alone can run a function, its calls are refused.
+    fn erred(&mut self, now: Time, sent: &Sent) {
+        let usual = self.mean_errors_beside(sent.class);
+        let health = &mut self.health[sent.class];
+        if health.erred.replace(sent.function) != Some(sent.function) || health.bad > 0 {
+            health.errors += PACE_GAIN * (1.0 - health.errors);
+        }
+        if health.errors > ERRORS_MOST.max(usual * ERRORS_WORSE) && now >= health.shut_until {
+            health.shut(now);
+        }
+    }
+}
+
 impl FrontEnd {
     /// A front end that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -155,8 +174,8 @@
         let told = [&mut s.tick, &mut rules.ramp, &mut rules.fall_span, &mut loading.keep_alive];
         let class = s.classes.iter_mut().flat_map(|c| [&mut c.aim, &mut c.give_up, &mut c.dedup_window]);
         told.into_iter().chain(window).chain(class).for_each(|t| *t = (*t).min(LONGEST));
-        let class_run = vec![None; s.classes.len()];
-        FrontEnd { class_run, s, seed, load_stretch: 1.0, held_seen: (6.0, 1.0), ..FrontEnd::default() }
+        let (nodes, class_run, held_seen) = (Tier::new(HELD_AGE), vec![None; s.classes.len()], (6.0, 1.0));
+        FrontEnd { nodes, class_run, s, seed, load_stretch: 1.0, held_seen, ..FrontEnd::default() }
     }
 
     /// Takes one event and appends what to do about it.
@@ -165,9 +184,7 @@
         if self.next_round == 0 {
             self.next_round = self.now + self.interval() / 2 + mix(self.seed) % (self.interval() / 2);
             actions.push(Action::Timer { after: CHORES, token: CHORES_TOKEN });
-            if self.s.list_on_request {
-                actions.push(Action::FollowList);
-            }
+            actions.extend(self.s.list_on_request.then_some(Action::FollowList));
         }
         match event {
             Event::List { kind, entries } => self.list(kind, entries, actions),
@@ -179,9 +196,7 @@
                 let ran = self.attempt_over(&end);
                 self.outcome(&end, ran, actions);
             }
-            Event::Streaming { request } => {
-                self.open.entry(request).and_modify(|o| o.streaming = true);
-            }
+            Event::Streaming { request } => drop(self.open.get_mut(&request).map(|o| o.streaming = true)),
             Event::Left { request } => {
                 if let Some(open) = self.open.remove(&request) {
                     self.withdraw(request, &open, actions);
@@ -189,9 +204,7 @@
             }
             Event::Ordered(reply) => self.ordered(&reply, actions),
             Event::Timer { token: CHORES_TOKEN } => self.chores(actions),
-            Event::Probed { worker, answered, load } => {
-                self.told(&worker, Some(load).filter(|_| answered), actions);
-            }
+            Event::Probed { worker, answered, load } => self.told(&worker, answered.then_some(load), actions),
             Event::Timer { token } if token & ASK_TOKEN > 0 => {
                 if let Some(worker) = self.open.get(&(token & !ASK_TOKEN)).and_then(|o| o.asks.clone()) {
                     self.told(&worker, None, actions);
@@ -210,22 +223,18 @@
 
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>, actions: &mut Vec<Action>) {
         if kind == ListKind::Lost {
-            if self.s.list_on_request {
-                actions.push(Action::FollowList);
-            }
+            actions.extend(self.s.list_on_request.then_some(Action::FollowList));
             return;
         }
         if kind != ListKind::Changes {
             let named: BTreeSet<&Worker> = entries.iter().map(|e| &e.worker).collect();
-            for node in self.nodes.values_mut().filter(|n| !named.contains(&n.entry.worker)) {
-                node.entry.state = State::Gone;
-            }
+            let lost = |n: &Node| !named.contains(&n.entry.worker);
+            self.nodes.change_where(lost, |n| n.entry.state = State::Gone);
         }
         let classes = self.s.classes.len();
         for mut entry in entries {
             entry.started = entry.started.map(|t| t.min(Time::MAX >> 2));
-            let node =
-                self.nodes.entry(entry.worker.clone()).or_insert_with(|| Node::new(entry.clone(), classes));
+            let mut node = self.nodes.get_or_add(&entry, classes);
             if node.entry.started != entry.started {
                 // A process that started anew holds nothing and has no past.
                 node.copies.clear();
@@ -234,23 +243,25 @@
             }
             node.entry = entry;
         }
-        self.nodes.retain(|_, n| n.entry.state != State::Gone || !n.out.is_empty());
+        self.nodes.forget_gone();
     }
 
-    /// The workers that may be sent work, in the function's order: the same at every front end. In a large
-    /// tier a function that fills one home has several: each front end begins at one of them, drawn once for
-    /// all, so that no home is full while the next ones idle, and each front end has few workers to meet.
-    fn order(&self, function: Function) -> Vec<Worker> {
-        let live = self.nodes.iter().filter(|(_, n)| n.entry.state == State::Live);
-        let mut ranked: Vec<_> = live.map(|(w, n)| (mix(n.hash ^ mix(function.0)), w)).collect();
+    /// The workers that may be sent work, in the function's order: the same at every front end. Of very many
+    /// it goes through those that come next to the function on a ring of hashes. In a large tier a function
+    /// that fills one home has several: each front end begins at one of them, drawn once for all, so that no
+    /// home is full while the next ones idle, and each front end has few workers to meet.
+    fn order(&self, function: Function) -> Vec<&Worker> {
+        let place = mix(function.0);
+        let near = self.nodes.from(mix(place), ORDER_MOST);
+        let mut ranked: Vec<_> = near.map(|(hash, w)| (mix(hash ^ place), w)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
-        let mut order: Vec<Worker> = ranked.into_iter().map(|(_, w)| w.clone()).collect();
+        let mut order: Vec<&Worker> = ranked.into_iter().map(|(_, w)| w).collect();
         let homes = self.programs.get(&function).map_or(0.0, |p| p.homes);
         if self.blind() && homes > 1.0 && !order.is_empty() {
             let draw = draw(self.seed ^ mix(function.0));
             // Of several homes one in the own zone, where there is one: crossing costs time and more.
             let all = 0..(homes as usize).min(order.len());
-            let near: Vec<usize> = all.filter(|i| self.nodes[&order[*i]].entry.zone == self.s.zone).collect();
+            let near: Vec<usize> = all.filter(|i| self.nodes[order[*i]].entry.zone == self.s.zone).collect();
             let any = ((draw * homes) as usize).min(order.len() - 1);
             let first = near.get((draw * near.len() as f64) as usize).copied().unwrap_or(any);
             order[..=first].rotate_right(1);
@@ -258,9 +269,8 @@
         if self.blind() && !order.is_empty() {
             // Wanted functions may share a home by chance, and it stays full while others idle: each front
             // end that was told so draws, once for all, whether it still begins there.
-            let known = || self.nodes.values().filter(|n| n.entry.state == State::Live && n.told.at > 0);
-            let mean = known().map(|n| self.usually_holds(n)).sum::<f64>() / known().count().max(1) as f64;
-            let stays = |w: &Worker| {
+            let mean = self.nodes.mean_held(self.now);
+            let stays = |w: &&Worker| {
                 let node = &self.nodes[w];
                 let share = (mean / self.usually_holds(node)).powi(EASE);
                 node.told.at == 0 || draw(self.seed ^ mix(function.0) ^ node.hash) <= share
@@ -334,7 +344,7 @@
         if failed || end.note == Some(CopyNote::Began) {
             self.store_heard(failed);
         }
-        let node = self.nodes.get_mut(&end.worker)?;
+        let mut node = self.nodes.get_mut(&end.worker)?;
         let at = node.out.iter().position(|s| s.request == end.request && s.attempt == end.attempt)?;
         // Withdrawn work may go on unseen: the replay holds it until its foreseen end.
         let sent = if end.outcome == Outcome::Cancelled && node.out[at].due > now {
@@ -377,7 +387,7 @@
                 (node.heard, node.strikes) = (now, 0);
                 node.room += ROOM_RISE;
                 node.served.push_back((now, sent.class));
-                let copies = node.copies.entry(sent.function).or_default();
+                let copies = node.copies_of(sent.function);
                 copies.ready = if copies.proven { copies.ready } else { now };
                 (copies.count, copies.proven, copies.used) = (copies.count.max(1), true, now);
                 if let Some((alike, others)) = told {
@@ -395,6 +405,7 @@
                     None => (sent.cold || sent.unproven) && took > expected * SAMPLE_CAP,
                 };
                 if loaded {
+                    drop(node);
                     if end.note != Some(CopyNote::Waited) {
                         self.learn_load(sent.function, (took - expected).max(0.0));
                     }
@@ -443,7 +454,7 @@
             {
                 node.copies.remove(&sent.function);
             }
-            Outcome::Error if same_process => self.erred(&end.worker, &sent),
+            Outcome::Error if same_process => node.erred(now, &sent),
             Outcome::Full if same_process => {
                 node.room = (sent.crowd * ROOM_CUT).max(1.0);
                 node.heard = now;
@@ -453,24 +464,6 @@
         ran
     }
 
-    /// Notes an error. A worker whose calls mostly fail answers fast, so it looks free and draws more: it is
-    /// left alone, for as long as it is worse than the others: a broken disk, a bad release, a lost secret.
-    /// What fails everywhere alike, a program or a client's nonsense, shuts nobody: of one function's errors
-    /// in a row one counts. Harm: where a worker alone can run a function, its calls are refused.
-    fn erred(&mut self, worker: &Worker, sent: &Sent) {
-        let (now, class) = (self.now, sent.class);
-        let live = |n: &&Node| n.entry.state == State::Live && n.entry.worker != *worker;
-        let others = || self.nodes.values().filter(live).map(|n| n.health[class].errors);
-        let usual = others().sum::<f64>() / others().count().max(1) as f64;
-        let Some(health) = self.nodes.get_mut(worker).map(|n| &mut n.health[class]) else { return };
-        if health.erred.replace(sent.function) != Some(sent.function) || health.bad > 0 {
-            health.errors += PACE_GAIN * (1.0 - health.errors);
-        }
-        if health.errors > ERRORS_MOST.max(usual * ERRORS_WORSE) && now >= health.shut_until {
-            health.shut(now);
-        }
-    }
-
     /// Takes the reply to an order; calls that waited for it are placed again.
     fn ordered(&mut self, reply: &Ordered, actions: &mut Vec<Action>) {
         let (worker, function, took, count) =
@@ -479,20 +472,24 @@
         if reply.outcome == Outcome::Error {
             self.store_heard(true);
         }
-        if let Some(copies) = self.nodes.get_mut(worker).and_then(|n| n.copies.get_mut(&function)) {
-            if std::mem::take(&mut copies.ordered) {
+        let mut loaded = false;
+        if let Some(mut node) = self.nodes.get_mut(worker) {
+            if let Some(copies) = node.copies.get_mut(&function).filter(|c| c.ordered) {
+                copies.ordered = false;
                 if reply.outcome == Outcome::Served && count > 0 {
                     (copies.count, copies.proven, copies.placed) = (count, true, true);
                     (copies.ready, copies.used) = (copies.ready.min(self.now), self.now);
-                    if took as f64 > run {
-                        self.learn_load(function, took as f64);
-                    }
+                    loaded = took as f64 > run;
                 } else if count == 0 && !copies.proven {
-                    self.nodes.get_mut(worker).map(|n| n.copies.remove(&function));
+                    node.copies.remove(&function);
                 }
             }
         }
-        for id in self.waiting(|o| o.parked && o.call.function == function) {
+        if loaded {
+            self.learn_load(function, took as f64);
+        }
+        let parked = self.open.iter().filter(|(_, o)| o.parked && o.call.function == function);
+        for id in parked.map(|(id, _)| *id).collect::<Vec<_>>() {
             if let Some(open) = self.open.get_mut(&id).filter(|_| reply.outcome == Outcome::Served) {
                 open.tried.pop();
             }
@@ -500,15 +497,10 @@
         }
     }
 
-    /// The requests of which this holds.
-    fn waiting(&self, holds: impl Fn(&Open) -> bool) -> Vec<RequestId> {
-        self.open.iter().filter(|(_, open)| holds(open)).map(|(id, _)| *id).collect()
-    }
-
     /// Notes what a worker tells of its load, the worst where it keeps silent; calls that waited to hear it
     /// are placed.
     fn told(&mut self, worker: &Worker, load: Option<Load>, actions: &mut Vec<Action>) {
-        if let Some(node) = self.nodes.get_mut(worker) {
+        if let Some(mut node) = self.nodes.get_mut(worker) {
             let usual = match load.and_then(|l| l.held).filter(|h| h.is_finite()) {
                 Some(held) if node.told.at > 0 => {
                     let age = self.now.saturating_sub(node.told.at) as f64;
@@ -521,7 +513,7 @@
             let (held, busy) = (load.held.unwrap_or(0.0), load.busy.unwrap_or(0.0));
             node.told = Told { at: self.now, held, busy, usual };
         }
-        for id in self.waiting(|o| o.asks.as_ref() == Some(worker)) {
+        for id in self.asking.remove(worker).unwrap_or_default() {
             self.open.entry(id).and_modify(|o| o.asks = None);
             self.place(id, actions);
         }
@@ -617,7 +609,7 @@
     fn loads_under_way(&self, function: Function) -> (usize, bool) {
         let (mut count, mut same) = (0, false);
         // What hangs at a worker that cannot be reached loads nothing: counted, it would bar those left.
-        for node in self.nodes.values().filter(|n| n.strikes < STRIKES) {
+        for node in self.nodes.loading().filter(|n| n.strikes < STRIKES) {
             let slow = |s: &&Sent| s.cold || s.unproven && self.now > s.at + (s.run * SAMPLE_CAP) as Time;
             // A load that nobody waits for may be left out: no other waits for it.
             let awaited = || node.out.iter().filter(|s| !s.withdrawn);
@@ -643,8 +635,17 @@
         node.entry.memory_mb <= 0.0 || held + memory(&function) <= node.entry.memory_mb * MEMORY_FILL
     }
 
+    /// The zones that are left alone; once that time is over one send at a time tries one. The try may end in
+    /// any way, then the next one may go.
+    fn closed_zones(&self) -> BTreeSet<&str> {
+        let out = |zone| self.nodes.busy_in(zone).flat_map(|n| &n.out).filter(|s| !s.withdrawn);
+        let tried = |zone, shut: &Health| out(zone).any(|s| s.at >= shut.shut_until);
+        let closed = self.zones.iter().filter(|(zone, z)| self.now < z.shut_until || tried(zone.as_str(), z));
+        closed.map(|(zone, _)| zone.as_str()).collect()
+    }
+
     /// Whether the request may have an attempt at this worker at all.
-    fn allowed(&self, open: &Open, node: &Node) -> bool {
+    fn allowed(&self, open: &Open, node: &Node, closed: &BTreeSet<&str>) -> bool {
         let class = &self.s.classes[open.call.class];
         let repeat_ok = match (&open.may_have_run, class.effect) {
             (None, _) | (_, Effect::Safe) => true,
@@ -661,11 +662,8 @@
         // A worker in trouble is left alone; once that time is over one send at a time tries it.
         let health = &node.health[open.call.class];
         let idle = || node.out.iter().all(|s| s.class != open.call.class || s.at < health.shut_until);
-        // So is a zone; the try may end in any way, then the next one may go.
-        let near = || self.nodes.values().filter(|n| n.entry.zone == node.entry.zone).flat_map(|n| &n.out);
-        let free = |z: &Health| near().all(|s| s.withdrawn || s.at < z.shut_until);
         repeat_ok
-            && self.zones.get(&node.entry.zone).is_none_or(|z| self.now >= z.shut_until && free(z))
+            && !closed.contains(node.entry.zone.as_str())
             && (health.bad == 0 || self.now >= health.shut_until && idle())
             && (node.out.len() as f64) < node.room
             && self.cold_budget_left(node)
@@ -690,20 +688,22 @@
             return self.end(id, actions);
         }
         let order = self.order(function);
-        let located = order.iter().any(|w| self.ready_at(&self.nodes[w], function).is_some());
+        let stands = |n: &Node| n.is_live() && self.ready_at(n, function).is_some();
+        let located = self.nodes.holders(function).any(stands);
+        let closed = self.closed_zones();
         // A slow store must not be asked for more: loads are bounded, and one of this function is awaited.
         let (loads, loading) = self.loads_under_way(function);
         // The most: some for each of its part of the workers; the fewer, the slower the store is.
         let store_open = now >= self.store.shut_until;
-        let most = (LOADS_MOST * order.len()).div_ceil(self.s.front_ends as usize).max(2);
+        let most = (LOADS_MOST * self.nodes.live()).div_ceil(self.s.front_ends as usize).max(2);
         let may_add = store_open && loads as f64 * self.store_pace().max(1.0) < most as f64;
         let may_load = may_add && !loading;
         let (blind, run) = (self.blind(), self.run_of(function, open.call.class) * PAD);
         let mut presume = !located && open.attempts == 0;
         let (mut choice, mut late, mut want, mut soft, mut ask) = (None, None, None, None, None);
-        for worker in order.iter().filter(|w| !open.tried.contains(w)) {
+        for worker in order.into_iter().filter(|w| !open.tried.contains(w)) {
             let node = &self.nodes[worker];
-            if !self.allowed(open, node) {
+            if !self.allowed(open, node, &closed) {
                 // Presumed at its home alone. Where that is lost it stands nowhere: presumed at the next one,
                 // each of the lost worker's functions would begin a load there past the bound on loads.
                 presume = false;
@@ -746,6 +746,7 @@
         if let Some(worker) = ask {
             actions.push(Action::Probe { worker: worker.clone() });
             actions.push(Action::Timer { after: ASK_WAIT, token: id | ASK_TOKEN });
+            self.asking.entry(worker.clone()).or_default().insert(id);
             self.open.entry(id).and_modify(|o| (o.asks, o.asked) = (Some(worker), o.asked + 1));
             return;
         }
@@ -789,7 +790,7 @@
         let budget = call.budget.unwrap_or(class.give_up).min(LONGEST);
         let deadline = now + budget;
         let aim = (now + class.aim + stretch as Time).min(deadline);
-        self.arrivals.push_back(now);
+        self.arrivals.push(now);
         if self.blind() {
             self.guesses = (self.guesses + GUESS_SHARE).min(GUESSES_MOST);
         }
@@ -806,13 +807,14 @@
     /// Sends to a worker, with what was foreseen there and the deadline that the send is held to.
     fn send(&mut self, id: RequestId, chosen: (Worker, Foreseen, Time), actions: &mut Vec<Action>) {
         let (now, (worker, seen, goal)) = (self.now, chosen);
-        let Some((function, class)) = self.open.get(&id).map(|o| (o.call.function, o.call.class)) else {
+        let Some(Request { function, class, .. }) = self.open.get(&id).map(|o| o.call.clone()) else {
             return;
         };
         let run = self.run_of(function, class);
-        let (Some(node), Some(open)) = (self.nodes.get_mut(&worker), self.open.get_mut(&id)) else { return };
+        let Some(mut node) = self.nodes.get_mut(&worker) else { return };
+        let Some(open) = self.open.get_mut(&id) else { return };
         let crowd = node.out.len() as f64 + 1.0;
-        node.out.push(Sent {
+        let sent = Sent {
             request: id,
             attempt: open.attempts,
             function,
@@ -828,9 +830,10 @@
             aim: open.aim,
             crowd,
             withdrawn: false,
-        });
+        };
+        node.out.push(sent);
         node.sends.push_back(now);
-        let copies = node.copies.entry(function).or_default();
+        let copies = node.copies_of(function);
         if copies.ready == 0 || seen.cold {
             *copies = Copies { count: 1, ready: now, placed: copies.placed, ..Copies::default() };
             if seen.cold {
@@ -870,13 +873,10 @@
         let class = &self.s.classes[open.call.class];
         let any = class.effect == Effect::Safe || class.effect == Effect::Keyed && class.group == Group::All;
         let harmless = any || open.may_have_run.is_none() && !open.outstanding;
-        if harmless {
-            let may = |t: &Time| self.s.limits.retry_after && *t > 0;
-            let retry_after = Some(self.s.limits.max_retry_after).filter(may);
-            actions.push(Action::Refuse { request: id, retry_after });
-        } else {
-            actions.push(Action::Fail { request: id });
-        }
+        let may = |t: &Time| self.s.limits.retry_after && *t > 0;
+        let retry_after = Some(self.s.limits.max_retry_after).filter(may);
+        let refuse = Action::Refuse { request: id, retry_after };
+        actions.push(if harmless { refuse } else { Action::Fail { request: id } });
     }
 
     /// Withdraws an attempt that nobody waits for, however the wait ended: clients that leave and ask again
@@ -895,7 +895,7 @@
         // No outcome is a symptom too, counted a class: a fault behind the workers may swallow the calls of
         // one though others are answered; slow loads may look alike.
         let mut recalled = Vec::new();
-        for node in self.nodes.values_mut() {
+        self.nodes.change_recent(|node| {
             let keep = RATE_SPAN.max(self.s.rules.fall_span) + CHORES;
             node.sends.retain(|t| t + keep >= now);
             node.out.retain(|s| !s.withdrawn || s.due > now);
@@ -913,7 +913,7 @@
                     recalled.extend(out.map(|s| (s.request, s.attempt)));
                 }
             }
-        }
+        });
         if self.blind() {
             self.hear_zones(&mut recalled);
         }
@@ -924,11 +924,11 @@
                 actions.push(Action::Cancel { request: id, attempt });
             }
         }
-        self.nodes.retain(|_, n| n.entry.state != State::Gone || !n.out.is_empty());
+        self.nodes.forget_gone();
         self.learn_warm_rate();
         let window = self.s.loading.ration.as_ref().map_or(0, |r| r.window).max(RATE_SPAN) + CHORES;
-        self.orders.retain(|t| t + window >= now);
-        self.arrivals.retain(|t| t + window >= now);
+        self.orders.forget_before(now.saturating_sub(window));
+        self.arrivals.forget_before(now.saturating_sub(window));
         if now >= self.next_round {
             self.next_round = now + self.interval();
             self.replace(actions);
@@ -941,22 +941,17 @@
     /// is over. Harm: a zone in which just the few workers that this front end met are silent is left too.
     fn hear_zones(&mut self, recalled: &mut Vec<(RequestId, u32)>) {
         let now = self.now;
-        let mut heard: BTreeMap<&str, Time> = BTreeMap::new();
-        for node in self.nodes.values() {
-            let last = heard.entry(&node.entry.zone).or_default();
-            *last = (*last).max(node.heard);
-        }
-        let all = heard.len();
-        self.zones.retain(|zone, z| all > 1 && heard.get(zone.as_str()).is_some_and(|last| *last <= z.since));
-        for (zone, last) in heard {
+        let all = self.nodes.zones();
+        self.zones.retain(|zone, z| all > 1 && self.nodes.heard(zone).is_some_and(|last| last <= z.since));
+        for zone in self.nodes.busy_zones() {
             let shut = self.zones.get(zone);
             // Where all say nothing it is not the zone, and all that there is cannot be left alone.
             if self.zones.len() - usize::from(shut.is_some()) + 1 >= all {
                 continue;
             }
-            let out = || self.nodes.values().filter(|n| n.entry.zone == zone).flat_map(|n| &n.out);
+            let out = || self.nodes.busy_in(zone).flat_map(|n| &n.out);
             // What was out when it was shut is no news of it since.
-            let since = last.max(shut.map_or(0, |z| z.since));
+            let since = self.nodes.heard(zone).max(shut.map(|z| z.since)).unwrap_or(0);
             let overdue = out().filter(|s| s.at > since && s.overdue(now)).count();
             let needed = if shut.is_some() { 1 } else { SILENT_SENDS };
             if overdue >= needed && shut.is_none_or(|z| now >= z.shut_until) {
@@ -976,15 +971,16 @@
         let Some(open) = self.open.get(&id) else { return };
         let (function, class, aim) = (open.call.function, open.call.class, open.aim);
         let run = self.run_of(function, class);
-        let Some(node) = self.nodes.get_mut(worker) else { return };
-        let copies = node.copies.entry(function).or_default();
+        let Some(mut node) = self.nodes.get_mut(worker) else { return };
+        let copies = node.copies_of(function);
         let adequate = (aim.saturating_sub(self.now) as f64 - run).max(0.0);
         copies.adequate = if copies.misses == 0 { adequate } else { copies.adequate.min(adequate) };
         copies.misses += 1;
         copies.missed_work += run;
         let enough = spread && copies.misses >= MISSES_TO_SPREAD;
+        drop(node);
         let loading = |n: &Node| n.copies.get(&function).is_some_and(|c| c.ordered);
-        if enough && self.has_room(&self.nodes[worker], function) && !self.nodes.values().any(loading) {
+        if enough && self.has_room(&self.nodes[worker], function) && !self.nodes.loading().any(loading) {
             self.hold(worker, function, actions);
         }
     }
@@ -993,7 +989,8 @@
     fn replace(&mut self, actions: &mut Vec<Action>) {
         let mut placed: Vec<(f64, Worker, Function)> = Vec::new();
         let mut wanted: Vec<(f64, f64, Worker, Function)> = Vec::new();
-        for (worker, node) in self.nodes.iter_mut() {
+        self.nodes.change_holding(|node| {
+            let worker = &node.entry.worker;
             for (function, copies) in node.copies.iter_mut() {
                 let stands = copies.proven && self.now <= copies.used + self.s.loading.keep_alive;
                 if copies.placed && stands {
@@ -1005,7 +1002,7 @@
                 // Further copies go first when idle: what is not seen again is not believed for long.
                 copies.count = copies.count.saturating_sub(1).max(1);
             }
-        }
+        });
         placed.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (&a.1, a.2).cmp(&(&b.1, b.2))));
         wanted.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (&a.2, a.3).cmp(&(&b.2, b.3))));
         self.allowance = (self.allowance + placed.len() as f64 * REPLACED_SHARE).min(2.0);
@@ -1019,19 +1016,21 @@
                 break;
             }
             self.allowance -= 1.0;
-            if let Some(node) = self.nodes.get_mut(&old_worker) {
+            if let Some(mut node) = self.nodes.get_mut(&old_worker) {
                 node.copies.remove(&old);
-                if node.entry.state == State::Live {
+                if node.is_live() {
                     actions.push(Action::Drop { worker: old_worker, function: old });
                 }
             }
         }
         let (now, keep) = (self.now, self.s.loading.keep_alive);
-        for node in self.nodes.values_mut() {
+        self.nodes.change_holding(|node| {
             let busy: BTreeSet<Function> = node.out.iter().map(|s| s.function).collect();
             node.copies
                 .retain(|f, c| busy.contains(f) || c.ordered || c.used + 2 * keep > now && c.ready > 0);
-        }
+        });
+        self.nodes.forget_holders();
+        self.asking.retain(|_, ids| ids.iter().any(|id| self.open.contains_key(id)));
         let forget = FORGET_INTERVALS * self.interval();
         self.programs.retain(|_, p| p.called + forget > now);
     }
@@ -1046,21 +1045,23 @@
         }
         if let Some(ration) = &self.s.loading.ration {
             let slack = 2 * self.s.tick;
-            let orders = self.orders.iter().filter(|t| **t + ration.window + slack >= now).count();
-            let taken = self.arrivals.iter().filter(|t| **t + ration.window > now + slack).count();
+            let orders = self.orders.since(now.saturating_sub(ration.window + slack));
+            let taken = self.arrivals.since((now + slack + 1).saturating_sub(ration.window));
             if orders as f64 + 1.0 > ration.base + ration.share * taken as f64 {
                 return false;
             }
         }
-        let live = self.nodes.get_mut(worker).filter(|n| n.entry.state == State::Live);
-        let copies = live.map(|n| n.copies.entry(function).or_default());
-        let Some(copies) = copies.filter(|c| !c.ordered) else { return false };
-        copies.ordered = true;
+        let Some(mut node) = self.nodes.get_mut(worker).filter(|n| n.is_live()) else { return false };
+        let copies = node.copies_of(function);
+        if std::mem::replace(&mut copies.ordered, true) {
+            return false;
+        }
         if !copies.proven {
             copies.ready = Time::MAX >> 1;
         }
         copies.used = now;
-        self.orders.push_back(now);
+        node.orders = true;
+        self.orders.push(now);
         actions.push(Action::Hold { worker: worker.clone(), function, copies: 1 });
         true
     }
@@ -1093,13 +1094,14 @@
     /// figure stands; it is never held to be under a quarter of this front end's part of the calls.
     fn learn_warm_rate(&mut self) {
         let (now, ramp) = (self.now, self.s.rules.ramp);
-        let live = || self.nodes.values().filter(|n| n.entry.state == State::Live);
-        let warm = live().filter(|n| n.entry.started.is_none_or(|t| now >= t + ramp));
+        let live = self.nodes.live();
+        let warm = live - self.nodes.started_since((now + 1).saturating_sub(ramp));
+        let is_warm = |n: &&Node| n.is_live() && n.entry.started.is_none_or(|t| now >= t + ramp);
         let within = |n: &Node| n.served.iter().filter(|(t, _)| t + RATE_SPAN > now).count();
+        let served: usize = self.nodes.recent().filter(is_warm).map(within).sum();
         let mean = |total: usize, count: usize| total as f64 / count.max(1) as f64 / RATE_SPAN as f64;
-        let came = self.arrivals.iter().filter(|t| **t + RATE_SPAN > now).count();
-        let served: Vec<usize> = warm.map(within).collect();
-        let rate = if served.is_empty() { self.warm_rate } else { mean(served.iter().sum(), served.len()) };
-        self.warm_rate = rate.max(mean(came, live().count()) * RATE_FLOOR);
+        let came = self.arrivals.since((now + 1).saturating_sub(RATE_SPAN));
+        let rate = if warm == 0 { self.warm_rate } else { mean(served, warm) };
+        self.warm_rate = rate.max(mean(came, live) * RATE_FLOOR);
     }
 }
--- a/crates/pipithub-policy/src/lib.rs
+++ b/crates/pipithub-policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod api;
 pub mod decide;
 mod state;
+mod tier;
 pub mod work;
 
 #[cfg(doctest)]
--- a/crates/pipithub-policy/src/state.rs
+++ b/crates/pipithub-policy/src/state.rs
@@ -1,7 +1,8 @@
 //! What a front end remembers, as plain data. What is made of it stands in `src/decide.rs`.
 
 use crate::api::*;
-use std::collections::{BTreeMap, VecDeque};
+pub(crate) use crate::tier::{Changed, Counted, Tier, Times};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One front end.
 #[derive(Debug, Default)]
@@ -9,9 +10,11 @@
     pub(crate) s: Settings,
     pub(crate) now: Time,
     pub(crate) seed: u64,
-    pub(crate) nodes: BTreeMap<Worker, Node>,
+    pub(crate) nodes: Tier,
     pub(crate) programs: BTreeMap<Function, Program>,
     pub(crate) open: BTreeMap<RequestId, Open>,
+    /// Calls that wait for a worker to tell its load, by worker; some may be over.
+    pub(crate) asking: BTreeMap<Worker, BTreeSet<RequestId>>,
     /// Mean run time of each class.
     pub(crate) class_run: Vec<Option<f64>>,
     /// Seen load time over the told one, and the mean load where none is told.
@@ -22,8 +25,8 @@
     pub(crate) store: Health,
     pub(crate) failed_loads: u32,
     /// Arrivals and orders within the ration's window, arrivals within the rate span at least.
-    pub(crate) arrivals: VecDeque<Time>,
-    pub(crate) orders: VecDeque<Time>,
+    pub(crate) arrivals: Times,
+    pub(crate) orders: Times,
     pub(crate) next_round: Time,
     pub(crate) allowance: f64,
     /// Calls that a warm worker serves this front end, for each unit of time.
@@ -134,9 +137,18 @@
     pub(crate) sends: VecDeque<Time>,
     /// Answers served within it, with their class.
     pub(crate) served: VecDeque<(Time, usize)>,
+    /// Orders for copies may be under way.
+    pub(crate) orders: bool,
+    /// What of it stands in the sums over all workers.
+    pub(crate) counted: Counted,
 }
 
 impl Node {
+    /// Whether it may be sent work.
+    pub(crate) fn is_live(&self) -> bool {
+        self.entry.state == State::Live
+    }
+
     /// A worker of which nothing is known but its entry.
     pub(crate) fn new(entry: Entry, classes: usize) -> Self {
         let hash =
@@ -157,6 +169,8 @@
             told: Told::default(),
             sends: VecDeque::new(),
             served: VecDeque::new(),
+            orders: false,
+            counted: Counted::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/pipithub-policy/src/tier.rs
@@ -0,0 +1,445 @@
+//! The workers that a front end knows, with sets and sums over them that are kept as things happen.
+//!
+//! A call must not cost more in a larger tier, so nothing on its path goes through all workers: what a
+//! decision asks of all of them stands here, brought up to date whenever one of them has changed. No
+//! decision is made here, and nothing here depends on the clock but what the caller hands in.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::hash::BuildHasherDefault;
+use std::ops::{Deref, DerefMut};
+
+use crate::api::*;
+use crate::state::*;
+use crate::work::looked;
+
+/// The workers by address. The hasher has fixed keys: equal events leave equal states.
+#[derive(Debug, Default)]
+pub(crate) struct Tier {
+    nodes: HashMap<Worker, Node, BuildHasherDefault<DefaultHasher>>,
+    index: Index,
+}
+
+/// What is known of all workers together. Each worker's part stands with it as [`Counted`].
+#[derive(Debug, Default)]
+struct Index {
+    /// Live ones by hash.
+    ring: BTreeSet<(u64, Worker)>,
+    gone: BTreeSet<Worker>,
+    /// With sends or answers that are still counted.
+    recent: BTreeSet<Worker>,
+    /// With a send or an order that may stand for a load.
+    loading: BTreeSet<Worker>,
+    /// With copies, and with copies of each function: some may have lost them since.
+    holding: BTreeSet<Worker>,
+    holders: BTreeSet<(Function, Worker)>,
+    /// With sends out, by zone.
+    busy: BTreeMap<String, BTreeSet<Worker>>,
+    /// How many were last heard at each time, by zone.
+    heard: BTreeMap<String, BTreeMap<Time, usize>>,
+    /// How many live ones started at each time, those long past left out.
+    started: BTreeMap<Time, usize>,
+    /// What live ones told to hold, and how many told it.
+    held: Fading,
+    told: usize,
+    /// Shares of errors of the live ones for each class, in units of [`ERROR_UNIT`].
+    errors: Vec<u128>,
+}
+
+/// What of a worker is counted in the index.
+#[derive(Debug, Default)]
+pub(crate) struct Counted {
+    ring: bool,
+    gone: bool,
+    recent: bool,
+    loading: bool,
+    holding: bool,
+    busy: bool,
+    zone: Option<String>,
+    heard: Time,
+    started: Option<Time>,
+    held: Option<Faded>,
+    errors: Vec<u64>,
+}
+
+/// Shares are summed as whole numbers of this: sums of floats would drift as parts come and go.
+const ERROR_UNIT: f64 = (1u64 << 60) as f64;
+
+/// A worker that is being changed; what is counted of it is brought up to date when this goes.
+pub(crate) struct Changed<'a> {
+    node: &'a mut Node,
+    index: &'a mut Index,
+}
+
+impl Deref for Changed<'_> {
+    type Target = Node;
+    fn deref(&self) -> &Node {
+        self.node
+    }
+}
+
+impl DerefMut for Changed<'_> {
+    fn deref_mut(&mut self) -> &mut Node {
+        self.node
+    }
+}
+
+impl Drop for Changed<'_> {
+    fn drop(&mut self) {
+        self.index.note(self.node, true);
+    }
+}
+
+impl Changed<'_> {
+    /// The mean share of errors in a class over the live workers but this one; 0 where there is no other.
+    pub(crate) fn mean_errors_beside(&self, class: usize) -> f64 {
+        let (all, own) = (&self.index.errors, &self.node.counted);
+        let of = |errors: &u128| errors - u128::from(own.errors.get(class).copied().unwrap_or(0));
+        let others = all.get(class).map_or(0, of) as f64 / ERROR_UNIT;
+        others / (self.index.ring.len() - usize::from(own.ring)).max(1) as f64
+    }
+
+    /// What is believed of a function's copies here: the only way to begin to believe in any.
+    pub(crate) fn copies_of(&mut self, function: Function) -> &mut Copies {
+        if !self.node.copies.contains_key(&function) {
+            self.index.holders.insert((function, self.node.entry.worker.clone()));
+        }
+        self.node.copies.entry(function).or_default()
+    }
+}
+
+impl std::ops::Index<&Worker> for Tier {
+    type Output = Node;
+    fn index(&self, worker: &Worker) -> &Node {
+        looked(1);
+        &self.nodes[worker]
+    }
+}
+
+impl Tier {
+    /// An empty tier in which told loads fade by half in this time.
+    pub(crate) fn new(half_life: Time) -> Self {
+        let index = Index { held: Fading::new(half_life), ..Index::default() };
+        Tier { nodes: HashMap::default(), index }
+    }
+
+    /// A worker to be changed.
+    pub(crate) fn get_mut(&mut self, worker: &Worker) -> Option<Changed<'_>> {
+        looked(1);
+        Some(Changed { node: self.nodes.get_mut(worker)?, index: &mut self.index })
+    }
+
+    /// The worker of an entry, to be changed; as the entry says where it was not known.
+    pub(crate) fn get_or_add(&mut self, entry: &Entry, classes: usize) -> Changed<'_> {
+        looked(1);
+        let new = || Node::new(entry.clone(), classes);
+        let node = self.nodes.entry(entry.worker.clone()).or_insert_with(new);
+        Changed { node, index: &mut self.index }
+    }
+
+    /// Changes those of which this holds; it goes through all workers.
+    pub(crate) fn change_where(&mut self, holds: impl Fn(&Node) -> bool, change: impl FnMut(&mut Node)) {
+        looked(self.nodes.len() as u64);
+        let mut those: Vec<Worker> =
+            self.nodes.iter().filter(|(_, n)| holds(n)).map(|(w, _)| w.clone()).collect();
+        those.sort_unstable();
+        self.change_each(those, change);
+    }
+
+    /// Changes each worker with sends or answers that are still counted, by address.
+    pub(crate) fn change_recent(&mut self, change: impl FnMut(&mut Node)) {
+        self.change_each(self.index.recent.iter().cloned().collect(), change);
+    }
+
+    /// Changes each worker with copies, by address.
+    pub(crate) fn change_holding(&mut self, change: impl FnMut(&mut Node)) {
+        self.change_each(self.index.holding.iter().cloned().collect(), change);
+    }
+
+    fn change_each(&mut self, those: Vec<Worker>, mut change: impl FnMut(&mut Node)) {
+        for worker in &those {
+            self.get_mut(worker).into_iter().for_each(|mut node| change(&mut node));
+        }
+    }
+
+    /// Forgets the workers that have gone and owe no answer.
+    pub(crate) fn forget_gone(&mut self) {
+        let over = |w: &&Worker| self.nodes.get(*w).is_none_or(|n| n.out.is_empty());
+        let over: Vec<Worker> = self.index.gone.iter().inspect(|_| looked(1)).filter(over).cloned().collect();
+        for worker in over {
+            if let Some(mut node) = self.nodes.remove(&worker) {
+                self.index.note(&mut node, false);
+            }
+        }
+    }
+
+    /// Forgets which workers held functions that they do not hold any more.
+    pub(crate) fn forget_holders(&mut self) {
+        let nodes = &self.nodes;
+        self.index.holders.retain(|(f, w)| nodes.get(w).is_some_and(|n| n.copies.contains_key(f)));
+    }
+
+    fn of<'a>(&'a self, set: impl Iterator<Item = &'a Worker> + 'a) -> impl Iterator<Item = &'a Node> + 'a {
+        set.inspect(|_| looked(1)).filter_map(|w| self.nodes.get(w))
+    }
+
+    /// How many workers are live.
+    pub(crate) fn live(&self) -> usize {
+        self.index.ring.len()
+    }
+
+    /// So many live workers with their hashes, from this one on around the ring; all where there are fewer.
+    pub(crate) fn from(&self, hash: u64, most: usize) -> impl Iterator<Item = (u64, &Worker)> {
+        let first = (hash, Worker::default());
+        let ring = &self.index.ring;
+        let around = ring.range(first.clone()..).chain(ring.range(..first));
+        around.take(most).inspect(|_| looked(1)).map(|(hash, worker)| (*hash, worker))
+    }
+
+    /// Workers with sends or answers that are still counted, by address.
+    pub(crate) fn recent(&self) -> impl Iterator<Item = &Node> {
+        self.of(self.index.recent.iter())
+    }
+
+    /// Workers with a send or an order that may stand for a load, by address.
+    pub(crate) fn loading(&self) -> impl Iterator<Item = &Node> {
+        self.of(self.index.loading.iter())
+    }
+
+    /// Workers that may hold copies of a function, by address.
+    pub(crate) fn holders(&self, function: Function) -> impl Iterator<Item = &Node> {
+        let from = (function, Worker::default());
+        self.of(self.index.holders.range(from..).take_while(move |(f, _)| *f == function).map(|(_, w)| w))
+    }
+
+    /// How many zones there are.
+    pub(crate) fn zones(&self) -> usize {
+        self.index.heard.len()
+    }
+
+    /// When a zone was last heard from; `None` where it has no worker.
+    pub(crate) fn heard(&self, zone: &str) -> Option<Time> {
+        self.index.heard.get(zone)?.last_key_value().map(|(heard, _)| *heard)
+    }
+
+    /// The zones to which sends are out.
+    pub(crate) fn busy_zones(&self) -> impl Iterator<Item = &str> {
+        self.index.busy.keys().map(String::as_str)
+    }
+
+    /// Workers of a zone with sends out, by address.
+    pub(crate) fn busy_in(&self, zone: &str) -> impl Iterator<Item = &Node> {
+        self.of(self.index.busy.get(zone).into_iter().flatten())
+    }
+
+    /// How many live workers started at this time or later; the time must never go back.
+    pub(crate) fn started_since(&mut self, time: Time) -> usize {
+        self.index.started = self.index.started.split_off(&time);
+        self.index.started.values().sum()
+    }
+
+    /// The mean of what live workers told to hold, each one call at the least and faded to that; 0 where none
+    /// has told it.
+    pub(crate) fn mean_held(&self, now: Time) -> f64 {
+        (self.index.told as f64 + self.index.held.sum(now)) / self.index.told.max(1) as f64
+    }
+}
+
+impl Index {
+    /// Brings what is counted of a worker up to date; `there`: it is still known.
+    fn note(&mut self, node: &mut Node, there: bool) {
+        let live = there && node.is_live();
+        if node.orders {
+            node.orders = node.copies.values().any(|c| c.ordered);
+        }
+        let mut counted = std::mem::take(&mut node.counted);
+        let entry = &node.entry;
+        let set = |set: &mut BTreeSet<Worker>, was: &mut bool, is: bool| {
+            if std::mem::replace(was, is) != is && !(is && set.insert(entry.worker.clone())) {
+                set.remove(&entry.worker);
+            }
+        };
+        let waits = !node.sends.is_empty() || !node.served.is_empty() || !node.out.is_empty();
+        let loads = node.orders || node.out.iter().any(|s| s.cold || s.unproven || s.adds);
+        set(&mut self.gone, &mut counted.gone, there && entry.state == State::Gone);
+        set(&mut self.recent, &mut counted.recent, there && waits);
+        set(&mut self.loading, &mut counted.loading, there && loads);
+        set(&mut self.holding, &mut counted.holding, there && !node.copies.is_empty());
+        if std::mem::replace(&mut counted.ring, live) != live {
+            let place = (node.hash, entry.worker.clone());
+            if !(live && self.ring.insert(place.clone())) {
+                self.ring.remove(&place);
+            }
+        }
+        // The zone, with what is counted in it.
+        if counted.zone.as_deref() != Some(&entry.zone) || !there || counted.heard != node.heard {
+            if let Some(times) = counted.zone.as_ref().and_then(|z| self.heard.get_mut(z)) {
+                less(times, counted.heard);
+            }
+            if there {
+                counted.heard = node.heard;
+                if let Some(times) = self.heard.get_mut(&entry.zone) {
+                    *times.entry(node.heard).or_default() += 1;
+                } else {
+                    self.heard.insert(entry.zone.clone(), BTreeMap::from([(node.heard, 1)]));
+                }
+            }
+        }
+        let is_busy = there && !node.out.is_empty();
+        let moved = counted.zone.as_deref() != there.then_some(entry.zone.as_str());
+        if moved || counted.busy != is_busy {
+            if let Some(zone) = counted.zone.as_ref().filter(|_| counted.busy) {
+                let left = self.busy.get_mut(zone).is_some_and(|set| {
+                    set.remove(&entry.worker);
+                    !set.is_empty()
+                });
+                if !left {
+                    self.busy.remove(zone);
+                }
+            }
+            if is_busy {
+                self.busy.entry(entry.zone.clone()).or_default().insert(entry.worker.clone());
+            }
+            counted.busy = is_busy;
+        }
+        if moved {
+            if let Some(zone) = std::mem::replace(&mut counted.zone, there.then(|| entry.zone.clone())) {
+                if self.heard.get(&zone).is_some_and(BTreeMap::is_empty) {
+                    self.heard.remove(&zone);
+                }
+            }
+        }
+        let started = entry.started.filter(|_| live);
+        if counted.started != started {
+            if let Some(before) = std::mem::replace(&mut counted.started, started) {
+                less(&mut self.started, before);
+            }
+            if let Some(time) = started {
+                *self.started.entry(time).or_default() += 1;
+            }
+        }
+        let told = node.told;
+        let held = (live && told.at > 0).then(|| self.held.part(told.at, told.usual - 1.0));
+        if counted.held != held {
+            self.told += usize::from(held.is_some());
+            self.told -= usize::from(counted.held.is_some());
+            if let Some(before) = std::mem::replace(&mut counted.held, held) {
+                self.held.take(before);
+            }
+            held.into_iter().for_each(|part| self.held.add(part));
+        }
+        let classes = node.health.len().max(counted.errors.len());
+        counted.errors.resize(classes, 0);
+        self.errors.resize(classes.max(self.errors.len()), 0);
+        for (class, (sum, before)) in self.errors.iter_mut().zip(&mut counted.errors).enumerate() {
+            let share = node.health.get(class).filter(|_| live).map_or(0.0, |h| h.errors);
+            let now = (share.clamp(0.0, 1.0) * ERROR_UNIT) as u64;
+            *sum = *sum + u128::from(now) - u128::from(std::mem::replace(before, now));
+        }
+        node.counted = counted;
+    }
+}
+
+/// Moments within a span, which come in order.
+#[derive(Debug, Default)]
+pub(crate) struct Times(VecDeque<Time>);
+
+impl Times {
+    /// Adds a moment, which none before it is later than.
+    pub(crate) fn push(&mut self, time: Time) {
+        self.0.push_back(time);
+    }
+
+    /// How many there are at this time or later.
+    pub(crate) fn since(&self, time: Time) -> usize {
+        self.0.len() - self.0.partition_point(|t| *t < time)
+    }
+
+    /// Forgets those before this time.
+    pub(crate) fn forget_before(&mut self, time: Time) {
+        self.0.drain(..self.0.partition_point(|t| *t < time));
+    }
+}
+
+/// Counts one less of this time.
+fn less(times: &mut BTreeMap<Time, usize>, time: Time) {
+    if let Some(count) = times.get_mut(&time) {
+        *count -= 1;
+        if *count == 0 {
+            times.remove(&time);
+        }
+    }
+}
+
+/// A sum of parts that each fade by half in the same time, whatever their age.
+///
+/// All parts fade alike, so the sum is kept as of one moment and faded as a whole. It is a whole number:
+/// what was added can be taken out again without a trace, and a shift of the sum is one of its parts.
+#[derive(Debug, Default)]
+pub(crate) struct Fading {
+    half_life: Time,
+    /// The half-lives at which the sum stands, in units of [`Fading::UNIT`].
+    epoch: u64,
+    sum: u128,
+}
+
+/// One part, as of a whole number of half-lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Faded {
+    epoch: u64,
+    value: u128,
+}
+
+impl Fading {
+    const UNIT: f64 = (1u64 << 40) as f64;
+    /// No part counts for more: the sum of all must not overflow.
+    const MOST: f64 = (1u64 << 24) as f64;
+    /// The sum is moved on after so many half-lives.
+    const SPAN: u64 = 32;
+
+    /// An empty sum.
+    pub(crate) fn new(half_life: Time) -> Self {
+        Fading { half_life: half_life.max(1), ..Fading::default() }
+    }
+
+    /// A value as of a time, as a part; none below zero.
+    pub(crate) fn part(&self, at: Time, value: f64) -> Faded {
+        let half = self.half_life.max(1);
+        let scale = ((at % half) as f64 / half as f64).exp2();
+        Faded { epoch: at / half, value: (value.clamp(0.0, Self::MOST) * scale * Self::UNIT) as u128 }
+    }
+
+    fn now(&self, part: Faded) -> u128 {
+        if part.epoch >= self.epoch {
+            // Parts are added as of now, and then the sum is never further behind than its span.
+            part.value << (part.epoch - self.epoch).min(Self::SPAN)
+        } else {
+            shifted(part.value, self.epoch - part.epoch)
+        }
+    }
+
+    /// Adds a part.
+    pub(crate) fn add(&mut self, part: Faded) {
+        if part.epoch >= self.epoch + Self::SPAN {
+            self.sum = shifted(self.sum, part.epoch - self.epoch);
+            self.epoch = part.epoch;
+        }
+        self.sum += self.now(part);
+    }
+
+    /// Takes out a part that was added.
+    pub(crate) fn take(&mut self, part: Faded) {
+        self.sum = self.sum.saturating_sub(self.now(part));
+    }
+
+    /// The sum, faded to now.
+    pub(crate) fn sum(&self, now: Time) -> f64 {
+        let half = self.half_life.max(1);
+        let age = now.saturating_sub(self.epoch.saturating_mul(half)) as f64 / half as f64;
+        self.sum as f64 / Self::UNIT * (-age).exp2()
+    }
+}
+
+fn shifted(value: u128, by: u64) -> u128 {
+    u32::try_from(by).ok().and_then(|by| value.checked_shr(by)).unwrap_or(0)
+}
