--- /dev/null
+++ b/crates/pipithub-policy/tests/plain/state.rs
@@ -0,0 +1,220 @@
+//! What a front end remembers, as plain data. What is made of it stands in `src/decide.rs`.
+
+use super::counted::Counted;
+use pipithub_policy::api::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// One front end.
+#[derive(Debug, Default)]
+pub struct FrontEnd {
+    pub(crate) s: Settings,
+    pub(crate) now: Time,
+    pub(crate) seed: u64,
+    pub(crate) nodes: Counted<Node>,
+    pub(crate) programs: BTreeMap<Function, Program>,
+    pub(crate) open: BTreeMap<RequestId, Open>,
+    /// Mean run time of each class.
+    pub(crate) class_run: Vec<Option<f64>>,
+    /// Seen load time over the told one, and the mean load where none is told.
+    pub(crate) load_stretch: f64,
+    pub(crate) load_mean: Option<f64>,
+    pub(crate) load_heard: Time,
+    /// Health of what loads come from, and loads that failed since the last that was done.
+    pub(crate) store: Health,
+    pub(crate) failed_loads: u32,
+    /// Arrivals and orders within the ration's window, arrivals within the rate span at least.
+    pub(crate) arrivals: VecDeque<Time>,
+    pub(crate) orders: VecDeque<Time>,
+    pub(crate) next_round: Time,
+    pub(crate) allowance: f64,
+    /// Calls that a warm worker serves this front end, for each unit of time.
+    pub(crate) warm_rate: f64,
+    /// Mean of what workers told to hold, and of how far runs were stretched there.
+    pub(crate) held_seen: (f64, f64),
+    /// Calls that may now be sent on a guess.
+    pub(crate) guesses: f64,
+    /// Zones that say nothing.
+    pub(crate) zones: BTreeMap<String, Health>,
+    /// Mean share of their worth that own sends lost: answered late, in error or not at all.
+    pub(crate) lost: f64,
+}
+
+/// A send that has no outcome yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Sent {
+    pub(crate) request: RequestId,
+    pub(crate) attempt: u32,
+    pub(crate) function: Function,
+    pub(crate) class: usize,
+    pub(crate) at: Time,
+    /// When the replay foresaw its answer.
+    pub(crate) due: Time,
+    /// The deadline that the replay held it to.
+    pub(crate) goal: Time,
+    /// The run alone, at the usual pace.
+    pub(crate) run: f64,
+    /// An answer after this is late.
+    pub(crate) aim: Time,
+    /// It was believed to wait for a load; or no answer had shown the copy yet.
+    pub(crate) cold: bool,
+    pub(crate) unproven: bool,
+    /// All lanes were taken; and own sends of the function there, itself included.
+    pub(crate) adds: bool,
+    pub(crate) same: f64,
+    /// Own sends at the worker when it left, itself included.
+    pub(crate) crowd: f64,
+    /// It was withdrawn, but its work may go on.
+    pub(crate) withdrawn: bool,
+}
+
+/// What is believed of a function's copies at one worker.
+#[derive(Debug, Default)]
+pub(crate) struct Copies {
+    pub(crate) count: u32,
+    /// Calls of it that other front ends have there.
+    pub(crate) others: f64,
+    /// When they stand loaded.
+    pub(crate) ready: Time,
+    /// The last sign that they were in use.
+    pub(crate) used: Time,
+    /// An answer or order reply has shown them.
+    pub(crate) proven: bool,
+    /// Placed by an order of this front end.
+    pub(crate) placed: bool,
+    /// An order for them is under way.
+    pub(crate) ordered: bool,
+    /// Run time admitted here in this interval.
+    pub(crate) used_work: f64,
+    /// Run time that moved on in this interval because no copy stood here, and how often.
+    pub(crate) missed_work: f64,
+    pub(crate) misses: u32,
+    /// Least time to spare beyond the run among those.
+    pub(crate) adequate: f64,
+}
+
+/// Troubles not yet outweighed by answers, and until when the worker is left alone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    pub(crate) bad: u32,
+    pub(crate) shut_until: Time,
+    /// When it was shut last.
+    pub(crate) since: Time,
+    /// Share of errors among the last ends, and the function of the last one.
+    pub(crate) errors: f64,
+    pub(crate) erred: Option<Function>,
+}
+
+/// What a worker last told of its load: when, the calls it held and how busy its cores were.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Told {
+    pub(crate) at: Time,
+    pub(crate) held: f64,
+    pub(crate) busy: f64,
+    /// The calls it held over a longer time.
+    pub(crate) usual: f64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) entry: Entry,
+    pub(crate) hash: u64,
+    pub(crate) copies: BTreeMap<Function, Copies>,
+    pub(crate) out: Vec<Sent>,
+    /// Served time over the usual, and own sends there meanwhile.
+    pub(crate) pace: f64,
+    pub(crate) crowd: f64,
+    pub(crate) heard: Time,
+    /// The most own sends to have there; a refusal cuts it, answers raise it.
+    pub(crate) room: f64,
+    /// Its health for each class: what stands behind a worker may fail one class alone.
+    pub(crate) health: Vec<Health>,
+    /// Failed or broken connections since its last answer.
+    pub(crate) strikes: u32,
+    pub(crate) told: Told,
+    /// Sends within the last rate span.
+    pub(crate) sends: VecDeque<Time>,
+    /// Answers served within it, with their class.
+    pub(crate) served: VecDeque<(Time, usize)>,
+}
+
+impl Node {
+    /// A worker of which nothing is known but its entry.
+    pub(crate) fn new(entry: Entry, classes: usize) -> Self {
+        let hash =
+            entry.worker.0.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| {
+                (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3)
+            });
+        Node {
+            entry,
+            hash: mix(hash),
+            copies: BTreeMap::new(),
+            out: Vec::new(),
+            pace: 1.0,
+            crowd: 1.0,
+            room: f64::INFINITY,
+            heard: 0,
+            health: vec![Health::default(); classes],
+            strikes: 0,
+            told: Told::default(),
+            sends: VecDeque::new(),
+            served: VecDeque::new(),
+        }
+    }
+}
+
+/// A function as this front end knows it.
+#[derive(Debug, Default)]
+pub(crate) struct Program {
+    pub(crate) lanes: u32,
+    pub(crate) memory_mb: f64,
+    pub(crate) told_load: Option<Time>,
+    /// The longest load seen, fading.
+    pub(crate) seen_load: Option<f64>,
+    pub(crate) run: Option<f64>,
+    pub(crate) called: Time,
+    /// Homes that it needs in a large tier, of one copy each; under 1 while nothing was told.
+    pub(crate) homes: f64,
+}
+
+/// A request that has no final answer yet.
+#[derive(Debug, Default)]
+pub(crate) struct Open {
+    pub(crate) call: Request,
+    pub(crate) aim: Time,
+    pub(crate) deadline: Time,
+    pub(crate) attempts: u32,
+    pub(crate) outstanding: bool,
+    /// The first attempt that may have run: when, and in which zone and cell.
+    pub(crate) may_have_run: Option<(Time, String, u64)>,
+    pub(crate) tried: Vec<Worker>,
+    pub(crate) streaming: bool,
+    /// It waits, unsent, for an order's reply.
+    pub(crate) parked: bool,
+    /// It waits, unsent, for a worker to tell its load; and how often it has.
+    pub(crate) asks: Option<Worker>,
+    pub(crate) asked: u32,
+}
+
+/// What the replay of one worker foresees for a newcomer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Foreseen {
+    pub(crate) cold: bool,
+    /// All lanes are taken: the worker may well start a further copy for it.
+    pub(crate) adds: bool,
+    /// Every queued deadline still holds.
+    pub(crate) others_hold: bool,
+    /// When it would be served if a copy stood, and with any load counted.
+    pub(crate) warm_finish: Time,
+    pub(crate) finish: Time,
+}
+
+/// A number drawn from 0 up to 1: equal for equal seeds.
+pub(crate) fn draw(seed: u64) -> f64 {
+    (mix(seed) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+pub(crate) fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
