--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -120,7 +120,8 @@
 impl Sent {
     /// Whether its answer is so late that it counts as silence.
     fn overdue(&self, now: Time) -> bool {
-        now > self.at + (self.due.saturating_sub(self.at) as f64 * SILENCE_STRETCH) as Time
+        // What waits for an order has no foreseen end: the sum must not overflow.
+        now > self.at.saturating_add((self.due.saturating_sub(self.at) as f64 * SILENCE_STRETCH) as Time)
     }
 }
 
