--- a/crates/pipithub-node/src/pool.rs
+++ b/crates/pipithub-node/src/pool.rs
@@ -4,7 +4,7 @@
 //! requests, yet a broken one takes all of them with it; so a free connection is preferred, then a new one while there
 //! are descriptors, and only then one that carries others already.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use pipithub_engine::policy::{Function, Worker};
@@ -182,6 +182,10 @@
     /// Workers may be told to give a run up.
     cancel: bool,
     peers: BTreeMap<Worker, Peer>,
+    /// How many peers are not gone: nothing on the way of a call, and no sweep, may go through all of them.
+    live: usize,
+    /// Peers with jobs that may wait, and those that are gone: all that a sweep looks at.
+    watched: BTreeSet<Worker>,
     links: BTreeMap<ConnId, Link>,
     next: ConnId,
     effects: Vec<Effect>,
@@ -199,6 +203,8 @@
             idle_close,
             cancel,
             peers: BTreeMap::new(),
+            live: 0,
+            watched: BTreeSet::new(),
             links: BTreeMap::new(),
             next: 1,
             effects: Vec::new(),
@@ -240,25 +246,36 @@
 
     /// Notes where a worker is to be found, or that it is gone.
     pub fn place(&mut self, worker: &Worker, address: &str, gone: bool) {
-        let peer = self.peers.entry(worker.clone()).or_default();
-        peer.gone = gone;
+        let new = || Peer { gone: true, ..Peer::default() };
+        let peer = self.peers.entry(worker.clone()).or_insert_with(new);
         if !address.is_empty() {
             peer.address = address.to_string();
         }
+        self.set_gone(worker, gone);
     }
 
-    /// Notes that all workers but these are gone.
-    pub fn keep_only(&mut self, named: &[&Worker]) {
-        for (worker, peer) in &mut self.peers {
-            peer.gone |= !named.contains(&worker);
+    fn set_gone(&mut self, worker: &Worker, gone: bool) {
+        let Some(peer) = self.peers.get_mut(worker) else { return };
+        self.live -= usize::from(!peer.gone);
+        self.live += usize::from(!gone);
+        peer.gone = gone;
+        if gone {
+            self.watched.insert(worker.clone());
         }
     }
 
+    /// Notes that all workers but these are gone.
+    pub fn keep_only(&mut self, named: &BTreeSet<&Worker>) {
+        let lost: Vec<Worker> = self.peers.keys().filter(|w| !named.contains(w)).cloned().collect();
+        lost.iter().for_each(|worker| self.set_gone(worker, true));
+    }
+
     /// Takes a job for a worker; a job that cannot be sent is lost at once.
     pub fn ask(&mut self, now: Time, worker: &Worker, job: Job) {
         match self.peers.get_mut(worker) {
             Some(peer) if !peer.address.is_empty() && peer.waiting.len() < WAITING_MOST => {
                 peer.waiting.push_back(job);
+                self.watched.insert(worker.clone());
                 self.dispatch(now, worker);
             }
             _ => self.lost.push((worker.clone(), job, Lost::NotSent)),
@@ -301,7 +318,7 @@
     /// carries least.
     fn connection(&mut self, now: Time, worker: &Worker) -> Option<ConnId> {
         let limit = self.staleness.limit();
-        let live = self.peers.values().filter(|p| !p.gone).count().max(1);
+        let live = self.live.max(1);
         let peer = self.peers.get_mut(worker)?;
         let reference = &peer.waiting.front()?.reference;
         let links = peer.links.iter().filter_map(|id| self.links.get(id).map(|l| (*id, l)));
@@ -409,6 +426,7 @@
             } else if job.rewrites < REWRITES && peer.waiting.len() < WAITING_MOST {
                 job.rewrites += 1;
                 peer.waiting.push_back(job);
+                self.watched.insert(link.worker.clone());
             } else {
                 self.lost.push((link.worker.clone(), job, Lost::NotSent));
             }
@@ -474,7 +492,8 @@
 
     /// Ends what is overdue, lets go of connections that stay idle and of workers that are gone.
     pub fn sweep(&mut self, now: Time) {
-        for (worker, peer) in &mut self.peers {
+        for worker in &self.watched {
+            let Some(peer) = self.peers.get_mut(worker) else { continue };
             // A job that waits is not sent: it is given back in time to go elsewhere.
             peer.waiting.retain(|job| {
                 let over = now >= job.deadline || now >= job.began + 2 * self.connect_timeout || peer.gone;
@@ -507,6 +526,15 @@
             self.effects.push(Effect::Close { conn: id });
             self.closed(now, id, u64::MAX, Lost::Broken);
         }
-        self.peers.retain(|_, p| !p.gone || !p.links.is_empty() || !p.waiting.is_empty());
+        let peers = &mut self.peers;
+        self.watched.retain(|worker| {
+            let Some(peer) = peers.get(worker) else { return false };
+            let (gone, waits) = (peer.gone, !peer.waiting.is_empty());
+            let over = gone && !waits && peer.links.is_empty();
+            if over {
+                peers.remove(worker);
+            }
+            !over && (gone || waits)
+        });
     }
 }
