--- a/crates/pipithub-policy/src/decide.rs
+++ b/crates/pipithub-policy/src/decide.rs
@@ -833,6 +833,7 @@
             withdrawn: false,
         };
         node.out.push(sent);
+        node.sends.retain(|t| *t + self.s.rules.fall_span > now);
         node.sends.push_back(now);
         let copies = node.copies_of(function);
         if copies.ready == 0 || seen.cold {
@@ -898,7 +899,6 @@
         let mut recalled = Vec::new();
         self.nodes.change_recent(|node| {
             let keep = RATE_SPAN.max(self.s.rules.fall_span) + CHORES;
-            node.sends.retain(|t| t + keep >= now);
             node.out.retain(|s| !s.withdrawn || s.due > now);
             node.served.retain(|(t, _)| t + keep >= now);
             for class in 0..node.health.len() {
--- a/crates/pipithub-policy/src/state.rs
+++ b/crates/pipithub-policy/src/state.rs
@@ -133,7 +133,7 @@
     /// Failed or broken connections since its last answer.
     pub(crate) strikes: u32,
     pub(crate) told: Told,
-    /// Sends within the last rate span.
+    /// Sends within the span in which a cold worker may fall, as of the last one.
     pub(crate) sends: VecDeque<Time>,
     /// Answers served within it, with their class.
     pub(crate) served: VecDeque<(Time, usize)>,
--- a/crates/pipithub-policy/src/tier.rs
+++ b/crates/pipithub-policy/src/tier.rs
@@ -26,7 +26,7 @@
     /// Live ones by hash.
     ring: BTreeSet<(u64, Worker)>,
     gone: BTreeSet<Worker>,
-    /// With sends or answers that are still counted.
+    /// With sends out, or answers that are still counted.
     recent: BTreeSet<Worker>,
     /// With a send or an order that may stand for a load.
     loading: BTreeSet<Worker>,
@@ -146,7 +146,7 @@
         self.change_each(those, change);
     }
 
-    /// Changes each worker with sends or answers that are still counted, by address.
+    /// Changes each worker with sends out or answers that are still counted, by address.
     pub(crate) fn change_recent(&mut self, change: impl FnMut(&mut Node)) {
         self.change_each(self.index.recent.iter().cloned().collect(), change);
     }
@@ -196,7 +196,7 @@
         around.take(most).inspect(|_| looked(1)).map(|(hash, worker)| (*hash, worker))
     }
 
-    /// Workers with sends or answers that are still counted, by address.
+    /// Workers with sends out or answers that are still counted, by address.
     pub(crate) fn recent(&self) -> impl Iterator<Item = &Node> {
         self.of(self.index.recent.iter())
     }
@@ -259,7 +259,7 @@
                 set.remove(&entry.worker);
             }
         };
-        let waits = !node.sends.is_empty() || !node.served.is_empty() || !node.out.is_empty();
+        let waits = !node.served.is_empty() || !node.out.is_empty();
         let loads = node.orders || node.out.iter().any(|s| s.cold || s.unproven || s.adds);
         set(&mut self.gone, &mut counted.gone, there && entry.state == State::Gone);
         set(&mut self.recent, &mut counted.recent, there && waits);
