--- /dev/null
+++ b/crates/pipithub-bench/src/bin/decision_memory.rs
@@ -0,0 +1,87 @@
+//! Counts the bytes that a front end's decisions hold: `decision-memory plain|module WORKERS FUNCTIONS CALLS SEED`.
+//!
+//! Prints the most that was held and what is held at the end. It is a program of its own, as counting needs an
+//! allocator that would slow the timed parts. With as many calls as functions each is called once, and the end is
+//! after they are forgotten. It prints `slow` where that takes too long.
+
+use std::time::{Duration, Instant};
+
+use allocation_counter::measure;
+use pipithub_policy::api::{Action, Event, Settings, Time};
+use pipithub_policy::decide::FrontEnd as Module;
+use plain::decide::FrontEnd as Plain;
+use world::meter::Front;
+use world::{Day, MS, World};
+
+#[rustfmt::skip]
+#[allow(clippy::all)]
+#[path = "../../../pipithub-policy/tests/plain/mod.rs"]
+mod plain;
+#[rustfmt::skip]
+#[allow(clippy::all)]
+#[path = "../../../pipithub-policy/tests/world/mod.rs"]
+mod world;
+
+/// Longer runs are given up.
+const LONGEST: Duration = Duration::from_secs(10);
+/// Actions of one event that fit without growth, so that no list of actions is counted.
+const ACTIONS: usize = 100_000;
+/// Calls a second.
+const RATE: u64 = 700;
+/// Functions are forgotten after 60 s at the usual settings.
+const FORGET: Time = 75_000 * MS;
+
+impl Front for Plain {
+    fn start(settings: Settings, seed: u64) -> Self {
+        Plain::new(settings, seed)
+    }
+
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        Plain::handle(self, now, event, actions);
+    }
+}
+
+/// The most bytes held, and those at the end; `None` where it takes too long.
+fn count<F: Front>(mut day: Day, once: bool) -> Option<(i64, i64)> {
+    let began = Instant::now();
+    day.once = once;
+    let settings = day.settings.clone();
+    let mut world = World::new(day);
+    let mut actions = Vec::with_capacity(ACTIONS);
+    let mut front = None;
+    let mut held = measure(|| front = Some(F::start(settings.clone(), 1))).bytes_current;
+    let (mut front, mut most, mut stopped) = (front?, held, !once);
+    let mut next = Some((world.now(), world.complete()));
+    while let Some((at, event)) = next {
+        actions.clear();
+        // The event is made within, as parts of it are kept.
+        held += measure(|| front.handle(at, event.clone(), &mut actions)).bytes_current;
+        most = most.max(held);
+        world.answer(&actions);
+        if began.elapsed() > LONGEST {
+            return None;
+        }
+        next = world.step();
+        if next.is_none() && !stopped {
+            stopped = true;
+            world.stop_calls(FORGET);
+            next = world.step();
+        }
+    }
+    Some((most, held))
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let mut arguments = std::env::args().skip(1);
+    let code = arguments.next().ok_or("plain or module?")?;
+    let numbers = arguments.map(|a| a.parse()).collect::<Result<Vec<u64>, _>>()?;
+    let [workers, functions, calls, seed] = numbers[..] else { return Err("four numbers are needed".into()) };
+    let day = Day::quiet(seed, workers as usize, functions, RATE, calls * 1_000 * MS / RATE);
+    let once = calls == functions;
+    let counted = if code == "plain" { count::<Plain>(day, once) } else { count::<Module>(day, once) };
+    match counted {
+        Some((most, held)) => println!("{most} {held}"),
+        None => println!("slow"),
+    }
+    Ok(())
+}
