--- a/crates/pipithub-policy/tests/world/day.rs
+++ b/crates/pipithub-policy/tests/world/day.rs
@@ -57,6 +57,8 @@
     pub leaves: f64,
     pub streams: f64,
     pub retries: f64,
+    /// One that leaves early does so within this.
+    pub leaves_within: Time,
     /// Chance that an answer tells the worker's load; a probe is answered; a cancelled attempt stops.
     pub tells: f64,
     pub probes: f64,
@@ -124,6 +126,7 @@
             leaves: 0.002,
             streams: 0.05,
             retries: 0.5,
+            leaves_within: 1_000 * MS,
             tells: 1.0,
             probes: 1.0,
             stops: 0.9,
@@ -160,7 +163,7 @@
             between(d, if placing { 5 } else { 1 }, if placing { most.min(30) } else { most }) as usize;
         // A long day of a large tier costs the most: it is rare.
         let seconds = between(d, if placing { 20_000 } else { 5_000 }, 90_000);
-        let seconds = seconds.min(5_000 + 400_000 / workers as u64);
+        let seconds = seconds.min(if muted { 20_000 } else { 5_000 + 400_000 / workers as u64 });
         let (start, length) = (pick(d, &[0, 1, 77_000_000 * MS]), seconds * MS);
         let zones = if muted { d.random_range(2..5) } else { between(d, 1, 9) as usize - 1 };
         let quiet = placing || muted || d.random_bool(0.15);
@@ -178,11 +181,11 @@
         let leaves = if muted { 0.4 } else { fault(0.5, 0.2) };
         let some = |d: &mut SmallRng, chance: f64| d.random_bool(chance).then(|| start + length / 3);
         let class = |d: &mut SmallRng| {
-            let aim = between(d, 150, 2_000) * MS;
+            let aim = between(d, if muted { 500 } else { 150 }, 2_000) * MS;
             Class {
                 aim,
                 aim_stretch: pick(d, &[0.0, 0.0, 3.0]),
-                give_up: aim * between(d, 1, 8),
+                give_up: aim * between(d, if muted { 5 } else { 1 }, 8),
                 late_worth: pick(d, &[0.0, 0.3, 0.3, 0.8]),
                 effect: pick(d, &[Effect::Safe, Effect::Safe, Effect::Keyed, Effect::Keyed, Effect::Unsafe]),
                 group: pick(d, &[Group::All, Group::Zone, Group::Cell]),
@@ -237,8 +240,8 @@
             functions: between(d, if placing { 30 } else { 1 }, 60),
             once: d.random_bool(0.05),
             gap: length / calls,
-            burst: pick(d, &[1, 1, 4, 12, 30]),
-            run: (between(d, 5, 50) * MS, between(d, 50, 600) * MS),
+            burst: if muted { pick(d, &[1, 3, 8]) } else { pick(d, &[1, 1, 4, 12, 30]) },
+            run: (between(d, 5, 50) * MS, between(d, 50, if muted { 150 } else { 600 }) * MS),
             load: (between(d, 50, 400) * MS, between(d, 400, 4_000) * MS),
             told_load: pick(d, &[0.0, 0.5, 1.0]),
             warm: if placing { 0.0 } else { pick(d, &[0.0, 0.5, 0.9, 1.0]) },
@@ -257,6 +260,7 @@
             leaves,
             streams: pick(d, &[0.0, 0.1]),
             retries: pick(d, &[0.0, 0.3, 0.6]),
+            leaves_within: if muted { 100 * MS } else { 1_000 * MS },
             tells: pick(d, &[0.0, 0.6, 1.0]),
             probes: pick(d, &[1.0, 0.8, 0.3]),
             stops: pick(d, &[1.0, 0.8]),
--- a/crates/pipithub-policy/tests/world/mod.rs
+++ b/crates/pipithub-policy/tests/world/mod.rs
@@ -315,7 +315,7 @@
         self.count("arrived");
         let mut dice = self.dice(5, call.id, 0);
         if dice.random_bool(self.day.leaves) {
-            let after = dice.random_range(1..1_000) * MS;
+            let after = dice.random_range(MS..=self.day.leaves_within.max(MS));
             self.at(self.now + after, What::Left(call.id));
         }
         let client = Client { call: call.clone(), attempts: 0, out: BTreeMap::new(), over: false };
