Hollow front ends, a coordinator's stand-in for thousands of them, and what both measure

The change: pipithub-hollow runs the core, list reader and settings of pipithub node as they are, many in a process, without clients and connections to workers; pipithub-standin has a coordinator on a thread of its own that counts bytes, messages and its CPU time, replaces workers, loses zones, is cut, slow, forgetful or breaks off; the node's own sockets test uses it in place of a small one of its own. pipithub-bench scale front-ends has the sections processes, lists, fleet and beyond (--only). Node::serve_sharing shows the core to a test; the node does what it did.

--- a/crates/pipithub-bench/src/main.rs
+++ b/crates/pipithub-bench/src/main.rs
@@ -2,6 +2,7 @@
 //! consumer, a hyper client, round robin, no decisions). All are processes on loopback against the same stand-ins.
 
 mod baseline;
+mod hollow;
 mod members;
 mod roster;
 mod scale;
@@ -69,6 +70,19 @@
     },
     /// How each part of a site grows: slopes over several sizes, and what they say of the planned one.
     Scale(scale::Scale),
+    /// Hollow front ends, as a process.
+    #[command(hide = true)]
+    Hollow {
+        /// The configuration of one, from which the others differ by name and seed.
+        #[arg(long)]
+        config: PathBuf,
+        /// How many.
+        #[arg(long)]
+        count: usize,
+        /// The number of the first.
+        #[arg(long, default_value_t = 0)]
+        first: usize,
+    },
     /// The pass-through, as a process.
     Baseline {
         /// The broker.
@@ -80,9 +94,16 @@
     },
 }
 
-#[tokio::main]
-async fn main() -> Result<()> {
+fn main() -> Result<()> {
     let arguments = Arguments::parse();
+    // They have a runtime of their own, on one thread.
+    if let Some(Command::Hollow { config, count, first }) = &arguments.command {
+        return hollow::run(config, *count, *first);
+    }
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(run(arguments))
+}
+
+async fn run(arguments: Arguments) -> Result<()> {
     match arguments.command {
         Some(Command::Baseline { broker, worker }) => return baseline::run(&broker, worker).await,
         Some(Command::Members { sizes, seeds }) => {
@@ -101,7 +122,7 @@
             let beside = std::env::current_exe()?.with_file_name("pipithub");
             return scale::run(scale, arguments.binary.unwrap_or(beside)).await;
         }
-        Some(Command::Directories) | None => {}
+        Some(Command::Hollow { .. } | Command::Directories) | None => {}
     }
     let me = std::env::current_exe()?;
     let binary = arguments.binary.unwrap_or_else(|| me.with_file_name("pipithub"));
--- a/crates/pipithub-bench/src/scale/front_ends.rs
+++ b/crates/pipithub-bench/src/scale/front_ends.rs
@@ -1,6 +1,59 @@
+//! What a front end's process holds, reads and asks, and what the coordinator's stand-in spends.
+//!
+//! Sections: `processes` and `lists` run real `pipithub node` processes, over their number and over the workers in the
+//! list; `fleet` runs hollow front ends through an ordinary day's events, the loss of a zone, and a cut after which all
+//! ask for every worker anew; `beyond` shows what real ones do with lists about and above the bounds.
+
+mod beyond;
+mod fleet;
+mod lists;
+mod processes;
+mod rig;
+
 use super::{Plan, Series};
 use crate::Result;
 
-pub async fn measure(_plan: &Plan) -> Result<Vec<Series>> {
-    Err("not measured yet".into())
+/// The planned numbers.
+const FRONT_ENDS: u64 = 1_700;
+const WORKERS: u64 = 16_000;
+/// Three regions of seven zones.
+const ZONES: usize = 21;
+
+/// Measures the sections that the plan names, or all.
+pub async fn measure(plan: &Plan) -> Result<Vec<Series>> {
+    let folder = std::env::temp_dir().join(format!("pipithub-front-ends-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let mut all = Vec::new();
+    if plan.wants("processes") {
+        all.extend(processes::measure(plan, &folder).await?);
+    }
+    if plan.wants("lists") {
+        all.extend(lists::measure(plan, &folder).await?);
+    }
+    if plan.wants("fleet") {
+        all.extend(fleet::measure(plan, &folder).await?);
+    }
+    if plan.wants("beyond") {
+        all.extend(beyond::measure(plan, &folder).await?);
+    }
+    std::fs::remove_dir_all(&folder)?;
+    Ok(all)
+}
+
+/// Series with values added by place.
+struct Table(Vec<Series>);
+
+impl Table {
+    /// Series by what they show and their units.
+    fn new(of: &str, how: &str, planned: u64, columns: &[(&str, &str)]) -> Self {
+        let series = |(what, unit): &(&str, &str)| Series::new("front-ends", what, unit, of, how, planned);
+        Table(columns.iter().map(series).collect())
+    }
+
+    /// Adds the plays of one size, each with a value for each series.
+    fn push(&mut self, size: u64, plays: &[Vec<f64>]) {
+        for (i, series) in self.0.iter_mut().enumerate() {
+            series.push(size, plays.iter().filter_map(|p| p.get(i).copied()).collect());
+        }
+    }
 }
--- /dev/null
+++ b/crates/pipithub-bench/src/scale/front_ends/fleet.rs
@@ -0,0 +1,227 @@
+//! Hollow front ends through an ordinary day's events, the loss of a zone, and a cut.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use pipithub_clock::wall_ns;
+use pipithub_standin::coordinator::{Behaviour, Coordinator, Counts, Tier};
+
+use super::rig::{Crowd, configure, cpu, memory, until};
+use super::{FRONT_ENDS, Table, ZONES};
+use crate::Result;
+use crate::scale::{Plan, Series};
+
+/// Workers in the list: as many as all of the planned front ends hold in this machine's memory.
+const WORKERS: usize = 1_000;
+/// Processes that share the front ends.
+const PROCESSES: usize = 5;
+const QUIET: Duration = Duration::from_secs(3);
+const EVENTS: usize = 10;
+/// Tries come at their slowest after 2 s of a cut: what comes later is as at the end of this.
+const CUT: Duration = Duration::from_secs(10);
+/// How often the rate is looked at.
+const LOOK: Duration = Duration::from_millis(50);
+
+pub async fn measure(plan: &Plan, folder: &Path) -> Result<Vec<Series>> {
+    let mut table = Table::new(
+        "front ends",
+        "hollow",
+        FRONT_ENDS,
+        &[
+            ("proportional memory a hollow front end at 1000 workers", "MiB"),
+            ("start: time until all have the list", "ms"),
+            ("quiet: CPU a hollow front end", "% of a core"),
+            ("quiet: CPU of the stand-in", "% of a core"),
+            ("quiet: bytes a second to a front end", "B/s"),
+            ("quiet: bytes a second from a front end", "B/s"),
+            ("replacement: time until all have it", "ms"),
+            ("replacement: CPU of the stand-in", "ms"),
+            ("replacement: bytes to all", "B"),
+            ("zone of 21 lost: time until all have it", "ms"),
+            ("zone of 21 lost: bytes to all", "B"),
+            ("seventh lost: time until all have it", "ms"),
+            ("seventh lost: bytes to all", "B"),
+            ("cut: tries a second, all", "1/s"),
+            ("cut: CPU a hollow front end", "% of a core"),
+            ("cut: CPU of the stand-in", "% of a core"),
+            ("after the cut: time until all have every worker", "ms"),
+            ("after the cut: time until the stand-in has written all", "ms"),
+            ("after the cut: connections", ""),
+            ("after the cut: bytes to all", "B"),
+            ("after the cut: peak rate to all, over 50 ms", "B/s"),
+            ("after the cut: CPU of the stand-in", "ms"),
+            ("after the cut: CPU a hollow front end", "ms"),
+        ],
+    );
+    for size in plan.sizes_or(&[10, 100, 566, 1_700]) {
+        let mut plays = Vec::new();
+        for _ in 0..plan.plays {
+            plays.push(play(plan, folder, size as usize).await?);
+        }
+        table.push(size, &plays);
+    }
+    Ok(table.0)
+}
+
+struct Fleet {
+    coordinator: Coordinator,
+    crowds: Vec<Crowd>,
+    count: f64,
+}
+
+/// What was spent between two points in time.
+struct Spent {
+    seconds: f64,
+    counts: Counts,
+    own: f64,
+    fronts: f64,
+}
+
+impl Fleet {
+    fn now(&self) -> (Instant, Counts, u64, f64) {
+        let fronts = self.crowds.iter().map(|c| cpu(c.pid())).sum();
+        (Instant::now(), self.coordinator.counts(), self.coordinator.cpu_ns(), fronts)
+    }
+
+    fn since(&self, then: (Instant, Counts, u64, f64)) -> Spent {
+        let now = self.now();
+        let (a, b) = (then.1, now.1);
+        Spent {
+            seconds: (now.0 - then.0).as_secs_f64(),
+            counts: Counts {
+                connections: b.connections - a.connections,
+                refused: b.refused - a.refused,
+                open: b.open,
+                asked_bytes: b.asked_bytes - a.asked_bytes,
+                told_bytes: b.told_bytes - a.told_bytes,
+                events: b.events - a.events,
+                comments: b.comments - a.comments,
+            },
+            own: (now.2 - then.2) as f64 / 1e9,
+            fronts: (now.3 - then.3) / self.count,
+        }
+    }
+
+    /// Waits until all have this event; milliseconds since then, which is Unix time in nanoseconds.
+    async fn have(&mut self, index: u64, then: u64) -> Result<f64> {
+        let mut last = 0;
+        for crowd in &mut self.crowds {
+            last = last.max(crowd.have(index).await?);
+        }
+        Ok(last.saturating_sub(then) as f64 / 1e6)
+    }
+
+    /// Hands out a change and waits until all have it: milliseconds and what was spent.
+    async fn change(
+        &mut self,
+        tier: &mut Tier,
+        change: impl FnOnce(&mut Tier) -> Vec<serde_json::Value>,
+    ) -> Result<(f64, Spent)> {
+        let changed = change(tier);
+        let (then, before) = (wall_ns(), self.now());
+        let index = self.coordinator.publish(false, &changed, tier);
+        let took = self.have(index, then).await?;
+        Ok((took, self.since(before)))
+    }
+}
+
+/// Bytes without those of comments.
+fn told(counts: &Counts) -> f64 {
+    (counts.told_bytes - 3 * counts.comments) as f64
+}
+
+async fn play(plan: &Plan, folder: &Path, count: usize) -> Result<Vec<f64>> {
+    let coordinator = Coordinator::start(Behaviour::default())?;
+    let config = configure(folder, &coordinator, "hollow", plan.seed)?;
+    let mut tier = Tier::new(WORKERS, ZONES);
+    let mut fleet = Fleet { coordinator, crowds: Vec::new(), count: count as f64 };
+    let parts = PROCESSES.min(count);
+    for n in 0..parts {
+        let (from, to) = (count * n / parts, count * (n + 1) / parts);
+        fleet.crowds.push(Crowd::start(&config, to - from, from).await?);
+    }
+    until(&fleet.coordinator, |c| c.open == count as u64).await?;
+    let then = wall_ns();
+    let index = fleet.coordinator.publish(true, tier.hosts(), &tier);
+    let start = fleet.have(index, then).await?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    let before = fleet.now();
+    tokio::time::sleep(QUIET).await;
+    let quiet = fleet.since(before);
+    let memory = fleet.crowds.iter().map(|c| memory(c.pid()).pss).sum::<f64>() / 1024.0 / count as f64;
+
+    let (mut times, mut cost, mut bytes) = (Vec::new(), Vec::new(), 0.0);
+    for at in 0..EVENTS {
+        let (took, spent) = fleet.change(&mut tier, |t| t.replace(at)).await?;
+        // Without what the comments of that time take.
+        cost.push((spent.own - quiet.own / quiet.seconds * spent.seconds).max(0.0) * 1e3);
+        times.push(took);
+        bytes = told(&spent.counts);
+    }
+    let middle = |values: &mut Vec<f64>| {
+        values.sort_by(f64::total_cmp);
+        values[values.len() / 2]
+    };
+    let (replaced, cost) = (middle(&mut times), middle(&mut cost));
+    let (one, one_spent) = fleet.change(&mut tier, |t| t.lose(1)).await?;
+    // Two more of the other twenty.
+    let (more, more_spent) = fleet.change(&mut tier, |t| [t.lose(2), t.lose(3), t.lose(4)].concat()).await?;
+
+    fleet.coordinator.behave(|b| b.cut = true);
+    tokio::time::sleep(CUT - QUIET).await;
+    let before = fleet.now();
+    tokio::time::sleep(QUIET).await;
+    let cut = fleet.since(before);
+    tier.replace(20);
+    let index = fleet.coordinator.publish(false, &[], &tier);
+    fleet.coordinator.forget();
+    let (then, before) = (wall_ns(), fleet.now());
+    fleet.coordinator.behave(|b| b.cut = false);
+    let (mut peak, mut last, mut written) = (0.0f64, before.1.told_bytes, 0.0);
+    let waited = async {
+        let mut at = Instant::now();
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let counts = fleet.coordinator.counts();
+            peak = peak.max((counts.told_bytes - last) as f64 / at.elapsed().as_secs_f64());
+            (last, at) = (counts.told_bytes, Instant::now());
+            if counts.events - before.1.events >= count as u64 {
+                written = before.0.elapsed().as_secs_f64() * 1e3;
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(60), waited).await.map_err(|_| "not all asked anew")?;
+    let all = fleet.have(index, then).await?;
+    let anew = fleet.since(before);
+    let values = vec![
+        memory,
+        start,
+        quiet.fronts / quiet.seconds * 100.0,
+        quiet.own / quiet.seconds * 100.0,
+        quiet.counts.told_bytes as f64 / quiet.seconds / count as f64,
+        quiet.counts.asked_bytes as f64 / quiet.seconds / count as f64,
+        replaced,
+        cost,
+        bytes,
+        one,
+        told(&one_spent.counts),
+        more,
+        told(&more_spent.counts),
+        cut.counts.refused as f64 / cut.seconds,
+        cut.fronts / cut.seconds * 100.0,
+        cut.own / cut.seconds * 100.0,
+        all,
+        written,
+        anew.counts.connections as f64,
+        told(&anew.counts),
+        peak,
+        anew.own * 1e3,
+        anew.fronts * 1e3,
+    ];
+    for crowd in fleet.crowds {
+        crowd.kill().await;
+    }
+    Ok(values)
+}
--- a/crates/pipithub-bench/src/scale/mod.rs
+++ b/crates/pipithub-bench/src/scale/mod.rs
@@ -27,6 +27,9 @@
     /// Sizes in place of each part's own.
     #[arg(long, value_delimiter = ',')]
     sizes: Vec<u64>,
+    /// Sections of a part that has some; all of them by default.
+    #[arg(long, value_delimiter = ',')]
+    only: Vec<String>,
     /// Seed of all that is drawn.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -63,6 +66,8 @@
 pub struct Plan {
     /// Sizes in place of the part's own; empty: its own.
     pub sizes: Vec<u64>,
+    /// Sections of a part that has some; empty: all.
+    pub only: Vec<String>,
     /// Seed of all that is drawn.
     pub seed: u64,
     /// Plays of each size, of which the median counts.
@@ -72,6 +77,11 @@
 }
 
 impl Plan {
+    /// Whether a section of a part is to be measured.
+    pub fn wants(&self, section: &str) -> bool {
+        self.only.is_empty() || self.only.iter().any(|o| o == section)
+    }
+
     /// The sizes to measure, of which these are the usual ones.
     pub fn sizes_or(&self, usual: &[u64]) -> Vec<u64> {
         if self.sizes.is_empty() { usual.to_vec() } else { self.sizes.clone() }
@@ -166,7 +176,8 @@
 
 /// Measures the parts and shows their slopes.
 pub async fn run(scale: Scale, binary: PathBuf) -> Result<()> {
-    let plan = Plan { sizes: scale.sizes, seed: scale.seed, plays: scale.plays.max(1), binary };
+    let Scale { sizes, only, seed, plays, .. } = scale;
+    let plan = Plan { sizes, only, seed, plays: plays.max(1), binary };
     let parts = if scale.parts.is_empty() { Part::value_variants().to_vec() } else { scale.parts };
     let mut all = Vec::new();
     for part in parts {
--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -224,7 +224,7 @@
 
 /// The core and its sockets.
 struct Shell {
-    core: RefCell<Core>,
+    core: Rc<RefCell<Core>>,
     sockets: RefCell<HashMap<ConnId, Rc<Socket>>>,
     clients: Rc<Slots>,
     workers: Rc<Slots>,
@@ -548,11 +548,18 @@
     /// Serves until SIGTERM or Ctrl-C, and then until all that was taken is answered. On SIGHUP the configuration is
     /// read again. Must be run on a [`tokio::task::LocalSet`].
     pub async fn serve(self) {
+        self.serve_sharing(|_| {}).await;
+    }
+
+    /// As [`Node::serve`]; the core is shown to `share` before it serves, for tests that compare its state.
+    pub async fn serve_sharing(self, share: impl FnOnce(Rc<RefCell<Core>>)) {
         let Node { config, place, listener, mut terminate, mut interrupt, mut reload } = self;
         let clock = Clock::unix();
         let unwritten_most = ((config.memory_mb as usize) << 20) / UNWRITTEN_PART;
+        let core = Rc::new(RefCell::new(Core::new(clock.now(), &config)));
+        share(core.clone());
         let shell = Rc::new(Shell {
-            core: RefCell::new(Core::new(clock.now(), &config)),
+            core,
             sockets: RefCell::default(),
             clients: Slots::new(unwritten_most),
             workers: Slots::new(unwritten_most),
--- a/crates/pipithub-node/tests/sockets.rs
+++ b/crates/pipithub-node/tests/sockets.rs
@@ -1,11 +1,9 @@
 //! A front end on loopback sockets, with a worker and a coordinator of its own.
 
-use std::cell::RefCell;
-use std::rc::Rc;
-
 use pipithub_node::coordinator::{Sequence, Step};
 use pipithub_node::shell::Node;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use pipithub_standin::coordinator::{self, Behaviour, Coordinator};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -30,36 +28,20 @@
     }
 }
 
-/// Tells of one worker; breaks off in the middle of the event the first time. Notes what it was asked.
-async fn coordinator(listener: TcpListener, event: String, asked: Rc<RefCell<Vec<String>>>) {
-    let mut whole = false;
-    while let Ok((mut stream, _)) = listener.accept().await {
-        let mut request = vec![0; 4096];
-        let n = stream.read(&mut request).await.unwrap_or(0);
-        asked.borrow_mut().push(String::from_utf8_lossy(&request[..n]).to_lowercase());
-        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
-        let event = format!("{head}id: 1\ndata: {event}\n\nid: 1\ndata: {event}\n\n");
-        let part = if whole { event.len() } else { head.len() + 20 };
-        let _ = stream.write_all(&event.as_bytes()[..part]).await;
-        if std::mem::replace(&mut whole, true) {
-            spawn_local(async move {
-                // Stays open until the front end ends.
-                let _ = stream.read(&mut [0; 1]).await;
-            });
-        }
-    }
-}
-
 #[tokio::test]
 async fn calls_are_served_through_a_list_that_breaks_off_and_a_worker_that_resets() {
     let local = LocalSet::new();
     let served = local.run_until(async {
         let bind = || TcpListener::bind("127.0.0.1:0");
-        let (worker_at, list_at) = (bind().await.unwrap(), bind().await.unwrap());
-        let event = serde_json::json!({"index": 1, "endpoints": {"seq": 1, "whole": true, "hosts": [
-            {"host": "w1", "dial": worker_at.local_addr().unwrap().to_string(), "site": "a", "health": "SERVING"}]}});
+        let worker_at = bind().await.unwrap();
+        let event = coordinator::event(1, true, &[serde_json::json!(
+            {"host": "w1", "dial": worker_at.local_addr().unwrap().to_string(), "site": "a", "health": "SERVING"})]);
+        // Tells of one worker, twice; breaks off in the middle of the event the first time.
+        let list = Coordinator::start(Behaviour::default()).unwrap();
+        list.break_off(20);
+        list.publish_text(1, &event, &format!("{event}\n\nid: 1\ndata: {event}"));
         let config = serde_json::json!({
-            "name": "n1", "listen": "127.0.0.1:0", "seed": "1", "coordinator": list_at.local_addr().unwrap().to_string(),
+            "name": "n1", "listen": "127.0.0.1:0", "seed": "1", "coordinator": list.address().to_string(),
             "known": {"index": 0, "updates": []},
             "settings": {"PeersTotal": 1, "Granularity": 2_000_000, "Limits": {"MostTries": 4, "MayCancel": true},
                 "Grades": [{"Name": "view", "Effect": "read_like", "Aim": 30_000_000_000u64, "GiveUp": 60_000_000_000u64,
@@ -70,9 +52,7 @@
         let node = Node::bind(&place, None).await.expect("starts");
         std::fs::remove_file(&place).unwrap();
         let address = node.address().unwrap();
-        let asked = Rc::new(RefCell::new(Vec::new()));
         spawn_local(worker(worker_at, true));
-        spawn_local(coordinator(list_at, event.to_string(), asked.clone()));
         spawn_local(node.serve());
         let (read, mut write) = TcpStream::connect(address).await.unwrap().into_split();
         let mut lines = BufReader::new(read).lines();
@@ -86,7 +66,8 @@
             id += 1;
             tokio::task::yield_now().await;
         }
-        assert!(asked.borrow().len() >= 2 && asked.borrow()[0].contains("last-event-id: 0"));
+        let asked = list.requests();
+        assert!(asked.len() >= 2 && asked[0].to_lowercase().contains("last-event-id: 0"));
         let mut served = 0;
         for id in id + 1..id + 21 {
             let call = format!(
--- a/crates/pipithub-standin/src/lib.rs
+++ b/crates/pipithub-standin/src/lib.rs
@@ -1,11 +1,13 @@
 //! Stand-ins for what the gateway meets in service, each a core without I/O and a thin shell on loopback sockets:
 //! an AMQP broker ([`broker`]), workers that load models on demand ([`worker`]), their shared model store ([`store`]),
-//! the worker list ([`list`]), an LDAP directory server ([`directory`]), a proxy that does damage between them ([`proxy`]), and
-//! one direction of a link for datagrams ([`relay`]).
+//! the worker list ([`list`]), the coordinator that streams it to front ends ([`coordinator`]), an LDAP directory server
+//! ([`directory`]), a proxy that does damage between them ([`proxy`]), and one direction of a link for datagrams
+//! ([`relay`]).
 //!
 //! They are test tools: they keep nothing on disk and trust whoever reaches them, so they listen on loopback alone.
 
 pub mod broker;
+pub mod coordinator;
 pub mod directory;
 pub mod list;
 pub mod proxy;
