A list with every worker is compared with those known by a set, not by a scan for each

Cause: Pool::keep_only looked through all named workers for each known one, so every whole list after the first cost the square of the tier, during which the front end serves nobody. The change: core.rs hands a set, as the module does for itself. Result: behaviour is meant to be the same; cargo test -p pipithub-node passes.

--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -238,7 +238,7 @@
     /// Takes a change of the worker list.
     pub fn list(&mut self, now: Time, event: &ListEvent) {
         if event.kind != ListKind::Changes {
-            let named: Vec<&Worker> = event.hosts.iter().map(|(e, _)| &e.worker).collect();
+            let named: BTreeSet<&Worker> = event.hosts.iter().map(|(e, _)| &e.worker).collect();
             self.pool.keep_only(&named);
         }
         for (entry, address) in &event.hosts {
--- a/crates/pipithub-node/src/pool.rs
+++ b/crates/pipithub-node/src/pool.rs
@@ -4,7 +4,7 @@
 //! requests, yet a broken one takes all of them with it; so a free connection is preferred, then a new one while there
 //! are descriptors, and only then one that carries others already.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use pipithub_engine::policy::{Function, Worker};
@@ -248,9 +248,9 @@
     }
 
     /// Notes that all workers but these are gone.
-    pub fn keep_only(&mut self, named: &[&Worker]) {
+    pub fn keep_only(&mut self, named: &BTreeSet<&Worker>) {
         for (worker, peer) in &mut self.peers {
-            peer.gone |= !named.contains(&worker);
+            peer.gone |= !named.contains(worker);
         }
     }
 
