The bounds of a list event follow from the planned site: 32,000 workers of 256 bytes

Need: 16,000 workers are planned for.

The change: HOSTS_MOST is 32,000 (twice the plan: all replaced side by side), DATA_MOST is that times 256 bytes, 8,192,000; the error names the event, the place and both bounds; follow counts events that cannot be used, logs them as errors with that count, and says that the former list stays. Lines of clients and workers keep their own bounds.

Result: a list and an event at the bound pass, one worker or one byte beyond gets the error; with 32,001 and 100,000 workers the former list stays and a good one is taken afterwards. cargo test -p pipithub-platform -p pipithub-node -p pipithub-hollow: all pass. Not mended: such an event is asked for anew after at most 0.8 s (1.2 with jitter) each time, for as long as it is handed out.

--- a/crates/pipithub-hollow/tests/growth.rs
+++ b/crates/pipithub-hollow/tests/growth.rs
@@ -3,6 +3,7 @@
 mod rig;
 
 use pipithub_hollow::Hollow;
+use pipithub_platform::list::HOSTS_MOST;
 use pipithub_standin::coordinator::{Counts, Tier};
 use tokio::task::LocalSet;
 
@@ -101,3 +102,31 @@
             .await;
     }
 }
+
+/// A list that is too long must not take the former one away, and must not be the end of it either.
+#[tokio::test]
+async fn a_list_beyond_the_bounds_leaves_the_former_one_and_a_good_one_is_taken_after_it() {
+    for beyond in [HOSTS_MOST + 1, 100_000] {
+        LocalSet::new()
+            .run_until(async {
+                let coordinator = rig::coordinator();
+                let front = rig::hollow(&coordinator);
+                let mut tier = Tier::new(10, 7);
+                rig::whole(&coordinator, &front, &tier).await;
+                let before = front.show().matches("worker-").count();
+                let long = Tier::new(beyond, 7);
+                coordinator.publish(true, long.hosts(), &long);
+                // It asks again from the last event that it could use.
+                rig::until(|| coordinator.counts().connections >= 3).await;
+                let requests = coordinator.requests();
+                assert!(requests[1..].iter().all(|r| r.contains("last-event-id: 1\r\n")), "{requests:?}");
+                assert_eq!((front.last(), front.show().matches("worker-").count()), (1, before));
+                let changed = tier.replace(0);
+                coordinator.forget();
+                let index = coordinator.publish(false, &changed, &tier);
+                rig::until(|| front.last() == index).await;
+                rig::until(|| front.show().matches("worker-").count() == before).await;
+            })
+            .await;
+    }
+}
--- a/crates/pipithub-node/src/coordinator.rs
+++ b/crates/pipithub-node/src/coordinator.rs
@@ -15,7 +15,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// A comment comes each second: after so long without a byte the stream is dead, though it may look open. What it would
 /// have told counts as told 4 s after it fell silent, which leaves time for two further tries.
@@ -83,6 +83,8 @@
 ) {
     let mut sequence = Sequence::after(last);
     let (mut wait, mut rng) = (RETRY_FIRST, StdRng::seed_from_u64(seed));
+    // Events that could not be used since the start, the same one counted each time it came.
+    let mut unusable = 0u64;
     loop {
         let place = address.borrow_and_update().clone();
         let mut took = false;
@@ -97,7 +99,17 @@
                 continue;
             }
         };
-        warn!(coordinator = place, last = sequence.last(), reason = ended, "coordinator stream ended");
+        let last = sequence.last();
+        match ended {
+            Ended::Stream(reason) => warn!(coordinator = place, last, reason, "coordinator stream ended"),
+            Ended::Unusable(reason) => {
+                unusable += 1;
+                error!(
+                    coordinator = place,
+                    last, unusable, reason, "coordinator stream ended, former list stays"
+                );
+            }
+        }
         if took {
             wait = RETRY_FIRST;
         }
@@ -109,13 +121,21 @@
     }
 }
 
+/// Why a stream ended.
+enum Ended {
+    /// Something was wrong with the connection, or events are missing.
+    Stream(String),
+    /// An event cannot be used, and nothing of it is.
+    Unusable(String),
+}
+
 /// One connection, until it ends; why it did.
 async fn stream(
     address: &str,
     sequence: &mut Sequence,
     names: &Names,
     mut take: impl FnMut(ListEvent),
-) -> String {
+) -> Ended {
     let head = async {
         let stream = TcpStream::connect(address).await.map_err(|e| format!("cannot connect: {e}"))?;
         let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
@@ -133,35 +153,36 @@
     };
     let (response, _sender, _task) = match tokio::time::timeout(CONNECT, head).await {
         Ok(Ok(up)) => up,
-        Ok(Err(reason)) => return reason,
-        Err(_) => return "no answer".to_string(),
+        Ok(Err(reason)) => return Ended::Stream(reason),
+        Err(_) => return Ended::Stream("no answer".to_string()),
     };
     if !response.status().is_success() {
-        return format!("status {}", response.status());
+        return Ended::Stream(format!("status {}", response.status()));
     }
     let mut body = response.into_body();
     let (mut reader, mut events) = (SseReader::default(), Vec::new());
     loop {
         let frame = match tokio::time::timeout(SILENCE, body.frame()).await {
-            Err(_) => return "silent".to_string(),
-            Ok(None) => return "closed".to_string(),
-            Ok(Some(Err(error))) => return format!("broke off: {error}"),
+            Err(_) => return Ended::Stream("silent".to_string()),
+            Ok(None) => return Ended::Stream("closed".to_string()),
+            Ok(Some(Err(error))) => return Ended::Stream(format!("broke off: {error}")),
             Ok(Some(Ok(frame))) => frame,
         };
         let Some(data) = frame.data_ref() else { continue };
         if let Err(long) = reader.push(data, &mut events) {
-            return long.to_string();
+            return Ended::Unusable(long.to_string());
         }
         for event in events.drain(..) {
             let event = match list::parse(&event.data, names) {
                 Ok(event) => event,
-                Err(reason) => return format!("event cannot be read: {reason}"),
+                Err(reason) => return Ended::Unusable(format!("event cannot be read: {reason}")),
             };
             match sequence.step(event.index, event.kind != pipithub_engine::policy::ListKind::Changes) {
                 Step::Take => take(event),
                 Step::Skip => {}
                 Step::Again => {
-                    return format!("events between {} and {} are missing", sequence.last(), event.index);
+                    let last = sequence.last();
+                    return Ended::Stream(format!("events between {last} and {} are missing", event.index));
                 }
             }
         }
--- a/crates/pipithub-node/tests/coordinator.rs
+++ b/crates/pipithub-node/tests/coordinator.rs
@@ -1,15 +1,19 @@
 //! How the coordinator is asked again, in time that the test drives.
 
+use std::fmt::Debug;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use pipithub_node::coordinator::follow;
 use pipithub_platform::settings::Names;
+use pipithub_platform::sse::DATA_MOST;
+use pipithub_standin::coordinator::{Behaviour, Coordinator, event};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
+use tracing::field::{Field, Visit};
 use tracing::span::{Attributes, Id, Record};
-use tracing::{Event, Metadata, Subscriber};
+use tracing::{Event, Level, Metadata, Subscriber};
 
 /// Notes when something was logged: each try ends with a line.
 #[derive(Clone, Default)]
@@ -61,3 +65,73 @@
     assert!(apart * 2 > one.len().min(other.len()), "{one:?}, {other:?}");
     assert_eq!(one, waits(1).await, "and each by its own seed alone");
 }
+
+/// Notes the fields of what is logged as an error.
+#[derive(Clone, Default)]
+struct Errors(Arc<Mutex<Vec<String>>>);
+
+impl Visit for Errors {
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        if let Some(last) = self.0.lock().expect("one thread").last_mut() {
+            last.push_str(&format!("{}={value:?} ", field.name()));
+        }
+    }
+}
+
+impl Subscriber for Errors {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target() == "pipithub_node::coordinator" && *metadata.level() == Level::ERROR
+    }
+    fn new_span(&self, _: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+    fn record(&self, _: &Id, _: &Record<'_>) {}
+    fn record_follows_from(&self, _: &Id, _: &Id) {}
+    fn event(&self, event: &Event<'_>) {
+        self.0.lock().expect("one thread").push(String::new());
+        event.record(&mut self.clone());
+    }
+    fn enter(&self, _: &Id) {}
+    fn exit(&self, _: &Id) {}
+}
+
+/// Who looks at a front end that does not follow the list any more must find out why, and since when.
+#[tokio::test]
+async fn events_that_cannot_be_used_are_counted_and_logged_with_place_and_reason() {
+    let good = serde_json::json!({"host": "w1", "dial": "127.0.0.1:1", "health": "SERVING"});
+    let odd = serde_json::json!({"host": "w2", "dial": "127.0.0.1:1", "health": "ODD"});
+    let long = "x".repeat(DATA_MOST + 1);
+    let cases = [
+        (event(2, false, &[good.clone(), odd]), "endpoints.hosts[1].health: unknown"),
+        (long, "event 2: data: more than 8192000 bytes"),
+    ];
+    for (text, reason) in cases {
+        let coordinator = Coordinator::start(Behaviour::default()).expect("listens");
+        coordinator.publish_text(1, "", &event(1, true, std::slice::from_ref(&good)));
+        let (errors, taken) = (Errors::default(), std::cell::RefCell::new(Vec::new()));
+        let _guard = tracing::subscriber::set_default(errors.clone());
+        let (_hold, followed) = watch::channel(coordinator.address().to_string());
+        let told = || errors.0.lock().expect("one thread").clone();
+        let following = follow(followed, 0, Names::default(), 1, |event| {
+            taken.borrow_mut().push(event.index);
+            coordinator.publish_text(2, &text, &text);
+        });
+        let twice = async {
+            while told().len() < 2 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        let both = async {
+            tokio::select! {
+                () = following => {}
+                () = twice => {}
+            }
+        };
+        let local = LocalSet::new();
+        tokio::time::timeout(Duration::from_secs(60), local.run_until(both)).await.expect("logged twice");
+        for (i, error) in told()[..2].iter().enumerate() {
+            assert!(error.contains(reason) && error.contains(&format!("unusable={} ", i + 1)), "{error}");
+        }
+        assert_eq!(*taken.borrow(), [1], "the former list stays");
+    }
+}
--- a/crates/pipithub-platform/src/list.rs
+++ b/crates/pipithub-platform/src/list.rs
@@ -5,8 +5,12 @@
 
 use crate::settings::Names;
 
-/// The most workers in one event.
-const HOSTS_MOST: usize = 10_000;
+/// The most workers in one event: twice the 16,000 of the largest site that is planned for, so that all of them may be
+/// replaced side by side.
+pub const HOSTS_MOST: usize = 32_000;
+/// The most bytes that a worker takes of an event, over all in it: one with a name of 60 bytes and an address of as many
+/// takes about 200.
+pub const HOST_BYTES_MOST: usize = 256;
 
 /// One change of the list.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/pipithub-platform/src/sse.rs
+++ b/crates/pipithub-platform/src/sse.rs
@@ -2,10 +2,25 @@
 
 use bytes::Bytes;
 
-use crate::line::{LineFramer, TooLong};
+use crate::line::LineFramer;
+use crate::list::{HOST_BYTES_MOST, HOSTS_MOST};
 
-/// The most bytes of one event's data.
-const DATA_MOST: usize = 1 << 20;
+/// The most bytes of one event's data: the list reader's most workers, each of its most bytes. A reader holds them twice at
+/// most, in its buffer and in the event.
+pub const DATA_MOST: usize = HOSTS_MOST * HOST_BYTES_MOST;
+/// What stands before the data on its line.
+const FIELD: usize = "data: ".len();
+
+/// An event is longer than allowed; nothing more can be read from its stream.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "event {}: data: more than {DATA_MOST} bytes, which are {HOSTS_MOST} workers of {HOST_BYTES_MOST} bytes",
+    id.as_deref().unwrap_or("without an id")
+)]
+pub struct EventTooLong {
+    /// Its `id`, where it came before the data.
+    pub id: Option<String>,
+}
 
 /// One event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -27,7 +42,7 @@
 
 impl Default for SseReader {
     fn default() -> Self {
-        SseReader { lines: LineFramer::new(DATA_MOST), event: SseEvent::default(), begun: false }
+        SseReader { lines: LineFramer::new(DATA_MOST + FIELD), event: SseEvent::default(), begun: false }
     }
 }
 
@@ -35,16 +50,16 @@
     /// Takes in what was read and appends the events that are whole.
     ///
     /// # Errors
-    /// [`TooLong`] where an event has no end.
-    pub fn push(&mut self, bytes: &[u8], events: &mut Vec<SseEvent>) -> Result<(), TooLong> {
+    /// [`EventTooLong`] where an event has no end.
+    pub fn push(&mut self, bytes: &[u8], events: &mut Vec<SseEvent>) -> Result<(), EventTooLong> {
         self.lines.push(bytes);
-        while let Some(line) = self.lines.next_line()? {
+        while let Some(line) = self.lines.next_line().map_err(|_| self.too_long())? {
             self.line(&line, events)?;
         }
         Ok(())
     }
 
-    fn line(&mut self, line: &Bytes, events: &mut Vec<SseEvent>) -> Result<(), TooLong> {
+    fn line(&mut self, line: &Bytes, events: &mut Vec<SseEvent>) -> Result<(), EventTooLong> {
         let text = String::from_utf8_lossy(line);
         if text.is_empty() {
             let event = std::mem::take(&mut self.event);
@@ -59,7 +74,7 @@
             "id" => self.event.id = Some(value.to_string()),
             "data" => {
                 if self.event.data.len() + value.len() > DATA_MOST {
-                    return Err(TooLong { most: DATA_MOST });
+                    return Err(self.too_long());
                 }
                 if self.begun {
                     self.event.data.push('\n');
@@ -72,4 +87,8 @@
         }
         Ok(())
     }
+
+    fn too_long(&self) -> EventTooLong {
+        EventTooLong { id: self.event.id.clone() }
+    }
 }
--- a/crates/pipithub-platform/tests/protocol.rs
+++ b/crates/pipithub-platform/tests/protocol.rs
@@ -2,8 +2,9 @@
 
 use pipithub_platform::client::{self, ClientLine};
 use pipithub_platform::line::LineFramer;
+use pipithub_platform::list::{HOST_BYTES_MOST, HOSTS_MOST};
 use pipithub_platform::settings::SiteSettings;
-use pipithub_platform::sse::{SseEvent, SseReader};
+use pipithub_platform::sse::{DATA_MOST, SseEvent, SseReader};
 use pipithub_platform::{config::NodeConfig, list, worker};
 use pipithub_policy::api::{Class, Effect, Settings};
 use proptest::prelude::*;
@@ -161,3 +162,44 @@
     says(serde_json::json!([grade("a", 0)]), "settings.Grades[0].GiveUp: not above 0");
     assert_eq!(fault(serde_json::json!([grade("a", 1), grade("b", u64::MAX)])), None);
 }
+
+/// An event with so many workers.
+fn tier(workers: usize) -> String {
+    let host = |n| format!(r#"{{"host":"worker-{n:06}","dial":"10.0.0.1:30012","health":"SERVING"}}"#);
+    let hosts: Vec<String> = (0..workers).map(host).collect();
+    format!(r#"{{"index":1,"endpoints":{{"whole":true,"hosts":[{}]}}}}"#, hosts.join(","))
+}
+
+#[test]
+fn a_list_at_the_bound_is_read_and_one_worker_more_is_an_error_with_place_and_reason() {
+    let names = site().names;
+    let read = list::parse(&tier(HOSTS_MOST), &names).expect("at the bound");
+    assert_eq!((read.hosts.len(), HOSTS_MOST >= 2 * 16_000), (HOSTS_MOST, true));
+    let fault = list::parse(&tier(HOSTS_MOST + 1), &names).expect_err("beyond it");
+    assert_eq!(fault, format!("endpoints.hosts: more than {HOSTS_MOST}"));
+}
+
+#[test]
+fn an_event_at_the_bound_is_read_whole_and_a_byte_more_is_an_error_with_place_and_reason() {
+    assert_eq!(DATA_MOST, HOSTS_MOST * HOST_BYTES_MOST);
+    let read = |text: &str| {
+        let mut events = Vec::new();
+        // In pieces, as they come.
+        let (mut reader, text) = (SseReader::default(), format!("id: 7\ndata: {text}\n\n"));
+        text.as_bytes().chunks(65_536).try_for_each(|piece| reader.push(piece, &mut events)).map(|()| events)
+    };
+    let events = read(&"x".repeat(DATA_MOST)).expect("at the bound");
+    assert_eq!(events.iter().map(|e| e.data.len()).collect::<Vec<_>>(), [DATA_MOST]);
+    let says = |text: &str| read(text).expect_err("beyond the bound").to_string();
+    let expected = "event 7: data: more than 8192000 bytes, which are 32000 workers of 256 bytes";
+    assert_eq!(says(&"x".repeat(DATA_MOST + 1)), expected);
+    assert_eq!(
+        says(&format!("{}\ndata: x", "x".repeat(DATA_MOST))),
+        expected,
+        "several lines count together"
+    );
+    // A hundred thousand workers of few bytes pass here, and the list's own bound holds.
+    assert!(tier(100_000).len() < DATA_MOST);
+    let fault = list::parse(&tier(100_000), &site().names).expect_err("beyond the bound");
+    assert_eq!(fault, "endpoints.hosts: more than 32000");
+}
