--- a/crates/pipithub-platform/src/config.rs
+++ b/crates/pipithub-platform/src/config.rs
@@ -1,5 +1,8 @@
 //! The configuration of one front end, as the platform hands it over in a file.
 
+use std::collections::HashSet;
+use std::hash::Hash;
+
 use serde_json::Value;
 
 use crate::client::METHODS;
@@ -27,18 +30,26 @@
     pub site: SiteSettings,
 }
 
+/// The place of the first name that stands before it too. Each name is looked up once: a comparison with all that stand
+/// before it would hold up the calls of a front end that reads a long configuration again.
+pub fn first_repeat<T: Eq + Hash>(names: &[T]) -> Option<usize> {
+    let mut seen = HashSet::with_capacity(names.len());
+    names.iter().position(|name| !seen.insert(name))
+}
+
 /// Whether a front end can serve by these settings: it must not be taken in and then turn every call away.
 fn usable(site: &SiteSettings) -> Result<(), String> {
     let names = &site.names.classes;
     if names.is_empty() {
         return Err("settings.Grades: no class".to_string());
     }
+    let repeat = first_repeat(names);
     for (i, (name, class)) in names.iter().zip(&site.policy.classes).enumerate() {
         let place = format!("settings.Grades[{i}]");
         if name.is_empty() || METHODS.contains(&name.as_str()) {
             return Err(format!("{place}.Name: {name:?} cannot name a class"));
         }
-        if names[..i].contains(name) {
+        if repeat == Some(i) {
             return Err(format!("{place}.Name: {name:?} names an earlier class too"));
         }
         if class.give_up == 0 {
