Scale tests: what a worker sees of many front ends, from the fleet test's records

The fleet test counts what reaches its workers, at any number of front ends. Front ends are real there, workers, clients and time simulated. Which worker got what is not in the records.

--- a/crates/pipithub-bench/src/scale/mod.rs
+++ b/crates/pipithub-bench/src/scale/mod.rs
@@ -39,6 +39,9 @@
     /// Writes a plot of each series into this folder.
     #[arg(long)]
     plot: Option<PathBuf>,
+    /// Records of the fleet test (its `--json` files), from which `workers` is read.
+    #[arg(long)]
+    fleet: Option<PathBuf>,
 }
 
 /// A part of the site whose growth is measured.
@@ -69,6 +72,8 @@
     pub plays: usize,
     /// The pipithub binary, for real processes.
     pub binary: PathBuf,
+    /// Where records of the fleet test lie.
+    pub fleet: Option<PathBuf>,
 }
 
 impl Plan {
@@ -166,7 +171,8 @@
 
 /// Measures the parts and shows their slopes.
 pub async fn run(scale: Scale, binary: PathBuf) -> Result<()> {
-    let plan = Plan { sizes: scale.sizes, seed: scale.seed, plays: scale.plays.max(1), binary };
+    let plan =
+        Plan { sizes: scale.sizes, seed: scale.seed, plays: scale.plays.max(1), binary, fleet: scale.fleet };
     let parts = if scale.parts.is_empty() { Part::value_variants().to_vec() } else { scale.parts };
     let mut all = Vec::new();
     for part in parts {
