Scale tests: how a change of configuration reaches all front ends today

Nothing in the product carries a change to all front ends: each has a file and takes the coordinator's address from it at SIGHUP, everything else at its next start. `scale settings` measures that with real `pipithub node` processes on loopback (1 to 200), the part itself playing the coordinators and the operators' hands, and what reading a configuration costs as it grows. It fails where a front end asks a former coordinator within 200 ms of the last change.

A first run failed at ten front ends (4 of 5 asked in 30 s): the part dropped questions to one coordinator while it waited for those to another. It keeps them now.

--- /dev/null
+++ b/crates/pipithub-bench/src/scale/settings/site.rs
@@ -0,0 +1,397 @@
+//! Real front ends as processes, and the coordinators that they ask, played here.
+
+use std::collections::HashSet;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+
+use crate::Result;
+
+/// The longest wait for front ends to do what they were told: many times the 4 s that are wanted.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// How often a coordinator says that it is there; a front end takes 1.6 s without a byte for its end.
+const COMMENT: Duration = Duration::from_millis(500);
+/// Coordinators, in turn: the one in force, the first and the second of two changes, with one to spare.
+const COORDINATORS: usize = 4;
+/// The longest head of a request for the list that is read.
+const HEAD_MOST: usize = 8 << 10;
+
+/// One of the coordinators.
+pub type Coordinator = usize;
+
+/// What a front end's log said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// It is up.
+    Up,
+    /// It has taken a configuration in.
+    Read,
+    /// It could not read one and keeps the former.
+    Kept,
+}
+
+/// A front end's question for the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// Who asked.
+    pub node: usize,
+    /// Whom.
+    pub coordinator: Coordinator,
+    /// When the whole question was read.
+    pub at: Instant,
+    /// Its bytes.
+    pub bytes: usize,
+}
+
+#[derive(Debug)]
+enum Heard {
+    Asked(Asked),
+    Said(usize, Said, Instant),
+}
+
+struct Front {
+    child: Child,
+    place: PathBuf,
+}
+
+/// Front ends, their files and their coordinators.
+pub struct Site {
+    binary: PathBuf,
+    folder: PathBuf,
+    fronts: Vec<Front>,
+    addresses: Vec<String>,
+    /// What each configuration holds besides: workers known and classes.
+    workers: Vec<Value>,
+    classes: usize,
+    in_force: Coordinator,
+    /// Questions since the last change that nobody has waited for yet.
+    others: Vec<Asked>,
+    sender: mpsc::UnboundedSender<Heard>,
+    heard: mpsc::UnboundedReceiver<Heard>,
+}
+
+impl Site {
+    /// Starts so many, each with so many workers known and classes, and waits until each has asked its coordinator.
+    pub async fn start(
+        binary: &Path,
+        folder: &Path,
+        size: usize,
+        workers: u64,
+        classes: usize,
+    ) -> Result<Site> {
+        // Bounded by what so few processes can ask and log.
+        let (sender, heard) = mpsc::unbounded_channel();
+        let (mut addresses, workers) = (Vec::new(), (0..workers).map(worker).collect::<Vec<_>>());
+        let first = events(workers.len());
+        for coordinator in 0..COORDINATORS {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            addresses.push(listener.local_addr()?.to_string());
+            tokio::spawn(serve(listener, coordinator, first, sender.clone()));
+        }
+        let (binary, folder) = (binary.to_path_buf(), folder.to_path_buf());
+        let fronts = Vec::new();
+        let mut site = Site {
+            binary,
+            folder,
+            fronts,
+            addresses,
+            workers,
+            classes,
+            in_force: 0,
+            others: Vec::new(),
+            sender,
+            heard,
+        };
+        for n in 0..size {
+            let place = site.folder.join(format!("{n}.json"));
+            std::fs::write(&place, site.text(n, 0))?;
+            let child = site.spawn(n, &place)?;
+            site.fronts.push(Front { child, place });
+        }
+        site.all_ask(0).await?;
+        Ok(site)
+    }
+
+    /// How many there are.
+    pub fn size(&self) -> usize {
+        self.fronts.len()
+    }
+
+    /// The coordinator that the next change names.
+    pub fn next(&mut self) -> Coordinator {
+        self.others.clear();
+        self.in_force = (self.in_force + 1) % COORDINATORS;
+        self.in_force
+    }
+
+    /// The configuration of a front end.
+    fn text(&self, n: usize, coordinator: Coordinator) -> String {
+        configuration(n, &self.addresses[coordinator], &self.workers, self.classes).to_string()
+    }
+
+    fn spawn(&self, n: usize, place: &Path) -> Result<Child> {
+        let mut child = Command::new(&self.binary)
+            .arg("node")
+            .env("LB_CONFIG", place)
+            .env("RUST_LOG", "info")
+            .env("NO_COLOR", "1")
+            .env_remove("LB_LISTEN")
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()?;
+        let log = child.stderr.take().ok_or("no log")?;
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let mut lines = BufReader::new(log).lines();
+            while let Ok(Some(line)) = lines.next_line().await {
+                let said = [
+                    ("front end up", Said::Up),
+                    ("configuration read again", Said::Read),
+                    ("previous configuration stays in force", Said::Kept),
+                ];
+                if let Some((_, said)) = said.iter().find(|(words, _)| line.contains(words)) {
+                    let _ = sender.send(Heard::Said(n, *said, Instant::now()));
+                }
+            }
+        });
+        Ok(child)
+    }
+
+    /// Puts a new file in the place of the old one, so that nobody reads a part of it; its bytes.
+    pub fn replace(&self, n: usize, coordinator: Coordinator) -> Result<usize> {
+        let (text, place) = (self.text(n, coordinator), &self.fronts[n].place);
+        let beside = place.with_extension("fresh");
+        std::fs::write(&beside, &text)?;
+        std::fs::rename(&beside, place)?;
+        Ok(text.len())
+    }
+
+    /// Writes half of a file over the old one, as a copy that is interrupted does.
+    pub fn write_half(&self, n: usize, coordinator: Coordinator) -> Result<()> {
+        let text = self.text(n, coordinator);
+        Ok(std::fs::write(&self.fronts[n].place, &text[..text.len() / 2])?)
+    }
+
+    /// Writes the whole file over what is there.
+    pub fn write_whole(&self, n: usize, coordinator: Coordinator) -> Result<()> {
+        Ok(std::fs::write(&self.fronts[n].place, self.text(n, coordinator))?)
+    }
+
+    /// Sends SIGHUP.
+    pub fn hang_up(&self, n: usize) -> Result<()> {
+        signal(&self.fronts[n].child, Signal::HUP)
+    }
+
+    /// The most memory that any of them ever held, in MB.
+    pub fn peak_mb(&self) -> f64 {
+        self.fronts.iter().map(|f| peak_mb(&f.child)).fold(0.0, f64::max)
+    }
+
+    /// CPU of all, in seconds.
+    pub fn cpu(&self) -> f64 {
+        self.fronts.iter().map(|f| cpu(&f.child)).sum()
+    }
+
+    /// Waits until each has asked this coordinator.
+    pub async fn all_ask(&mut self, coordinator: Coordinator) -> Result<Vec<Asked>> {
+        self.ask(coordinator, self.size()).await
+    }
+
+    /// Waits until so many front ends have asked this coordinator; the first question of each.
+    pub async fn ask(&mut self, coordinator: Coordinator, many: usize) -> Result<Vec<Asked>> {
+        let (mut who, mut all) = (HashSet::new(), Vec::new());
+        let end = tokio::time::Instant::now() + PATIENCE;
+        // Those of the others are kept: one half of the front ends may be asked about after the other.
+        let mut before = std::mem::take(&mut self.others).into_iter();
+        while all.len() < many {
+            let next = match before.next() {
+                Some(asked) => Ok(Some(Heard::Asked(asked))),
+                None => tokio::time::timeout_at(end, self.heard.recv()).await,
+            };
+            match next {
+                Ok(Some(Heard::Asked(asked))) => {
+                    if asked.coordinator != coordinator {
+                        self.others.push(asked);
+                    } else if who.insert(asked.node) {
+                        all.push(asked);
+                    }
+                }
+                Ok(Some(Heard::Said(..))) => {}
+                _ => {
+                    return Err(
+                        format!("{} of {many} asked the coordinator in {PATIENCE:?}", all.len()).into()
+                    );
+                }
+            }
+        }
+        self.others.extend(before);
+        Ok(all)
+    }
+
+    /// Waits until each has said this; what is asked meanwhile is passed over.
+    pub async fn all_say(&mut self, what: Said) -> Result<Instant> {
+        let mut who = HashSet::new();
+        let end = tokio::time::Instant::now() + PATIENCE;
+        let mut last = Instant::now();
+        while who.len() < self.size() {
+            match tokio::time::timeout_at(end, self.heard.recv()).await {
+                Ok(Some(Heard::Said(node, said, at))) => {
+                    if said == what && who.insert(node) {
+                        last = at;
+                    }
+                }
+                Ok(Some(Heard::Asked(_))) => {}
+                _ => {
+                    return Err(
+                        format!("{} of {} said {what:?} in {PATIENCE:?}", who.len(), self.size()).into()
+                    );
+                }
+            }
+        }
+        Ok(last)
+    }
+
+    /// Fails where another coordinator than this one is asked within a time.
+    pub async fn nobody_asks_but(&mut self, coordinator: Coordinator, within: Duration) -> Result<()> {
+        let end = tokio::time::Instant::now() + within;
+        while let Ok(Some(heard)) = tokio::time::timeout_at(end, self.heard.recv()).await {
+            if let Heard::Asked(asked) = heard
+                && asked.coordinator != coordinator
+            {
+                return Err(format!("front end {} asked a former coordinator again", asked.node).into());
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops all at once and starts each again when it has ended; seconds until the last one has asked.
+    pub async fn restart(&mut self) -> Result<f64> {
+        let to = self.next();
+        let begun = Instant::now();
+        for n in 0..self.size() {
+            self.replace(n, to)?;
+            signal(&self.fronts[n].child, Signal::TERM)?;
+        }
+        for n in 0..self.size() {
+            tokio::time::timeout(PATIENCE, self.fronts[n].child.wait()).await??;
+            let place = self.fronts[n].place.clone();
+            self.fronts[n].child = self.spawn(n, &place)?;
+        }
+        let asked = self.all_ask(to).await?;
+        Ok((asked.iter().map(|a| a.at).max().unwrap_or(begun) - begun).as_secs_f64())
+    }
+
+    /// Ends all.
+    pub async fn stop(mut self) {
+        for front in &mut self.fronts {
+            let _ = front.child.kill().await;
+        }
+    }
+}
+
+/// Sends a process a signal, by its own id.
+pub fn signal(child: &Child, signal: Signal) -> Result<()> {
+    let id = child.id().and_then(|id| Pid::from_raw(id as i32)).ok_or("the process has ended")?;
+    Ok(kill_process(id, signal)?)
+}
+
+/// CPU of a process in seconds: the scheduler's count, in nanoseconds, where ticks of 10 ms would say nothing.
+pub fn cpu(child: &Child) -> f64 {
+    let Some(id) = child.id() else { return 0.0 };
+    let tasks = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+    let used = |path: PathBuf| {
+        let text = std::fs::read_to_string(path.join("schedstat")).unwrap_or_default();
+        text.split_whitespace().next().and_then(|n| n.parse::<f64>().ok()).unwrap_or(0.0)
+    };
+    tasks.map(|task| used(task.path())).sum::<f64>() / 1e9
+}
+
+/// The most memory that a process ever held, in MB.
+pub fn peak_mb(child: &Child) -> f64 {
+    let status = child.id().and_then(|id| std::fs::read_to_string(format!("/proc/{id}/status")).ok());
+    let kb = status.as_deref().unwrap_or_default().lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    kb.and_then(|kb| kb.trim().split(' ').next()?.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+}
+
+/// A worker of the list.
+pub fn worker(n: u64) -> Value {
+    json!({"host": format!("w{n}"), "dial": format!("127.0.0.1:{}", 20_000 + n % 20_000), "site": "a", "health": "SERVING"})
+}
+
+/// The most workers that one event may hold.
+const EVENT_MOST: usize = 10_000;
+
+/// In how many events so many workers are told.
+fn events(workers: usize) -> usize {
+    workers.div_ceil(EVENT_MOST)
+}
+
+/// The configuration of a front end, whose last known event bears its number beyond what the events need.
+pub fn configuration(n: usize, coordinator: &str, workers: &[Value], classes: usize) -> Value {
+    let updates: Vec<Value> = workers
+        .chunks(EVENT_MOST)
+        .enumerate()
+        .map(|(i, hosts)| {
+            let index = n + i + 1;
+            json!({"index": index, "endpoints": {"seq": index, "whole": i == 0, "hosts": hosts}})
+        })
+        .collect();
+    let class = |i: usize| {
+        json!({"Name": format!("class-{i}"), "Effect": "read_like", "Aim": 30_000_000_000u64,
+            "GiveUp": 60_000_000_000u64})
+    };
+    let classes: Vec<Value> = (0..classes).map(class).collect();
+    json!({
+        "name": format!("n{n}"), "listen": "127.0.0.1:0", "seed": "1", "coordinator": coordinator,
+        "limits": {"memory_mb": 256, "sockets": 256},
+        "known": {"index": n + updates.len(), "updates": updates},
+        "settings": {"PeersTotal": 1_700, "Granularity": 2_000_000, "Limits": {"MostTries": 4}, "Grades": classes}
+    })
+}
+
+async fn serve(
+    listener: TcpListener,
+    coordinator: Coordinator,
+    first: usize,
+    sender: mpsc::UnboundedSender<Heard>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(answer(stream, coordinator, first, sender.clone()));
+    }
+}
+
+/// Reads one question, answers with a stream without events, and keeps it open by comments. The front end that asks is
+/// known by the last event that it tells, `first` being the first one's.
+async fn answer(
+    mut stream: TcpStream,
+    coordinator: Coordinator,
+    first: usize,
+    sender: mpsc::UnboundedSender<Heard>,
+) -> std::io::Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") && head.len() < HEAD_MOST {
+        if stream.read_buf(&mut head).await? == 0 {
+            return Ok(());
+        }
+    }
+    let at = Instant::now();
+    let text = String::from_utf8_lossy(&head).to_lowercase();
+    let last =
+        text.lines().find_map(|line| line.strip_prefix("last-event-id:")?.trim().parse::<usize>().ok());
+    if let Some(node) = last.and_then(|last| last.checked_sub(first)) {
+        let _ = sender.send(Heard::Asked(Asked { node, coordinator, at, bytes: head.len() }));
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n").await?;
+    loop {
+        stream.write_all(b": here\n\n").await?;
+        tokio::time::sleep(COMMENT).await;
+    }
+}
