--- a/crates/pipithub-bench/src/scale/mod.rs
+++ b/crates/pipithub-bench/src/scale/mod.rs
@@ -42,6 +42,9 @@
     /// Writes a plot of each series into this folder.
     #[arg(long)]
     plot: Option<PathBuf>,
+    /// Records of the fleet test (its `--json` files), from which `workers` is read.
+    #[arg(long)]
+    fleet: Option<PathBuf>,
 }
 
 /// A part of the site whose growth is measured.
@@ -74,6 +77,8 @@
     pub plays: usize,
     /// The pipithub binary, for real processes.
     pub binary: PathBuf,
+    /// Where records of the fleet test lie.
+    pub fleet: Option<PathBuf>,
 }
 
 impl Plan {
@@ -176,8 +181,8 @@
 
 /// Measures the parts and shows their slopes.
 pub async fn run(scale: Scale, binary: PathBuf) -> Result<()> {
-    let Scale { sizes, only, seed, plays, .. } = scale;
-    let plan = Plan { sizes, only, seed, plays: plays.max(1), binary };
+    let Scale { sizes, only, seed, plays, fleet, .. } = scale;
+    let plan = Plan { sizes, only, seed, plays: plays.max(1), binary, fleet };
     let parts = if scale.parts.is_empty() { Part::value_variants().to_vec() } else { scale.parts };
     let mut all = Vec::new();
     for part in parts {
