--- a/crates/pipithub-bench/src/main.rs
+++ b/crates/pipithub-bench/src/main.rs
@@ -58,15 +58,8 @@
     },
     /// What tenants add to a call, their directory being up, slow or dead.
     Directories,
-    /// How soon a fleet knows of a death and what membership costs, in simulated time.
-    Members {
-        /// Sizes of fleets.
-        #[arg(long, value_delimiter = ',', default_value = "10,60,300")]
-        sizes: Vec<usize>,
-        /// Runs of each.
-        #[arg(long, default_value_t = 3)]
-        seeds: u64,
-    },
+    /// One day of a fleet's membership in simulated time, as JSON; `scale members` plays them at several sizes.
+    Members(members::Play),
     /// How each part of a site grows: slopes over several sizes, and what they say of the planned one.
     Scale(scale::Scale),
     /// The pass-through, as a process.
@@ -85,10 +78,7 @@
     let arguments = Arguments::parse();
     match arguments.command {
         Some(Command::Baseline { broker, worker }) => return baseline::run(&broker, worker).await,
-        Some(Command::Members { sizes, seeds }) => {
-            members::run(&sizes, seeds);
-            return Ok(());
-        }
+        Some(Command::Members(play)) => return play.run(),
         Some(Command::Roster { users }) => {
             roster::roster(users);
             return Ok(());
--- a/crates/pipithub-bench/src/members.rs
+++ b/crates/pipithub-bench/src/members.rs
@@ -1,80 +1,279 @@
-//! What membership costs and how soon it knows, in simulated time over the very cores.
+//! One day of a fleet's membership in simulated time, over the very cores: what it costs and how soon it knows.
 
+use clap::{Args, ValueEnum};
 use pipithub_fleetsim::Fleet;
 use pipithub_members::{Event, Settings, Time};
 use pipithub_simnet::Link;
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
 
 const SECOND: Time = 1_000_000_000;
+/// How often the fleet's state is looked at: the step of all times told.
+const STEP: Time = SECOND / 10;
+/// Regions; zones and regions take turns over the members.
+const REGIONS: usize = 3;
 
-/// One line for each size of fleet and share of lost datagrams.
-pub fn run(sizes: &[usize], seeds: u64) {
-    println!(
-        "members   loss  together  found: first  all   suspected  false deaths  bytes/s a member   ({seeds} seeds each, 60 s)"
-    );
-    for size in sizes {
-        for loss in [0.0, 0.01, 0.05, 0.2] {
-            let rows: Vec<Row> = (0..seeds).map(|seed| one(*size, loss, seed)).collect();
-            let mean = |f: fn(&Row) -> f64| rows.iter().map(f).sum::<f64>() / rows.len().max(1) as f64;
-            let worst = |f: fn(&Row) -> f64| rows.iter().map(f).fold(0.0, f64::max);
-            println!(
-                "{size:>7} {:>5.0}% {:>7.1} s {:>9.1} s {:>6.1} s {:>9.1} {:>12.2} {:>16.0}   (all at worst {:.1} s)",
-                loss * 100.0,
-                mean(|r| r.together),
-                mean(|r| r.first),
-                mean(|r| r.all),
-                mean(|r| r.suspected),
-                mean(|r| r.deaths),
-                mean(|r| r.bytes),
-                worst(|r| r.all)
-            );
-        }
-    }
+/// What happens in a day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Day {
+    /// All start at once; later one dies.
+    Ordinary,
+    /// The same, and each link loses 1% of the datagrams.
+    Loss,
+    /// A seventh dies at once.
+    Seventh,
+    /// One in 21 dies at once.
+    TwentyFirst,
+    /// Three regions lose each other for a minute.
+    Regions,
+    /// All are restarted, each once, at times drawn within a minute.
+    Restart,
+}
+
+/// A day to be played; its figures go to standard output as JSON.
+#[derive(Args)]
+pub struct Play {
+    /// Members.
+    #[arg(long, default_value_t = 60)]
+    size: usize,
+    /// The day.
+    #[arg(long, value_enum, default_value = "ordinary")]
+    day: Day,
+    /// Seed of all that is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seconds, in simulated time, over which cost at rest is measured.
+    #[arg(long, default_value_t = 60)]
+    rest: u64,
+    /// `max-members`; by default as many as there are and one more.
+    #[arg(long)]
+    most: Option<usize>,
+    /// Seconds, in simulated time, after which a day has not come to what is awaited.
+    #[arg(long, default_value_t = 600)]
+    patience: u64,
 }
 
-struct Row {
-    together: f64,
-    first: f64,
-    all: f64,
+/// What a day showed. Times are simulated seconds; -1 where it did not come to that.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Row {
+    /// Until all knew all after the start.
+    pub together: f64,
+    /// From the blow (a death, a mended cut, the last restart) until the first knew of it, in the days with deaths.
+    pub first: f64,
+    /// From the blow until each knew exactly who is there.
+    pub all: f64,
+    /// Suspicions of the living, for each member, from the settled fleet on.
+    pub suspected: f64,
+    /// How often somebody that lived was held for dead, in all, from the settled fleet on.
+    pub false_deaths: f64,
+    /// Bytes a second a member at rest, with IP and UDP headers: mean over the members, and the one that sent most.
+    pub bytes: f64,
+    /// See `bytes`.
+    pub bytes_worst: f64,
+    /// Datagrams a second a member at rest: mean, and the one that sent most.
+    pub messages: f64,
+    /// See `messages`.
+    pub messages_worst: f64,
+    /// Bytes a second a member, mean, in the worst second while it came together.
+    pub bytes_start: f64,
+    /// The same from the blow on, for the mean, and for the single member that sent most in a second.
+    pub bytes_blow: f64,
+    /// See `bytes_blow`.
+    pub bytes_blow_worst: f64,
+    /// CPU of the cores at rest, for each member, as a share of a processor core.
+    pub cpu: f64,
+    /// The same while it came together.
+    pub cpu_start: f64,
+    /// CPU of the simulation itself, in the same unit, at rest.
+    pub cpu_simulation: f64,
+    /// Resident bytes for each member once all knew all, the simulation's own part among them.
+    pub memory: f64,
+    /// Members that were not let in, in the eyes of whom they asked.
+    pub full: f64,
+    /// How many the least-knowing member knows at the end of the coming together, itself counted.
+    pub least_known: f64,
+}
+
+/// Reads the meters once in each simulated second.
+struct Meter {
+    /// Bytes of each at the last reading, and when that was.
+    before: (Vec<u64>, Time),
+    /// The worst second so far: of the mean, and of any one.
+    worst: (f64, f64),
     suspected: f64,
     deaths: f64,
-    bytes: f64,
+    full: f64,
+    patience: Time,
+}
+
+impl Meter {
+    fn new(fleet: &Fleet, patience: Time) -> Meter {
+        let before = (fleet.bytes.clone(), fleet.net.now());
+        Meter { before, worst: (0.0, 0.0), suspected: 0.0, deaths: 0.0, full: 0.0, patience }
+    }
+
+    /// Lets one step pass.
+    fn step(&mut self, fleet: &mut Fleet) {
+        fleet.run_for(STEP);
+        for told in std::mem::take(&mut fleet.history) {
+            let lives = |name: &str| {
+                name.strip_prefix("front-").and_then(|n| n.parse().ok()).is_some_and(|n| fleet.runs(n))
+            };
+            match &told.event {
+                Event::Suspected(member) if lives(&member.identity.name) => self.suspected += 1.0,
+                Event::Down { member, .. } if lives(&member.identity.name) => self.deaths += 1.0,
+                Event::Full(_) => self.full += 1.0,
+                _ => {}
+            }
+        }
+        if fleet.net.now() >= self.before.1 + SECOND {
+            let span = seconds(fleet.net.now() - self.before.1);
+            let rates =
+                || fleet.bytes.iter().zip(&self.before.0).map(|(now, then)| (now - then) as f64 / span);
+            let mean = rates().sum::<f64>() / fleet.size() as f64;
+            self.worst = (self.worst.0.max(mean), self.worst.1.max(rates().fold(0.0, f64::max)));
+            self.before = (fleet.bytes.clone(), fleet.net.now());
+        }
+    }
+
+    fn pass(&mut self, fleet: &mut Fleet, time: Time) {
+        let until = fleet.net.now() + time;
+        while fleet.net.now() < until {
+            self.step(fleet);
+        }
+    }
+
+    /// Seconds until something is so; -1 where it never was.
+    fn until(&mut self, fleet: &mut Fleet, so: impl Fn(&Fleet) -> bool) -> f64 {
+        let begun = fleet.net.now();
+        while fleet.net.now() < begun + self.patience {
+            if so(fleet) {
+                return seconds(fleet.net.now() - begun);
+            }
+            self.step(fleet);
+        }
+        -1.0
+    }
 }
 
 fn seconds(time: Time) -> f64 {
     time as f64 / SECOND as f64
 }
 
-fn one(size: usize, loss: f64, seed: u64) -> Row {
-    let settings = Settings { cluster: "bench".into(), ..Settings::default() };
-    let usual = Link { loss, jitter: 3_000_000, ..Link::default() };
-    let mut fleet = Fleet::new(size, 3, 3, seed, settings, usual);
-    (0..size).filter(|n| fleet.start(*n).is_err()).for_each(|n| eprintln!("member {n} did not start"));
-    let begun = fleet.net.now();
-    while !fleet.agreed() && fleet.net.now() < begun + 300 * SECOND {
-        fleet.run_for(SECOND / 4);
+/// Process CPU and the cores' part of the time, to be told apart later.
+struct Cpu(f64, f64, std::time::Instant);
+
+impl Cpu {
+    fn read(fleet: &Fleet) -> Cpu {
+        let used = crate::usage(std::process::id()).0;
+        Cpu(used, fleet.cores_took.as_secs_f64(), std::time::Instant::now())
+    }
+
+    /// CPU for each member and simulated second: of the cores, and of the simulation. The process has one thread, so
+    /// its CPU is shared out as its time was.
+    fn since(&self, fleet: &Fleet, simulated: f64) -> (f64, f64) {
+        let now = Cpu::read(fleet);
+        let (used, cores) = (now.0 - self.0, now.1 - self.1);
+        let share = cores / now.2.duration_since(self.2).as_secs_f64().max(1e-9);
+        let each = used / fleet.size() as f64 / simulated.max(1e-9);
+        (each * share, each * (1.0 - share))
+    }
+}
+
+impl Play {
+    /// Plays the day and prints its row.
+    pub fn run(&self) -> crate::Result<()> {
+        println!("{}", serde_json::to_string(&self.row())?);
+        Ok(())
     }
-    let together = seconds(fleet.net.now() - begun);
-    fleet.run_for(10 * SECOND);
-    fleet.history.clear();
-    let before: u64 = fleet.bytes.iter().sum();
-    fleet.run_for(60 * SECOND);
-    let bytes = (fleet.bytes.iter().sum::<u64>() - before) as f64 / 60.0 / size as f64;
-    let count = |f: fn(&Event) -> bool| fleet.history.iter().filter(|t| f(&t.event)).count() as f64;
-    let suspected = count(|e| matches!(e, Event::Suspected(_))) / size as f64;
-    let deaths = count(|e| matches!(e, Event::Down { .. })) / size as f64;
-    fleet.kill(size - 1);
-    let died = fleet.net.now();
-    let (mut first, mut all) = (None, None);
-    while all.is_none() && fleet.net.now() < died + 300 * SECOND {
-        fleet.run_for(SECOND / 10);
-        let (dead, there) = fleet.opinions(size - 1);
-        if dead > 0 {
-            first = first.or(Some(fleet.net.now()));
+
+    fn row(&self) -> Row {
+        let size = self.size;
+        // Beyond `max-members` nobody is let in, so the bound stands above what is measured unless it is what is measured.
+        let max_members = self.most.unwrap_or(size + 1).clamp(2, 10_000);
+        let settings = Settings { cluster: "bench".into(), max_members, ..Settings::default() };
+        let loss = if self.day == Day::Loss { 0.01 } else { 0.0 };
+        let usual = Link { loss, jitter: 3_000_000, ..Link::default() };
+        let zones = if self.day == Day::TwentyFirst { 21 } else { 7 };
+        let empty = crate::usage(std::process::id()).1;
+        let mut fleet = Fleet::new(size, zones, 3, self.seed, settings, usual);
+        fleet.keep = |e| matches!(e, Event::Suspected(_) | Event::Down { .. } | Event::Full(_));
+        (0..size).filter(|n| fleet.start(*n).is_err()).for_each(|n| eprintln!("member {n} did not start"));
+        let mut meter = Meter::new(&fleet, self.patience.min(86_400) * SECOND);
+        let cpu = Cpu::read(&fleet);
+        let begun = fleet.net.now();
+        let mut row = Row { together: meter.until(&mut fleet, Fleet::agreed), ..Row::default() };
+        row.cpu_start = cpu.since(&fleet, seconds(fleet.net.now() - begun)).0;
+        row.memory = (crate::usage(std::process::id()).1 - empty) * 1_048_576.0 / size as f64;
+        row.bytes_start = meter.worst.0;
+        row.full = meter.full;
+        let known = |n| fleet.view(n).map_or(0, |v| v.active().count() + 1);
+        row.least_known = (0..size).map(known).min().unwrap_or(0) as f64;
+        if row.together < 0.0 {
+            return row;
         }
-        if there == 0 {
-            all = Some(fleet.net.now());
+        meter.pass(&mut fleet, 10 * SECOND);
+        let mut meter = Meter::new(&fleet, self.patience.min(86_400) * SECOND);
+        let (bytes, datagrams, cpu) = (fleet.bytes.clone(), fleet.datagrams.clone(), Cpu::read(&fleet));
+        let rest = self.rest.max(1) as f64;
+        meter.pass(&mut fleet, self.rest.max(1) * SECOND);
+        (row.cpu, row.cpu_simulation) = cpu.since(&fleet, rest);
+        let rate = |now: &[u64], then: &[u64]| {
+            let each = || now.iter().zip(then).map(|(now, then)| (now - then) as f64 / rest);
+            (each().sum::<f64>() / size as f64, each().fold(0.0, f64::max))
+        };
+        (row.bytes, row.bytes_worst) = rate(&fleet.bytes, &bytes);
+        (row.messages, row.messages_worst) = rate(&fleet.datagrams, &datagrams);
+        meter.worst = (0.0, 0.0);
+        (row.first, row.all) = self.blow(&mut fleet, &mut meter);
+        (row.bytes_blow, row.bytes_blow_worst) = meter.worst;
+        (row.suspected, row.false_deaths) = (meter.suspected / size as f64, meter.deaths);
+        row
+    }
+
+    /// What the day brings; when the first knew, and when all did.
+    fn blow(&self, fleet: &mut Fleet, meter: &mut Meter) -> (f64, f64) {
+        let size = self.size;
+        let dies = |n: &usize| match self.day {
+            Day::Ordinary | Day::Loss => *n == size - 1,
+            // The last zone: the seeds are the first members, in the first zones.
+            Day::Seventh => n % 7 == 6,
+            Day::TwentyFirst => n % 21 == 20,
+            Day::Regions | Day::Restart => false,
+        };
+        match self.day {
+            Day::Regions => {
+                let of = |region| (0..size).filter(|n| n % REGIONS == region).collect::<Vec<_>>();
+                for (a, b) in [(0, 1), (0, 2), (1, 2)] {
+                    fleet.net.split(&of(a), &of(b), true);
+                }
+                meter.pass(fleet, 60 * SECOND);
+                fleet.net.heal();
+                (0.0, meter.until(fleet, Fleet::agreed))
+            }
+            Day::Restart => {
+                let mut times: Vec<(Time, usize)> =
+                    (0..size).map(|n| (fleet.net.rng.random_range(0..60 * SECOND), n)).collect();
+                times.sort_unstable();
+                let begun = fleet.net.now();
+                for (at, n) in times {
+                    while fleet.net.now() + STEP < begun + at {
+                        meter.step(fleet);
+                    }
+                    fleet.kill(n);
+                    if fleet.start(n).is_err() {
+                        eprintln!("member {n} did not start");
+                    }
+                }
+                (0.0, meter.until(fleet, Fleet::agreed))
+            }
+            _ => {
+                let dead: Vec<usize> = (0..size).filter(dies).collect();
+                dead.iter().for_each(|n| fleet.kill(*n));
+                let first = meter.until(fleet, |fleet| dead.iter().any(|n| fleet.opinions(*n).0 > 0));
+                let all = meter.until(fleet, Fleet::agreed);
+                (first, if all < 0.0 || first < 0.0 { -1.0 } else { first + all })
+            }
         }
     }
-    let since = |t: Option<Time>| seconds(t.unwrap_or(died + 300 * SECOND) - died);
-    Row { together, first: since(first), all: since(all), suspected, deaths, bytes }
 }
--- a/crates/pipithub-fleetsim/src/lib.rs
+++ b/crates/pipithub-fleetsim/src/lib.rs
@@ -4,6 +4,7 @@
 //! each moment is known here, so that views can be judged from outside the processes that hold them.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use pipithub_members::{Event, Input, Members, Output, Record, Settings, Standing, State, View};
 use pipithub_simnet::{Link, Net, Next, Time};
@@ -37,10 +38,17 @@
     pub net: Net<Vec<u8>>,
     settings: Settings,
     processes: Vec<Process>,
-    /// All that was told, in order.
+    /// All that was told, in order, as far as it is kept.
     pub history: Vec<Told>,
+    /// Which events go into the history; all by default. In a fleet of n that starts each tells of all others, and n²
+    /// copies would be most of the memory.
+    pub keep: fn(&Event) -> bool,
     /// Bytes that each process sent.
     pub bytes: Vec<u64>,
+    /// Datagrams that each process sent.
+    pub datagrams: Vec<u64>,
+    /// What the cores' own work took by the wall clock; the rest is the simulation's. It decides nothing.
+    pub cores_took: Duration,
     boots: u64,
     out: Vec<Output>,
 }
@@ -76,7 +84,10 @@
             settings,
             processes: (0..size).map(process).collect(),
             history: Vec::new(),
+            keep: |_| true,
             bytes: vec![0; size],
+            datagrams: vec![0; size],
+            cores_took: Duration::ZERO,
             boots: 0,
             out: Vec::new(),
         }
@@ -144,7 +155,9 @@
     pub fn input(&mut self, process: usize, input: Input<'_>) {
         let now = self.net.now();
         if let Some(core) = &mut self.processes[process].core {
+            let begun = Instant::now();
             core.handle(now, input, &mut self.out);
+            self.cores_took += begun.elapsed();
         }
         self.carry_out(process);
     }
@@ -156,6 +169,7 @@
                     Output::Send { to, bytes } => {
                         // Bytes of the network's own headers count as well.
                         self.bytes[process] += bytes.len() as u64 + 28;
+                        self.datagrams[process] += 1;
                         if let Some(to) = process_at(to).filter(|to| *to < self.processes.len()) {
                             self.net.send(process, to, bytes);
                         }
@@ -170,9 +184,10 @@
                             }
                         }
                     }
-                    Output::Event(event) => {
+                    Output::Event(event) if (self.keep)(&event) => {
                         self.history.push(Told { at: self.net.now(), by: process, event })
                     }
+                    Output::Event(_) => {}
                 }
             }
         }
@@ -197,32 +212,33 @@
         self.run_until(self.net.now() + time);
     }
 
-    /// Whether each process that runs takes part and believes exactly those to be there that do.
+    fn cores(&self) -> impl Iterator<Item = &Members> {
+        self.processes.iter().filter_map(|p| p.core.as_ref())
+    }
+
+    /// Whether each process that runs takes part and believes exactly those to be there that do. The first that does not
+    /// ends the look, and nothing is copied: n tables of n rows are compared.
     pub fn agreed(&self) -> bool {
-        let joined = |n: &usize| self.view(*n).is_some_and(|v| v.standing == Standing::Joined);
-        let here: Vec<usize> = (0..self.size()).filter(|n| self.runs(*n)).collect();
-        if here.is_empty() || !here.iter().all(joined) {
-            return false;
-        }
-        let names: Vec<&str> = here.iter().map(|n| self.processes[*n].name.as_str()).collect();
-        here.iter().all(|n| {
-            let Some(view) = self.view(*n) else { return false };
-            let mut believed: Vec<&str> = view.active().map(|m| m.identity.name.as_str()).collect();
-            believed.push(&view.me.name);
-            believed.sort_unstable();
-            let mut names = names.clone();
-            names.sort_unstable();
-            believed == names
-        })
+        let running = self.processes.iter().filter(|p| p.core.is_some());
+        let mut names: Vec<&str> = running.map(|p| p.name.as_str()).collect();
+        names.sort_unstable();
+        let knows = |core: &Members| {
+            let active = core.others().filter(|m| m.state != State::Down).map(|m| m.identity.name.as_str());
+            // Rows come by name; of its own name it knows itself, and another process may bear it.
+            let own = names.partition_point(|n| *n < core.me().name.as_str());
+            let others = names[..own].iter().chain(names.get(own + 1..).unwrap_or_default());
+            *core.standing() == Standing::Joined && active.eq(others.copied())
+        };
+        !names.is_empty() && self.cores().all(knows)
     }
 
     /// How many running processes hold a process for dead, and how many for alive or suspect.
     pub fn opinions(&self, of: usize) -> (usize, usize) {
         let name = &self.processes[of].name;
-        let views = (0..self.size()).filter(|n| *n != of).filter_map(|n| self.view(n));
+        let others = self.processes.iter().enumerate().filter(|(n, _)| *n != of);
         let (mut dead, mut there) = (0, 0);
-        for view in views {
-            match view.members.iter().find(|m| m.identity.name == *name).map(|m| m.state) {
+        for core in others.filter_map(|(_, p)| p.core.as_ref()) {
+            match core.other(name).map(|m| m.state) {
                 Some(State::Down) => dead += 1,
                 Some(_) => there += 1,
                 None => {}
--- a/crates/pipithub-members/src/core.rs
+++ b/crates/pipithub-members/src/core.rs
@@ -251,6 +251,26 @@
         }
     }
 
+    /// How this process itself stands.
+    pub fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
+    /// Which run of which name this process is.
+    pub fn me(&self) -> &Identity {
+        &self.me
+    }
+
+    /// The others, by name, as [`Members::view`] has them, without a copy.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        self.table.rows()
+    }
+
+    /// One of the others, without a copy.
+    pub fn other(&self, name: &str) -> Option<&Member> {
+        self.table.get(name)
+    }
+
     /// Takes one input and appends what to do about it.
     pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
         let now = self.now.max(now);
