Membership: the whole table is compared only when the engine's membership changed

After each input every member's name was looked up in the table, and the engine allocated two strings for each name it passed while it searched one.

A sum over boot numbers, generations, addresses, renewals and states now tells that nothing changed; the engine's key is a compact string.

--- a/crates/pipithub-fleetsim/src/lib.rs
+++ b/crates/pipithub-fleetsim/src/lib.rs
@@ -146,6 +146,11 @@
         self.processes[process].core.is_some()
     }
 
+    /// How often the running processes compared their whole membership, in all.
+    pub fn comparisons(&self) -> u64 {
+        self.cores().map(Members::comparisons).sum()
+    }
+
     /// What a process believes now.
     pub fn view(&self, process: usize) -> Option<View> {
         self.processes[process].core.as_ref().map(|core| core.view(self.net.now()))
--- a/crates/pipithub-members/src/core.rs
+++ b/crates/pipithub-members/src/core.rs
@@ -1,7 +1,7 @@
 //! The membership of one process.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
@@ -159,6 +159,10 @@
     engine: Option<Engine>,
     table: Table,
     health: Health,
+    /// What the engine's whole membership summed to when it was last compared with the table; `None`: compare anyway.
+    taken_in: Option<u64>,
+    /// How often it was compared.
+    comparisons: u64,
     rng: SmallRng,
     due: BTreeMap<(Time, u64), Due>,
     number: u64,
@@ -206,6 +210,8 @@
             engine: None,
             table: Table::default(),
             health: Health::default(),
+            taken_in: None,
+            comparisons: 0,
             rng: SmallRng::seed_from_u64(seed),
             due: BTreeMap::new(),
             number: 0,
@@ -271,6 +277,11 @@
         self.table.get(name)
     }
 
+    /// How often the whole membership was compared with the table: work that grows with the fleet, so it must be rare.
+    pub fn comparisons(&self) -> u64 {
+        self.comparisons
+    }
+
     /// Takes one input and appends what to do about it.
     pub fn handle(&mut self, now: Time, input: Input<'_>, out: &mut Vec<Output>) {
         let now = self.now.max(now);
@@ -311,6 +322,7 @@
                 Due::Learn => self.learn(out),
                 Due::Forget => {
                     self.table.forget(now, self.settings.remember);
+                    self.taken_in = None;
                     self.at(now + self.settings.remember / 8, Due::Forget);
                 }
             }
@@ -376,6 +388,7 @@
         };
         let rng = SmallRng::seed_from_u64(self.rng.random());
         self.due.retain(|_, due| !matches!(due, Due::Swim(_)));
+        self.taken_in = None;
         self.engine = Some(Foca::new(self.me.clone(), config, rng, PostcardCodec));
     }
 
@@ -583,13 +596,19 @@
         }
         // Suspicion lasts longer in a large fleet, as word spreads in logarithmic time. Own probes last longer while this
         // process is unwell; suspicion does not: the first probe of a dead member fails too, and would double it.
-        let size = (self.table.active() as f64 + 1.0).log10().max(1.0);
-        for (after, timer) in wants.timers {
-            let after = match &timer {
-                Timer::ChangeSuspectToDown { .. } => (after as f64 * size) as Time,
-                Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } => self.health.stretched(after),
-                _ => after,
-            };
+        let size = || (self.table.active() as f64 + 1.0).log10().max(1.0);
+        let timers: Vec<(Time, Timer<Identity>)> = wants
+            .timers
+            .into_iter()
+            .map(|(after, timer)| match &timer {
+                Timer::ChangeSuspectToDown { .. } => ((after as f64 * size()) as Time, timer),
+                Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } => {
+                    (self.health.stretched(after), timer)
+                }
+                _ => (after, timer),
+            })
+            .collect();
+        for (after, timer) in timers {
             self.at(self.now.saturating_add(after), Due::Swim(timer));
         }
     }
@@ -643,6 +662,13 @@
     /// Compares what the engine believes with the table, and tells what changed.
     fn take_in(&mut self, out: &mut Vec<Output>) {
         let Some(engine) = &self.engine else { return };
+        // Most datagrams tell nothing new. A look-up of each member's name after each of them was most of a member's CPU
+        // and grew faster than the fleet; a sum over numbers that stand in a row tells that nothing changed.
+        let sum = engine.iter_membership_state().fold(0u64, |sum, member| sum.wrapping_add(summand(member)));
+        if self.taken_in.replace(sum) == Some(sum) {
+            return;
+        }
+        self.comparisons += 1;
         for member in engine.iter_membership_state() {
             let state = match member.state() {
                 foca::State::Alive => State::Alive,
@@ -674,3 +700,26 @@
         }
     }
 }
+
+/// What a member adds to the sum over all: another number for another run, renewal or state. The boot number was drawn,
+/// so that two memberships of one sum are as rare as two equal draws.
+fn summand(member: &foca::Member<Identity>) -> u64 {
+    let id = member.id();
+    let ip = match id.address.ip() {
+        IpAddr::V4(ip) => u64::from(u32::from(ip)),
+        IpAddr::V6(ip) => u128::from(ip) as u64,
+    };
+    let state = match member.state() {
+        foca::State::Alive => 1u64,
+        foca::State::Suspect => 2,
+        foca::State::Down => 3,
+    };
+    let small = (u64::from(id.renewal) << 32) | (u64::from(id.address.port()) << 4) | state;
+    // SplitMix64's last steps, over each part in turn.
+    [id.boot, id.generation, ip, small].into_iter().fold(0, |sum: u64, part| {
+        let x = (sum ^ part).wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    })
+}
--- a/crates/pipithub-members/src/identity.rs
+++ b/crates/pipithub-members/src/identity.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 /// What a process knows of the disk that it started with.
@@ -49,14 +50,15 @@
 }
 
 impl foca::Identity for Identity {
-    type Addr = String;
+    // The engine asks for it of every member it looks at while it searches one: no allocation for names of up to 24 bytes.
+    type Addr = CompactString;
 
     fn renew(&self) -> Option<Self> {
         Some(Identity { renewal: self.renewal.checked_add(1)?, ..self.clone() })
     }
 
-    fn addr(&self) -> String {
-        self.name.clone()
+    fn addr(&self) -> CompactString {
+        CompactString::new(&self.name)
     }
 
     fn win_addr_conflict(&self, adversary: &Self) -> bool {
