--- /dev/null
+++ b/crates/pipithub-council/tests/growth.rs
@@ -0,0 +1,108 @@
+//! What an agreed entry costs must not depend on how many there were before it; in counted messages and bytes.
+
+use std::collections::VecDeque;
+
+use pipithub_council::{Asked, Command, Input, Output, Voter, VoterSettings};
+
+const TICK: u64 = 20_000_000;
+
+/// Three voters whose messages arrive in order and whose disks store at once.
+struct Council {
+    voters: Vec<Voter>,
+    now: u64,
+    messages: u64,
+    bytes: u64,
+    answers: u64,
+    /// Bytes of the last snapshot of the first voter.
+    snapshot: usize,
+    number: u64,
+}
+
+impl Council {
+    fn new() -> Council {
+        let ids = vec![1, 2, 3];
+        let voter = |id: u64| {
+            let settings = VoterSettings { id, voters: ids.clone(), tick: TICK };
+            Voter::new(settings, &pipithub_council::Disk::default(), 0, id).unwrap()
+        };
+        let voters = ids.iter().map(|id| voter(*id)).collect();
+        let mut council =
+            Council { voters, now: 0, messages: 0, bytes: 0, answers: 0, snapshot: 0, number: 0 };
+        while council.leader().is_none() {
+            council.tick();
+        }
+        council
+    }
+
+    fn leader(&self) -> Option<usize> {
+        self.voters.iter().position(|v| v.leads().0)
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        (0..self.voters.len()).for_each(|n| self.input(n, Input::Tick));
+    }
+
+    fn input(&mut self, to: usize, input: Input) {
+        let mut queue = VecDeque::from([(to, input)]);
+        while let Some((to, input)) = queue.pop_front() {
+            let mut out = Vec::new();
+            self.voters[to].handle(self.now, input, &mut out);
+            for output in out {
+                match output {
+                    Output::Send { to, bytes } => {
+                        self.messages += 1;
+                        self.bytes += bytes.len() as u64;
+                        queue.push_back((to as usize - 1, Input::Raft(bytes)));
+                    }
+                    Output::Store(batch) => {
+                        if let Some(snapshot) = batch.snapshot.as_ref().filter(|_| to == 0) {
+                            self.snapshot = snapshot.len();
+                        }
+                        if batch.compact.is_none() {
+                            queue.push_back((to, Input::Stored(batch.number)));
+                        }
+                    }
+                    Output::Tell { .. } => self.answers += 1,
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Agrees on so many entries, of ten front ends; messages and bytes between voters for each.
+    fn agree(&mut self, entries: u64) -> (f64, f64) {
+        let before = (self.messages, self.bytes, self.answers);
+        for _ in 0..entries {
+            self.number += 1;
+            let command = Command::Settings { version: self.number, digest: 7 };
+            let name = format!("front-{}", self.number % 10);
+            let leader = self.leader().unwrap();
+            self.input(leader, Input::Ask(Asked { name, boot: 1, number: self.number, command }));
+        }
+        assert_eq!(self.answers - before.2, entries, "not all were answered");
+        let each = |now: u64, then: u64| (now - then) as f64 / entries as f64;
+        (each(self.messages, before.0), each(self.bytes, before.1))
+    }
+}
+
+#[test]
+fn an_entry_costs_the_same_after_thousands_and_a_snapshot_does_not_hold_them() {
+    let mut council = Council::new();
+    council.agree(100);
+    let (messages, bytes) = council.agree(200);
+    // The first snapshot is of 1,000 entries or so.
+    council.agree(1_000);
+    let snapshot = council.snapshot;
+    assert!(snapshot > 100 && messages >= 2.0 && bytes > 50.0, "{snapshot} {messages} {bytes}");
+    council.agree(3_000);
+    let (messages_late, bytes_late) = council.agree(200);
+    assert!(messages_late <= messages * 1.01, "messages an entry: {messages} and {messages_late}");
+    // Numbers of more digits take a byte more here and there.
+    assert!(bytes_late <= bytes * 1.1, "bytes an entry: {bytes} and {bytes_late}");
+    assert!(
+        council.snapshot <= snapshot + snapshot / 5,
+        "bytes of a snapshot: {snapshot} and {}",
+        council.snapshot
+    );
+}
