--- a/crates/pipithub-node/src/pool.rs
+++ b/crates/pipithub-node/src/pool.rs
@@ -182,9 +182,6 @@
     /// Workers may be told to give a run up.
     cancel: bool,
     peers: BTreeMap<Worker, Peer>,
-    /// Workers that the sweep must look at: those for which jobs wait or that are gone. All others need no look, however
-    /// many there are.
-    watched: BTreeSet<Worker>,
     links: BTreeMap<ConnId, Link>,
     next: ConnId,
     effects: Vec<Effect>,
@@ -202,7 +199,6 @@
             idle_close,
             cancel,
             peers: BTreeMap::new(),
-            watched: BTreeSet::new(),
             links: BTreeMap::new(),
             next: 1,
             effects: Vec::new(),
@@ -246,9 +242,6 @@
     pub fn place(&mut self, worker: &Worker, address: &str, gone: bool) {
         let peer = self.peers.entry(worker.clone()).or_default();
         peer.gone = gone;
-        if gone {
-            self.watched.insert(worker.clone());
-        }
         if !address.is_empty() {
             peer.address = address.to_string();
         }
@@ -257,10 +250,7 @@
     /// Notes that all workers but these are gone.
     pub fn keep_only(&mut self, named: &BTreeSet<&Worker>) {
         for (worker, peer) in &mut self.peers {
-            if !named.contains(worker) {
-                peer.gone = true;
-                self.watched.insert(worker.clone());
-            }
+            peer.gone |= !named.contains(worker);
         }
     }
 
@@ -270,7 +260,6 @@
             Some(peer) if !peer.address.is_empty() && peer.waiting.len() < WAITING_MOST => {
                 peer.waiting.push_back(job);
                 self.dispatch(now, worker);
-                self.watch(worker);
             }
             _ => self.lost.push((worker.clone(), job, Lost::NotSent)),
         }
@@ -425,14 +414,6 @@
             }
         }
         self.dispatch(now, &link.worker);
-        self.watch(&link.worker);
-    }
-
-    /// Notes a worker for which jobs wait.
-    fn watch(&mut self, worker: &Worker) {
-        if self.peers.get(worker).is_some_and(|p| !p.waiting.is_empty()) {
-            self.watched.insert(worker.clone());
-        }
     }
 
     /// What came on a connection cannot be read: it is closed. What the shell was not handed yet did not leave, and must
@@ -493,8 +474,7 @@
 
     /// Ends what is overdue, lets go of connections that stay idle and of workers that are gone.
     pub fn sweep(&mut self, now: Time) {
-        for worker in &self.watched {
-            let Some(peer) = self.peers.get_mut(worker) else { continue };
+        for (worker, peer) in &mut self.peers {
             // A job that waits is not sent: it is given back in time to go elsewhere.
             peer.waiting.retain(|job| {
                 let over = now >= job.deadline || now >= job.began + 2 * self.connect_timeout || peer.gone;
@@ -527,15 +507,6 @@
             self.effects.push(Effect::Close { conn: id });
             self.closed(now, id, u64::MAX, Lost::Broken);
         }
-        let peers = &mut self.peers;
-        self.watched.retain(|worker| {
-            let Some(peer) = peers.get(worker) else { return false };
-            let (gone, waits) = (peer.gone, !peer.waiting.is_empty());
-            let over = gone && !waits && peer.links.is_empty();
-            if over {
-                peers.remove(worker);
-            }
-            !over && (gone || waits)
-        });
+        self.peers.retain(|_, p| !p.gone || !p.links.is_empty() || !p.waiting.is_empty());
     }
 }
