--- a/crates/pipithub-node/src/pool.rs
+++ b/crates/pipithub-node/src/pool.rs
@@ -239,6 +239,11 @@
         self.most
     }
 
+    /// How many workers a sweep looks at: those with jobs that may wait, and those that are gone.
+    pub fn watched(&self) -> usize {
+        self.watched.len()
+    }
+
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
         self.links.is_empty()
--- a/crates/pipithub-node/tests/pool.rs
+++ b/crates/pipithub-node/tests/pool.rs
@@ -1,5 +1,7 @@
 //! Connections to workers, without sockets.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use pipithub_engine::policy::Worker;
 use pipithub_engine::{AttemptId, Time};
@@ -307,3 +309,58 @@
     b.pool.failed(conn, true);
     assert_eq!(b.lost(), [(1, Lost::Unsent)]);
 }
+
+/// A sweep comes a hundred times a second: going through all workers each time was most of an idle front end's work.
+#[test]
+fn a_sweep_looks_at_workers_with_something_to_be_done_whatever_the_size_of_the_tier() {
+    for workers in [10, 10_000] {
+        let mut bench = Bench::new(50);
+        let name = |n: u32| Worker::new(&format!("w{n}"));
+        (1..workers).for_each(|n| bench.pool.place(&name(n), "10.0.0.2:1", false));
+        bench.pool.sweep(0);
+        assert_eq!(bench.pool.watched(), 0, "nothing is to be done at any of {workers}");
+        bench.ask(MS, 1);
+        assert_eq!(bench.pool.watched(), 1, "a job waits for its connection");
+        for conn in bench.connected() {
+            bench.pool.up(2 * MS, conn);
+        }
+        bench.pool.sweep(3 * MS);
+        assert_eq!(bench.pool.watched(), 0, "it is on its way");
+        // One that waits in vain is still given back in time.
+        bench.pool.ask(4 * MS, &name(3), job(4 * MS, 2));
+        bench.pool.sweep(5 * MS);
+        assert_eq!((bench.pool.watched(), bench.lost()), (1, vec![]));
+        bench.pool.sweep(600 * MS);
+        assert_eq!((bench.pool.watched(), bench.lost()), (0, vec![(2, Lost::NotSent)]));
+        bench.pool.place(&name(7), "", true);
+        assert_eq!(bench.pool.watched(), 1, "one that has gone is to be forgotten");
+        bench.pool.sweep(700 * MS);
+        assert_eq!(bench.pool.watched(), 0);
+    }
+}
+
+/// Each worker's part of the connections goes by how many workers are there, which is kept and not counted.
+#[test]
+fn a_workers_part_of_the_connections_follows_those_that_come_and_go() {
+    let other = Worker::new("other");
+    let connections = |change: &dyn Fn(&mut Pool)| {
+        let mut bench = Bench::new(8);
+        bench.pool.place(&other, "10.0.0.2:1", false);
+        change(&mut bench.pool);
+        (0..10).for_each(|request| bench.ask(MS, request));
+        bench.connected().len()
+    };
+    let here = Worker::new("w");
+    assert_eq!(connections(&|_| ()), 4);
+    assert_eq!(connections(&|pool| pool.place(&other, "", true)), 8);
+    assert_eq!(connections(&|pool| (0..3).for_each(|_| pool.place(&other, "", true))), 8, "told of it again");
+    assert_eq!(connections(&|pool| (0..3).for_each(|_| pool.place(&other, "10.0.0.2:1", false))), 4);
+    assert_eq!(connections(&|pool| pool.keep_only(&BTreeSet::from([&here]))), 8);
+    let gone_and_back = |pool: &mut Pool| {
+        pool.keep_only(&BTreeSet::from([&here]));
+        pool.sweep(0);
+        pool.place(&other, "10.0.0.2:1", false);
+    };
+    assert_eq!(connections(&gone_and_back), 4);
+    assert_eq!(connections(&|pool| pool.place(&Worker::new("third"), "10.0.0.3:1", false)), 2);
+}
