Node: logs since when the endpoint list is out of reach, its age, and what was missed

Need: the report's logs hold one line repeated; neither the age of the list nor the events missed can be told from them.

Change: the coordinator's stream reports each sign of life (head of a response, event, complete comment or event) beside its events; the core logs the begin of an outage after 2 s without one, repeats it every 5 s with age, last event and counters, and logs its end with the events missed. Routing is unchanged.

Result: discovery_log, the stream's tests and those of hollow front ends pass; planted halves of events do not count as signs of life.

--- a/crates/pipithub-hollow-node/src/lib.rs
+++ b/crates/pipithub-hollow-node/src/lib.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use pipithub_clock::{Clock, Time, wall_ns};
-use pipithub_node::coordinator;
+use pipithub_node::coordinator::{self, StreamUpdate};
 use pipithub_node::core::Core;
 use pipithub_node::effect::Effect;
 use pipithub_platform::config::NodeConfig;
@@ -56,8 +56,12 @@
         let (coordinator, followed) = watch::channel(config.coordinator.clone());
         let applied_to = inner.clone();
         let names = config.site.names.clone();
-        let follow = coordinator::follow(followed, last, names, config.seed, move |event| {
-            applied_to.update_core(|core, now| core.update_endpoints_at(now, wall_ns(), &event));
+        inner.update_core(Core::follow_coordinator);
+        let follow = coordinator::follow(followed, last, names, config.seed, move |update| {
+            applied_to.update_core(|core, now| core.apply_stream_update(now, wall_ns(), &update));
+            let StreamUpdate::Event(event) = update else {
+                return;
+            };
             applied_to.last_event.set(event.index);
             let applied_events = &applied_to.applied_events;
             applied_events.set(applied_events.get() + 1);
--- a/crates/pipithub-node/src/coordinator.rs
+++ b/crates/pipithub-node/src/coordinator.rs
@@ -6,10 +6,10 @@
 mod stream;
 
 pub use self::sequence::{Sequence, Step};
+pub use self::stream::StreamUpdate;
 
 use std::time::Duration;
 
-use pipithub_platform::list::EndpointEvent;
 use pipithub_platform::settings::Names;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -26,14 +26,14 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Follows the coordinator until the sender of `address` is dropped, and passes each event after the event `last` to `take`
-/// once and in order. `seed` determines the jitter of the backoff.
+/// Follows the coordinator until the sender of `address` is dropped. Passes to `take` each event after the event `last`, once
+/// and in order, and each sign of life of the coordinator. `seed` determines the jitter of the backoff.
 pub async fn follow(
     mut address: watch::Receiver<String>,
     last: u64,
     names: Names,
     seed: u64,
-    mut take: impl FnMut(EndpointEvent),
+    mut take: impl FnMut(StreamUpdate),
 ) {
     let mut sequence = Sequence::after(last);
     let (mut backoff, mut rng) = (MIN_BACKOFF, StdRng::seed_from_u64(seed));
@@ -43,7 +43,10 @@
         let current_address = address.borrow_and_update().clone();
         let mut has_progressed = false;
         let error = tokio::select! {
-            error = follow_stream(&current_address, &mut sequence, &names, |event| { has_progressed = true; take(event) }) => error,
+            error = follow_stream(&current_address, &mut sequence, &names, |update| {
+                has_progressed |= matches!(update, StreamUpdate::Event(_));
+                take(update);
+            }) => error,
             changed = address.changed() => {
                 if changed.is_err() {
                     return;
--- a/crates/pipithub-node/src/coordinator/stream.rs
+++ b/crates/pipithub-node/src/coordinator/stream.rs
@@ -25,6 +25,18 @@
 /// those 4 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What the coordinator's stream brings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StreamUpdate {
+    /// The head of a response: the coordinator has answered a request for the stream. It says nothing about the list.
+    Answered,
+    /// The next event.
+    Event(EndpointEvent),
+    /// A comment or an event was received completely, and all events before it were passed on: the list was current when
+    /// it was sent.
+    Current,
+}
+
 /// Why a stream ended.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum StreamError {
@@ -86,7 +98,7 @@
     address: &str,
     sequence: &mut Sequence,
     names: &Names,
-    mut take: impl FnMut(EndpointEvent),
+    mut take: impl FnMut(StreamUpdate),
 ) -> StreamError {
     match try_stream(address, sequence, names, &mut take).await {
         Ok(never) => match never {},
@@ -98,13 +110,14 @@
     address: &str,
     sequence: &mut Sequence,
     names: &Names,
-    take: &mut impl FnMut(EndpointEvent),
+    take: &mut impl FnMut(StreamUpdate),
 ) -> Result<Infallible, StreamError> {
     let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(address, sequence.last())).await;
     let mut stream = opened.map_err(|_| StreamError::NoAnswer)??;
     if !stream.response.status().is_success() {
         return Err(StreamError::Status(stream.response.status()));
     }
+    take(StreamUpdate::Answered);
     let body = stream.response.body_mut();
     let mut reader = SseReader::default();
     loop {
@@ -114,7 +127,7 @@
             let is_complete = event.update != EndpointUpdate::Delta;
             match sequence.step(event.index, is_complete) {
                 Step::Take => {
-                    take(event);
+                    take(StreamUpdate::Event(event));
                     // Calls and closes of clients are handled between any two events, however many come at once.
                     tokio::task::yield_now().await;
                 }
@@ -127,6 +140,9 @@
                 }
             }
         }
+        if reader.take_completed() {
+            take(StreamUpdate::Current);
+        }
     }
 }
 
--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod clients;
+mod discovery_log;
 mod endpoint_list;
 mod outputs;
 mod shutdown;
@@ -15,6 +16,7 @@
 use pipithub_platform::settings::SiteSettings;
 use tracing::debug;
 
+use self::discovery_log::DiscoveryLog;
 use self::shutdown::Shutdown;
 use crate::client_sessions::{ClientSessions, MAX_PENDING_CALLS};
 use crate::connection_pool::{ConnectionPool, ConnectionPoolSettings};
@@ -64,6 +66,7 @@
     last_silence_sweep: Time,
     shutdown: Shutdown,
     has_endpoint_list: bool,
+    discovery_log: DiscoveryLog,
     start_times: StartTimes,
     inputs: VecDeque<Input>,
     outputs: Vec<Output>,
@@ -91,6 +94,7 @@
             last_silence_sweep: now,
             shutdown: Shutdown::new(max_client_timeout),
             has_endpoint_list: false,
+            discovery_log: DiscoveryLog::new(last_known_event(config)),
             start_times: StartTimes::default(),
             inputs: VecDeque::new(),
             outputs: Vec::new(),
@@ -152,6 +156,8 @@
             self.last_silence_sweep = now;
             self.close_silent_clients(now);
         }
+        self.discovery_log
+            .report(now, &self.name, &self.engine.stats());
         self.advance_shutdown(now);
         self.run(now, Input::Tick);
     }
@@ -216,6 +222,11 @@
     }
 }
 
+/// The last event of the endpoint list that the configuration holds; 0 if it holds none.
+fn last_known_event(config: &NodeConfig) -> u64 {
+    config.known_updates.last().map_or(0, |event| event.index)
+}
+
 /// The longest client timeout of all classes; 0 if there is no class.
 fn max_client_timeout(site: &SiteSettings) -> Time {
     site.policy
--- /dev/null
+++ b/crates/pipithub-node/src/core/discovery_log.rs
@@ -0,0 +1,106 @@
+//! What is logged of discovery: since when the endpoint list is out of reach, how old it is, and what was missed.
+
+use pipithub_engine::{Stats, Time};
+use tracing::{info, warn};
+
+use super::NANOSECONDS_PER_MILLISECOND;
+
+/// The list is logged as out of reach once nothing has confirmed it for this long: two comments of the coordinator are
+/// overdue then.
+const OUT_OF_REACH_AFTER: Time = 2_000_000_000;
+/// How often the log repeats that the list is out of reach, with the counters of that time.
+const REPORT_INTERVAL: Time = 5_000_000_000;
+
+/// An outage of discovery, from the last confirmation of the list to the next one.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// When the list was last confirmed, or the start of the front end.
+    since: Time,
+    last_report: Time,
+    /// The last event that was applied before it.
+    last_event: u64,
+}
+
+/// Logs each change between a list that is in reach and one that is not.
+#[derive(Debug)]
+pub(super) struct DiscoveryLog {
+    /// When the list was last known to be current; `None` as long as no coordinator is followed.
+    current_at: Option<Time>,
+    last_event: u64,
+    outage: Option<Outage>,
+}
+
+impl DiscoveryLog {
+    /// A log of a front end that knows the events up to this one and follows no coordinator yet.
+    pub(super) fn new(last_event: u64) -> Self {
+        DiscoveryLog {
+            current_at: None,
+            last_event,
+            outage: None,
+        }
+    }
+
+    /// Records that the front end begins to follow the coordinator.
+    pub(super) fn begin(&mut self, now: Time) {
+        self.current_at = Some(now);
+    }
+
+    /// Records an event that was applied.
+    pub(super) fn record_event(&mut self, index: u64) {
+        self.last_event = self.last_event.max(index);
+    }
+
+    /// Records that the list was confirmed to be current; logs the end of an outage.
+    pub(super) fn record_current(&mut self, now: Time, front_end: &str) {
+        self.current_at = Some(now);
+        if let Some(outage) = self.outage.take() {
+            info!(
+                front_end,
+                out_of_reach_ms = milliseconds(now.saturating_sub(outage.since)),
+                last_event = self.last_event,
+                missed_events = self.last_event.saturating_sub(outage.last_event),
+                "endpoint list in reach again"
+            );
+        }
+    }
+
+    /// The age of the list, in nanoseconds: the time since it was last known to be current; `None` as long as no
+    /// coordinator is followed.
+    pub(super) fn age(&self, now: Time) -> Option<Time> {
+        Some(now.saturating_sub(self.current_at?))
+    }
+
+    /// Logs the begin of an outage, and in intervals that it goes on.
+    pub(super) fn report(&mut self, now: Time, front_end: &str, stats: &Stats) {
+        let Some(current_at) = self.current_at else {
+            return;
+        };
+        if now < current_at + OUT_OF_REACH_AFTER {
+            return;
+        }
+        let message = match self.outage {
+            None => "endpoint list out of reach",
+            Some(outage) if now >= outage.last_report + REPORT_INTERVAL => {
+                "endpoint list still out of reach"
+            }
+            Some(_) => return,
+        };
+        let age_ms = milliseconds(now.saturating_sub(current_at));
+        warn!(
+            front_end,
+            age_ms,
+            last_event = self.last_event,
+            ?stats,
+            "{message}"
+        );
+        self.outage = Some(Outage {
+            since: current_at,
+            last_report: now,
+            last_event: self.last_event,
+        });
+    }
+}
+
+fn milliseconds(time: Time) -> u64 {
+    time / NANOSECONDS_PER_MILLISECOND
+}
--- a/crates/pipithub-node/src/core/endpoint_list.rs
+++ b/crates/pipithub-node/src/core/endpoint_list.rs
@@ -8,8 +8,30 @@
 use tracing::debug;
 
 use super::Core;
+use crate::coordinator::StreamUpdate;
 
 impl Core {
+    /// The front end begins to follow the coordinator.
+    pub fn follow_coordinator(&mut self, now: Time) {
+        self.discovery_log.begin(now);
+    }
+
+    /// Applies what the coordinator's stream has brought. `wall` is the current wall clock in nanoseconds since the Unix
+    /// epoch.
+    pub fn apply_stream_update(&mut self, now: Time, wall: Time, update: &StreamUpdate) {
+        match update {
+            StreamUpdate::Answered => {}
+            StreamUpdate::Event(event) => self.update_endpoints_at(now, wall, event),
+            StreamUpdate::Current => self.discovery_log.record_current(now, &self.name),
+        }
+    }
+
+    /// How long ago the endpoint list was last known to be current, in nanoseconds; `None` as long as no coordinator is
+    /// followed.
+    pub fn endpoint_list_age(&self, now: Time) -> Option<Time> {
+        self.discovery_log.age(now)
+    }
+
     /// Applies an update of the endpoint list; the wall clock must agree with `now`.
     pub fn update_endpoints(&mut self, now: Time, event: &EndpointEvent) {
         self.update_endpoints_at(now, now, event);
@@ -37,6 +59,7 @@
             );
         }
         self.has_endpoint_list = true;
+        self.discovery_log.record_event(event.index);
         let endpoints = event
             .endpoints
             .iter()
--- a/crates/pipithub-node/src/shell/runtime.rs
+++ b/crates/pipithub-node/src/shell/runtime.rs
@@ -10,7 +10,6 @@
 use pipithub_clock::{Clock, wall_ns};
 use pipithub_engine::Time;
 use pipithub_platform::config::{ConfigError, NodeConfig};
-use pipithub_platform::list::EndpointEvent;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -20,7 +19,7 @@
 use super::slots::Slots;
 use super::socket::Side;
 use super::{READ_BUFFER_BYTES, Shell};
-use crate::coordinator;
+use crate::coordinator::{self, StreamUpdate};
 use crate::core::Core;
 use crate::sockets::LocalFaults;
 
@@ -93,9 +92,10 @@
         let last = config.known_updates.last().map_or(0, |event| event.index);
         let (sender, address) = watch::channel(config.coordinator.clone());
         let shell = self.clone();
-        let apply = move |event: EndpointEvent| {
-            shell.update_core(|core, now| core.update_endpoints_at(now, wall_ns(), &event));
+        let apply = move |update: StreamUpdate| {
+            shell.update_core(|core, now| core.apply_stream_update(now, wall_ns(), &update));
         };
+        self.update_core(Core::follow_coordinator);
         let names = config.site.names.clone();
         let follow = coordinator::follow(address, last, names, config.seed, apply);
         tokio::task::spawn_local(follow);
--- a/crates/pipithub-node/tests/closes.rs
+++ b/crates/pipithub-node/tests/closes.rs
@@ -6,7 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use pipithub_node::coordinator;
+use pipithub_node::coordinator::{self, StreamUpdate};
 use pipithub_platform::settings::Names;
 use serde_json::json;
 use socket_harness::{
@@ -38,7 +38,11 @@
     let noted = applied_at.clone();
     spawn_local(async move {
         let (_address, followed) = watch::channel(address);
-        let apply = |_| noted.borrow_mut().push(turns.get());
+        let apply = |update| {
+            if matches!(update, StreamUpdate::Event(_)) {
+                noted.borrow_mut().push(turns.get());
+            }
+        };
         coordinator::follow(followed, 0, Names::default(), 1, apply).await;
     });
     applied_at
--- a/crates/pipithub-node/tests/coordinator.rs
+++ b/crates/pipithub-node/tests/coordinator.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pipithub_emulator::coordinator::{Behaviour, Coordinator, event};
-use pipithub_node::coordinator::follow;
+use pipithub_node::coordinator::{StreamUpdate, follow};
 use pipithub_platform::settings::Names;
 use pipithub_platform::sse::MAX_DATA_BYTES;
 use tokio::sync::watch;
@@ -126,7 +126,10 @@
         let _guard = tracing::subscriber::set_default(errors.clone());
         let (_hold, followed) = watch::channel(coordinator.address().to_string());
         let logged = || errors.0.lock().expect("one thread").clone();
-        let following = follow(followed, 0, Names::default(), 1, |event| {
+        let following = follow(followed, 0, Names::default(), 1, |update| {
+            let StreamUpdate::Event(event) = update else {
+                return;
+            };
             taken.borrow_mut().push(event.index);
             coordinator.publish_text(2, &text, &text);
         });
--- /dev/null
+++ b/crates/pipithub-node/tests/discovery_log.rs
@@ -0,0 +1,97 @@
+//! What the log tells on call about an outage of discovery: when it began, how old the list is, what was missed.
+
+mod core_harness;
+
+use std::fmt::Debug;
+use std::sync::{Arc, Mutex};
+
+use core_harness::{CoreHarness, MS};
+use pipithub_emulator::coordinator::event;
+use pipithub_node::coordinator::StreamUpdate;
+use pipithub_platform::list;
+use serde_json::json;
+use tracing::field::{Field, Visit};
+use tracing::span::{Attributes, Id, Record};
+use tracing::{Event, Metadata, Subscriber};
+
+/// Records the lines about discovery, with their fields.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Visit for Lines {
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        if let Some(last) = self.0.lock().expect("one thread").last_mut() {
+            last.push_str(&format!("{}={value:?} ", field.name()));
+        }
+    }
+}
+
+impl Subscriber for Lines {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target() == "pipithub_node::core::discovery_log"
+    }
+    fn new_span(&self, _: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+    fn record(&self, _: &Id, _: &Record<'_>) {}
+    fn record_follows_from(&self, _: &Id, _: &Id) {}
+    fn event(&self, event: &Event<'_>) {
+        self.0.lock().expect("one thread").push(String::new());
+        event.record(&mut self.clone());
+    }
+    fn enter(&self, _: &Id) {}
+    fn exit(&self, _: &Id) {}
+}
+
+impl Lines {
+    fn take(&self) -> Vec<String> {
+        std::mem::take(&mut self.0.lock().expect("one thread"))
+    }
+}
+
+#[test]
+fn log_tells_when_the_list_is_out_of_reach_its_age_and_the_missed_events() {
+    let lines = Lines::default();
+    let _guard = tracing::subscriber::set_default(lines.clone());
+    let mut harness = CoreHarness::new();
+    harness.core.follow_coordinator(harness.now);
+    for _ in 0..5 {
+        harness.advance(1_000 * MS);
+        harness
+            .core
+            .apply_stream_update(harness.now, harness.now, &StreamUpdate::Current);
+    }
+    assert_eq!(lines.take(), [""; 0], "nothing while the list is in reach");
+
+    harness.advance(11_900 * MS);
+    let logged = lines.take();
+    assert_eq!(
+        logged.len(),
+        2,
+        "the begin, and one report in 5 s: {logged:?}"
+    );
+    assert!(logged[0].contains("out of reach") && logged[0].contains("age_ms=2000"));
+    assert!(logged[0].contains("last_event=1 "), "{}", logged[0]);
+    assert!(logged[1].contains("still out of reach") && logged[1].contains("age_ms=7000"));
+    let age = harness.core.endpoint_list_age(harness.now);
+    assert_eq!(age, Some(11_900 * MS));
+
+    // The head of a response ends no outage, and neither do events before the stream has caught up.
+    let host = json!({"host": "w1", "dial": "10.0.0.1:1", "site": "a", "health": "DRAINING"});
+    let text = event(4, false, &[host]);
+    let missed = list::parse(&text, &pipithub_platform::settings::Names::default()).expect("read");
+    for update in [StreamUpdate::Answered, StreamUpdate::Event(missed)] {
+        harness
+            .core
+            .apply_stream_update(harness.now, harness.now, &update);
+    }
+    assert_eq!(lines.take(), [""; 0]);
+    harness
+        .core
+        .apply_stream_update(harness.now, harness.now, &StreamUpdate::Current);
+    let logged = lines.take();
+    assert_eq!(logged.len(), 1, "{logged:?}");
+    for part in ["in reach again", "out_of_reach_ms=11900", "missed_events=3"] {
+        assert!(logged[0].contains(part), "{part}: {}", logged[0]);
+    }
+}
--- a/crates/pipithub-platform/src/sse.rs
+++ b/crates/pipithub-platform/src/sse.rs
@@ -39,6 +39,8 @@
     event: SseEvent,
     /// Whether the event has a `data` field so far.
     has_data: bool,
+    /// Whether a comment or an event was completed since [`SseReader::take_completed`] was called last.
+    has_completed: bool,
 }
 
 impl Default for SseReader {
@@ -47,6 +49,7 @@
             lines: LineFramer::new(MAX_DATA_BYTES + FIELD_NAME_BYTES),
             event: SseEvent::default(),
             has_data: false,
+            has_completed: false,
         }
     }
 }
@@ -65,12 +68,19 @@
         Ok(events)
     }
 
+    /// Whether a comment or an event was completed since the last call. Half an event does not count: its sender may have
+    /// stopped in the middle of it.
+    pub fn take_completed(&mut self) -> bool {
+        std::mem::take(&mut self.has_completed)
+    }
+
     /// Reads one line; returns the event that it completes, if it does.
     fn read_line(&mut self, line: &Bytes) -> Result<Option<SseEvent>, EventTooLong> {
         let text = String::from_utf8_lossy(line);
         if text.is_empty() {
             let event = std::mem::take(&mut self.event);
             let has_data = std::mem::take(&mut self.has_data);
+            self.has_completed |= has_data;
             return Ok(has_data.then_some(event));
         }
         let (field, value) = text.split_once(':').unwrap_or((&text, ""));
@@ -87,7 +97,9 @@
                 self.event.data.push_str(value);
                 self.has_data = true;
             }
-            // Comments, which begin with a colon, and fields without a meaning here.
+            // A comment begins with a colon.
+            "" => self.has_completed = true,
+            // Fields without a meaning here.
             _ => {}
         }
         Ok(None)
--- a/crates/pipithub-platform/tests/protocol.rs
+++ b/crates/pipithub-platform/tests/protocol.rs
@@ -303,3 +303,26 @@
     let fault = list::parse(&complete_list(100_000), &site().names).expect_err("beyond the bound");
     assert_eq!(fault.to_string(), "endpoints.hosts: more than 32000");
 }
+
+/// A coordinator that stops in the middle of an event has not confirmed anything by its first half.
+#[test]
+fn complete_comments_and_events_count_as_completed_and_parts_of_them_do_not() {
+    let mut reader = SseReader::default();
+    let cases = [
+        ("id: 1\nda", false),
+        ("ta: {}\n", false),
+        ("\n", true),
+        (": pi", false),
+        ("ng\n", true),
+        (":\n\n", true),
+        ("\n\n", false),
+        ("id: 2\n\n", false),
+        ("noise\n", false),
+        ("id: 3\ndata: {}\n\nid: 4\ndata: {", true),
+    ];
+    for (text, completes) in cases {
+        reader.push(text.as_bytes()).expect("short");
+        assert_eq!(reader.take_completed(), completes, "{text:?}");
+        assert!(!reader.take_completed(), "it is told once");
+    }
+}
