--- a/crates/pipithub-adapter/src/wire.rs
+++ b/crates/pipithub-adapter/src/wire.rs
@@ -375,7 +375,10 @@
         Action::EvictFunction { worker, function } => {
             writeln!(reply, "shelve {end} {:016x} {}", function.0, worker.0)
         }
-        Action::PollLoad { worker } => writeln!(reply, "touch {end} {}", worker.0),
+        // Changes of the list are told as they come here, so no lease on it ends and no health check is sent.
+        Action::PollLoad { worker } | Action::CheckHealth { worker } => {
+            writeln!(reply, "touch {end} {}", worker.0)
+        }
         Action::SetTimer { after, token } => writeln!(reply, "remind {end} {after} {token}"),
         Action::WatchEndpoints => writeln!(reply, "tail {end} 1"),
     };
--- a/crates/pipithub-baselines/src/lib.rs
+++ b/crates/pipithub-baselines/src/lib.rs
@@ -259,6 +259,9 @@
             Event::Streaming { .. }
             | Event::LoadPolled { .. }
             | Event::LoadFinished(_)
+            | Event::EndpointListContact(_)
+            | Event::HealthChecked(_)
+            | Event::WorkerDisconnected { .. }
             | Event::Peer { .. } => {}
         }
     }
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -117,6 +117,12 @@
         self.outputs.stats()
     }
 
+    /// When work for a worker must have been written to it: what waits for a connection until then must not be sent any more.
+    /// [`Time::MAX`] where nothing limits that.
+    pub fn lease_end(&self, worker: &WorkerId) -> Time {
+        self.decisions.lease_end(worker)
+    }
+
     /// The request that a ticket belongs to; `None` once the request is settled or the ticket is void.
     pub fn request(&self, ticket: Ticket) -> Option<RequestId> {
         self.pending.of_ticket(ticket)
@@ -164,6 +170,16 @@
             Input::AttemptFinished(result) => self.attempt_finished(now, result),
             Input::LoadPolled(result) => self.decide(now, result.into()),
             Input::LoadCommandFinished(result) => self.decide(now, result.into()),
+            Input::EndpointListContact(contact) => {
+                self.decide(now, Event::EndpointListContact(contact));
+            }
+            Input::HealthChecked(checked) => {
+                self.outputs.count_health_check(checked.outcome);
+                self.decide(now, Event::HealthChecked(checked));
+            }
+            Input::WorkerDisconnected(worker) => {
+                self.decide(now, Event::WorkerDisconnected { worker });
+            }
             Input::Endpoints { update, endpoints } => {
                 self.ready_workers.apply(update, &endpoints);
                 self.decide(now, Event::Endpoints { update, endpoints });
--- a/crates/pipithub-engine/src/engine/actions.rs
+++ b/crates/pipithub-engine/src/engine/actions.rs
@@ -58,6 +58,7 @@
             } => self.load_function(worker, function, replicas),
             Action::EvictFunction { worker, function } => self.evict_function(worker, function),
             Action::PollLoad { worker } => self.outputs.push(Output::PollLoad(worker)),
+            Action::CheckHealth { worker } => self.outputs.push(Output::CheckHealth(worker)),
             Action::SetTimer { after, token } => self.timers.set(now.saturating_add(after), token),
             Action::WatchEndpoints => self.outputs.push(Output::WatchEndpoints),
         }
--- a/crates/pipithub-engine/src/engine/decision_queue.rs
+++ b/crates/pipithub-engine/src/engine/decision_queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use pipithub_policy::api::{Action, Event, Time};
+use pipithub_policy::api::{Action, Event, Time, WorkerId};
 
 use crate::decide::Decide;
 
@@ -53,6 +53,11 @@
         })
     }
 
+    /// See [`Decide::lease_end`].
+    pub(super) fn lease_end(&self, worker: &WorkerId) -> Time {
+        self.decider.lease_end(worker)
+    }
+
     /// Takes back the buffer of a decision whose actions were carried out.
     pub(super) fn recycle(&mut self, mut actions: Vec<Action>) {
         actions.clear();
--- a/crates/pipithub-engine/src/engine/output_queue.rs
+++ b/crates/pipithub-engine/src/engine/output_queue.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use pipithub_policy::api::HealthCheckOutcome;
+
 use crate::call::Ticket;
 use crate::output::Output;
 use crate::pending::AnsweredRequest;
@@ -33,6 +35,17 @@
         self.stats
     }
 
+    /// Counts the end of a health check.
+    pub(super) fn count_health_check(&mut self, outcome: HealthCheckOutcome) {
+        match outcome {
+            HealthCheckOutcome::Healthy => {}
+            HealthCheckOutcome::Unhealthy => self.stats.failed_health_checks += 1,
+            HealthCheckOutcome::Unanswered | HealthCheckOutcome::Disconnected => {
+                self.stats.unanswered_health_checks += 1;
+            }
+        }
+    }
+
     /// Asks for something, and counts it if there is a counter for it.
     pub(super) fn push(&mut self, output: Output) {
         match &output {
@@ -40,6 +53,7 @@
             Output::Cancel(_) => self.stats.cancelled_attempts += 1,
             Output::LoadFunction { .. } => self.stats.load_commands += 1,
             Output::PollLoad(_) => self.stats.load_polls += 1,
+            Output::CheckHealth(_) => self.stats.health_checks += 1,
             Output::EvictFunction { .. }
             | Output::Answer { .. }
             | Output::Forget(_)
--- a/crates/pipithub-engine/src/input.rs
+++ b/crates/pipithub-engine/src/input.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use pipithub_policy::api::{
-    Endpoint, EndpointUpdate, Event, FunctionId, LoadFinished, LoadReport, Outcome, ReplicaStatus,
-    Time, WorkerId,
+    Endpoint, EndpointListContact, EndpointUpdate, Event, FunctionId, HealthChecked, LoadFinished,
+    LoadReport, Outcome, ReplicaStatus, Time, WorkerId,
 };
 
 use crate::call::{AttemptId, SourceId, Tenant, Ticket, Trigger};
@@ -83,6 +83,12 @@
     LoadPolled(LoadPollResult),
     /// A load command has its result. Every [`Output::LoadFunction`](crate::Output::LoadFunction) gets exactly one.
     LoadCommandFinished(LoadCommandResult),
+    /// The source of the endpoint list has shown something of itself.
+    EndpointListContact(EndpointListContact),
+    /// A health check of a worker has its result. Every [`Output::CheckHealth`](crate::Output::CheckHealth) gets exactly one.
+    HealthChecked(HealthChecked),
+    /// A worker has closed or reset a connection on which nothing was in flight.
+    WorkerDisconnected(WorkerId),
     /// The endpoint list changed.
     Endpoints {
         /// Whether the endpoints are the complete list or a change to it.
--- a/crates/pipithub-engine/src/output.rs
+++ b/crates/pipithub-engine/src/output.rs
@@ -44,6 +44,9 @@
     },
     /// Poll the load of a worker. The result must be reported once, as [`LoadPolled`](crate::Input::LoadPolled).
     PollLoad(WorkerId),
+    /// Check whether a worker is in service. The result must be reported once, as
+    /// [`HealthChecked`](crate::Input::HealthChecked).
+    CheckHealth(WorkerId),
     /// Deliver the final answer and settle the trigger, both or neither. Either [`Settled`](crate::Input::Settled) or
     /// [`SourceLost`](crate::Input::SourceLost) must follow.
     Answer {
--- a/crates/pipithub-engine/src/stats.rs
+++ b/crates/pipithub-engine/src/stats.rs
@@ -17,6 +17,12 @@
     pub load_commands: u64,
     /// Polls of the load of workers.
     pub load_polls: u64,
+    /// Health checks of workers, sent while the endpoint list was out of reach.
+    pub health_checks: u64,
+    /// Health checks by which a worker told that it is not in service.
+    pub failed_health_checks: u64,
+    /// Health checks that got no answer.
+    pub unanswered_health_checks: u64,
     /// Final answers with the verdict [`Served`](crate::Verdict::Served).
     pub served: u64,
     /// Final answers with the verdict [`Rejected`](crate::Verdict::Rejected).
--- a/crates/pipithub-engine/tests/random_faults/simulation.rs
+++ b/crates/pipithub-engine/tests/random_faults/simulation.rs
@@ -204,6 +204,7 @@
                 self.input(front_end, Input::Settled(ticket));
             }
             Output::PollLoad(_)
+            | Output::CheckHealth(_)
             | Output::LoadFunction { .. }
             | Output::EvictFunction { .. }
             | Output::WatchEndpoints => {}
--- a/crates/pipithub-gateway/src/front_end/outputs.rs
+++ b/crates/pipithub-gateway/src/front_end/outputs.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use pipithub_engine::policy::{FunctionId, WorkerId};
+use pipithub_engine::policy::{FunctionId, HealthCheckOutcome, HealthChecked, WorkerId};
 use pipithub_engine::{AttemptId, Call, Input, Output, Reply, SourceId, Ticket, Time, Verdict};
 use tokio::sync::oneshot;
 use tracing::{debug, info};
@@ -47,6 +47,7 @@
             } => self.load_function(worker, function, name, replicas),
             Output::EvictFunction { worker, name } => self.evict_function(worker, name),
             Output::PollLoad(worker) => self.poll_load(worker),
+            Output::CheckHealth(worker) => self.check_health(worker),
             Output::Answer { ticket, reply } => self.answer(ticket, reply),
             Output::Forget(ticket) => self.settle(ticket),
             // The gateway watches the endpoint list from its start.
@@ -116,6 +117,25 @@
         self.spawn_for_input(async move { Input::LoadPolled(workers.poll_load(worker).await) });
     }
 
+    /// A worker that answers a load poll is in service.
+    fn check_health(&self, worker: WorkerId) {
+        let (workers, clock) = (self.workers.clone(), self.clock);
+        self.spawn_for_input(async move {
+            let sent_at = clock.now();
+            let polled = workers.poll_load(worker).await;
+            Input::HealthChecked(HealthChecked {
+                worker: polled.worker,
+                outcome: if polled.answered {
+                    HealthCheckOutcome::Healthy
+                } else {
+                    HealthCheckOutcome::Unanswered
+                },
+                elapsed: clock.now().saturating_sub(sent_at),
+                connected_at: 0,
+            })
+        });
+    }
+
     fn answer(&mut self, ticket: Ticket, reply: Arc<Reply>) {
         self.log_answer(ticket, &reply);
         self.finish_admission(ticket, Some(&reply));
--- a/crates/pipithub-node/src/connection_pool.rs
+++ b/crates/pipithub-node/src/connection_pool.rs
@@ -32,6 +32,8 @@
 struct WorkerConnections {
     address: String,
     removed: bool,
+    /// New work must have been written by then; `None`: nothing limits that.
+    lease_end: Option<Time>,
     connections: Vec<ConnectionId>,
     waiting: VecDeque<WorkerRequest>,
 }
@@ -203,16 +205,41 @@
         }
     }
 
+    /// Sets until when new work may be written to a worker.
+    pub fn set_lease_end(&mut self, worker: &WorkerId, lease_end: Time) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.lease_end = Some(lease_end).filter(|end| *end < Time::MAX);
+        }
+    }
+
+    /// Sets until when new work may be written to each worker with requests that are not written yet.
+    pub fn renew_leases(&mut self, lease_end: impl Fn(&WorkerId) -> Time) {
+        let blocked = self
+            .connections
+            .values()
+            .filter(|connection| connection.is_blocked())
+            .map(|connection| connection.worker().clone());
+        let unwritten: BTreeSet<WorkerId> = self.watched.iter().cloned().chain(blocked).collect();
+        for worker in unwritten {
+            let end = lease_end(&worker);
+            self.set_lease_end(&worker, end);
+        }
+    }
+
     /// Sends waiting requests on usable connections, and requests new connections for the rest.
     fn dispatch(&mut self, now: Time, worker: &WorkerId) {
         while let Some(id) = self.select_connection(now, worker) {
-            let Some(request) = self
-                .workers
-                .get_mut(worker)
-                .and_then(|p| p.waiting.pop_front())
-            else {
+            let Some(entry) = self.workers.get_mut(worker) else {
+                return;
+            };
+            let lease_end = entry.lease_end;
+            let Some(request) = entry.waiting.pop_front() else {
                 return;
             };
+            if request.has_lost_lease(lease_end, now) {
+                self.fail(worker, request, SendFailure::NeverSent);
+                continue;
+            }
             let Some(line) = request.line(now) else {
                 // Its deadline passed between two sweeps.
                 self.fail(worker, request, SendFailure::Unreachable);
--- a/crates/pipithub-node/src/connection_pool/connection.rs
+++ b/crates/pipithub-node/src/connection_pool/connection.rs
@@ -117,7 +117,7 @@
     id: ConnectionId,
     worker: WorkerId,
     address: String,
-    established: bool,
+    established_at: Option<Time>,
     framer: LineFramer,
     in_flight: BTreeMap<String, InFlight>,
     recent_references: RecentReferences,
@@ -134,7 +134,7 @@
             id,
             worker: worker.clone(),
             address: address.to_string(),
-            established: false,
+            established_at: None,
             framer: LineFramer::new(MAX_LINE_BYTES),
             in_flight: BTreeMap::new(),
             recent_references: RecentReferences::default(),
@@ -153,12 +153,22 @@
     }
 
     pub(super) fn is_established(&self) -> bool {
-        self.established
+        self.established_at.is_some()
+    }
+
+    /// When it was established; 0 as long as it is being made.
+    pub(super) fn established_at(&self) -> Time {
+        self.established_at.unwrap_or(0)
+    }
+
+    /// Whether lines on it wait to be accepted by the system, as the worker does not read.
+    pub(super) fn is_blocked(&self) -> bool {
+        self.position.accepted.is_some()
     }
 
     /// Records that the connection is established.
     pub(super) fn establish(&mut self, now: Time) {
-        self.established = true;
+        self.established_at = Some(now);
         self.last_used = now;
     }
 
@@ -176,7 +186,7 @@
 
     /// Whether it is established and carries no request.
     pub(super) fn is_idle(&self) -> bool {
-        self.established && self.in_flight.is_empty()
+        self.is_established() && self.in_flight.is_empty()
     }
 
     /// Whether it must be closed now, as nothing more may be written and no answer is missing.
@@ -205,7 +215,7 @@
         let is_stale = was_idle && idle_limit.is_some_and(|limit| now >= self.last_used + limit);
         let reference_is_used =
             self.in_flight.contains_key(reference) || self.recent_references.contains(reference);
-        self.established
+        self.is_established()
             && !is_stale
             && !reference_is_used
             && self.position.accepted.is_none()
@@ -305,12 +315,32 @@
         self.in_flight
             .iter()
             .filter(move |(_, in_flight)| is_overdue(in_flight))
-            .map(|(reference, in_flight)| OverdueRequest {
-                connection: self.id,
-                worker: self.worker.clone(),
-                reference: reference.clone(),
-                start_offset: in_flight.start_offset,
-            })
+            .map(|(reference, in_flight)| self.overdue(reference, in_flight))
+    }
+
+    /// The requests of which nothing was written yet and that must not be written any more, as the lease on the worker ends.
+    pub(super) fn requests_without_lease(
+        &self,
+        now: Time,
+        lease_end: Option<Time>,
+    ) -> impl Iterator<Item = OverdueRequest> {
+        let is_unwritten = |in_flight: &InFlight| {
+            matches!(self.position.progress(in_flight), WriteProgress::Nothing)
+        };
+        self.in_flight
+            .iter()
+            .filter(move |(_, in_flight)| in_flight.request.has_lost_lease(lease_end, now))
+            .filter(move |(_, in_flight)| is_unwritten(in_flight))
+            .map(|(reference, in_flight)| self.overdue(reference, in_flight))
+    }
+
+    fn overdue(&self, reference: &str, in_flight: &InFlight) -> OverdueRequest {
+        OverdueRequest {
+            connection: self.id,
+            worker: self.worker.clone(),
+            reference: reference.to_string(),
+            start_offset: in_flight.start_offset,
+        }
     }
 
     /// Takes off a request whose answer is no longer awaited. A line that was not written completely is withdrawn: a
--- a/crates/pipithub-node/src/connection_pool/endings.rs
+++ b/crates/pipithub-node/src/connection_pool/endings.rs
@@ -72,6 +72,7 @@
         let connection = self.connections.get_mut(&id)?;
         let in_flight = connection.answered(now, reference)?;
         let worker = connection.worker().clone();
+        let connected_at = connection.established_at();
         if let Some(idle) = in_flight.idle_before() {
             self.idle_timeout.record_use(now, idle, false);
         }
@@ -80,9 +81,16 @@
         Some(AnsweredRequest {
             worker,
             request: in_flight.into_request(),
+            connected_at,
         })
     }
 
+    /// The worker of a connection on which nothing is in flight; `None` if something is, or the connection has ended.
+    pub fn worker_of_idle(&self, id: ConnectionId) -> Option<WorkerId> {
+        let connection = self.connections.get(&id)?;
+        connection.is_idle().then(|| connection.worker().clone())
+    }
+
     /// A connection has ended, or is ended because of what came on it. `written` counts the bytes that the system has
     /// accepted on it: a request that was not written completely never arrived and is sent again on another connection,
     /// the others fail with `failure`.
--- a/crates/pipithub-node/src/connection_pool/request.rs
+++ b/crates/pipithub-node/src/connection_pool/request.rs
@@ -17,6 +17,8 @@
     LoadFunction(FunctionId),
     /// Report its load.
     PollLoad,
+    /// Tell whether it is in service.
+    CheckHealth,
     /// Evict idle replicas of a function. There is no answer to this.
     EvictFunction,
 }
@@ -75,6 +77,15 @@
         }
     }
 
+    /// Whether it must not be written any more: it is new work, and the lease on its worker ends here.
+    pub(super) fn has_lost_lease(&self, lease_end: Option<Time>, now: Time) -> bool {
+        let is_new_work = matches!(
+            self.kind,
+            RequestKind::Attempt(_) | RequestKind::LoadFunction(_)
+        );
+        is_new_work && lease_end.is_some_and(|end| now >= end)
+    }
+
     /// The line to write now; `None` if too little time is left.
     pub(super) fn line(&self, now: Time) -> Option<Bytes> {
         let left = self.deadline.saturating_sub(now);
@@ -92,8 +103,8 @@
 pub enum SendFailure {
     /// The worker could not be reached, or the request did not arrive completely: it did not run.
     Unreachable,
-    /// It was not sent, because of a fault of this machine or because its answer was no longer awaited: it did not run,
-    /// and the worker is not at fault.
+    /// It was not sent, because of a fault of this machine, because its answer was no longer awaited, or because the lease on
+    /// its worker had ended: it did not run, and the worker is not at fault.
     NeverSent,
     /// Its connection ended after it was sent: it may have run.
     ConnectionLost,
@@ -130,4 +141,6 @@
     pub worker: WorkerId,
     /// The request.
     pub request: WorkerRequest,
+    /// When the connection was established on which the answer came.
+    pub connected_at: Time,
 }
--- a/crates/pipithub-node/src/connection_pool/sweep.rs
+++ b/crates/pipithub-node/src/connection_pool/sweep.rs
@@ -16,6 +16,7 @@
     /// Ends overdue requests, closes connections that stay idle and forgets workers that have been removed.
     pub fn sweep(&mut self, now: Time) {
         self.expire_waiting(now);
+        self.withdraw_without_lease(now);
         self.end_overdue(now);
         self.close_idle(now);
         self.forget_removed_workers();
@@ -33,6 +34,31 @@
         }
     }
 
+    /// Withdraws new work that stands behind other lines when the lease on its worker ends: a send counts from its first byte.
+    fn withdraw_without_lease(&mut self, now: Time) {
+        let mut lost = Vec::new();
+        for connection in self.connections.values().filter(|c| c.is_blocked()) {
+            let lease_end = self
+                .workers
+                .get(connection.worker())
+                .and_then(|entry| entry.lease_end);
+            lost.extend(connection.requests_without_lease(now, lease_end));
+        }
+        lost.sort_unstable_by_key(|request| Reverse(request.start_offset));
+        for OverdueRequest {
+            connection,
+            worker,
+            reference,
+            ..
+        } in lost
+        {
+            let withdrawn = self.withdraw(now, &worker, connection, &reference, false);
+            if let Some(CancelledRequest { request, .. }) = withdrawn {
+                self.fail(&worker, request, SendFailure::NeverSent);
+            }
+        }
+    }
+
     fn end_overdue_request(&mut self, now: Time, overdue: &OverdueRequest) {
         let OverdueRequest {
             connection,
@@ -59,19 +85,22 @@
             let Some(entry) = self.workers.get_mut(worker) else {
                 continue;
             };
-            let removed = entry.removed;
+            let (removed, lease_end) = (entry.removed, entry.lease_end);
             let max_wait = 2 * self.connect_timeout;
             entry.waiting.retain(|request| {
                 let has_expired =
                     removed || now >= request.deadline || now >= request.began + max_wait;
-                if has_expired {
-                    self.failures.push(FailedRequest {
-                        worker: worker.clone(),
-                        request: request.clone(),
-                        failure: SendFailure::Unreachable,
-                    });
-                }
-                !has_expired
+                let failure = if request.has_lost_lease(lease_end, now) {
+                    Some(SendFailure::NeverSent)
+                } else {
+                    has_expired.then_some(SendFailure::Unreachable)
+                };
+                self.failures.extend(failure.map(|failure| FailedRequest {
+                    worker: worker.clone(),
+                    request: request.clone(),
+                    failure,
+                }));
+                failure.is_none()
             });
         }
     }
--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -149,6 +149,9 @@
     pub fn tick(&mut self, now: Time) {
         if now >= self.last_sweep + SWEEP_INTERVAL {
             self.last_sweep = now;
+            let engine = &self.engine;
+            self.connection_pool
+                .renew_leases(|worker| engine.lease_end(worker));
             self.connection_pool.sweep(now);
             self.settle_failures(now);
         }
--- a/crates/pipithub-node/src/core/endpoint_list.rs
+++ b/crates/pipithub-node/src/core/endpoint_list.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use pipithub_engine::policy::{Endpoint, EndpointState, EndpointUpdate, WorkerId};
+use pipithub_engine::policy::{
+    Endpoint, EndpointListContact, EndpointState, EndpointUpdate, WorkerId,
+};
 use pipithub_engine::{Input, Time};
 use pipithub_platform::list::{EndpointEvent, ListedEndpoint};
 use tracing::debug;
@@ -14,18 +16,26 @@
     /// The front end begins to follow the coordinator.
     pub fn follow_coordinator(&mut self, now: Time) {
         self.discovery_log.begin(now);
+        self.contact(now, EndpointListContact::Sought);
     }
 
     /// Applies what the coordinator's stream has brought. `wall` is the current wall clock in nanoseconds since the Unix
     /// epoch.
     pub fn apply_stream_update(&mut self, now: Time, wall: Time, update: &StreamUpdate) {
         match update {
-            StreamUpdate::Answered => {}
+            StreamUpdate::Answered => self.contact(now, EndpointListContact::Answered),
             StreamUpdate::Event(event) => self.update_endpoints_at(now, wall, event),
-            StreamUpdate::Current => self.discovery_log.record_current(now, &self.name),
+            StreamUpdate::Current => {
+                self.discovery_log.record_current(now, &self.name);
+                self.contact(now, EndpointListContact::Current);
+            }
         }
     }
 
+    fn contact(&mut self, now: Time, contact: EndpointListContact) {
+        self.run(now, Input::EndpointListContact(contact));
+    }
+
     /// How long ago the endpoint list was last known to be current, in nanoseconds; `None` as long as no coordinator is
     /// followed.
     pub fn endpoint_list_age(&self, now: Time) -> Option<Time> {
--- a/crates/pipithub-node/src/core/outputs.rs
+++ b/crates/pipithub-node/src/core/outputs.rs
@@ -12,6 +12,8 @@
 
 /// A load poll without an answer within this time has failed.
 const LOAD_POLL_TIMEOUT: Time = 250_000_000;
+/// The same for a health check. No request waits that long for one, but a late answer still tells something.
+const HEALTH_CHECK_TIMEOUT: Time = 250_000_000;
 
 impl Core {
     /// Performs one output of the engine.
@@ -32,6 +34,7 @@
             } => self.load_function(now, &worker, function, &name, replicas),
             Output::EvictFunction { worker, name } => self.evict_function(now, &worker, &name),
             Output::PollLoad(worker) => self.poll_load(now, &worker),
+            Output::CheckHealth(worker) => self.check_health(now, &worker),
             Output::Answer { ticket, reply } => {
                 let request = self.engine.request(ticket);
                 self.abandon_attempts(now, request);
@@ -105,6 +108,14 @@
         self.submit(now, worker, request);
     }
 
+    fn check_health(&mut self, now: Time, worker: &WorkerId) {
+        let reference = self.next_reference();
+        let line = worker::health_check_line(&reference);
+        let deadline = now + HEALTH_CHECK_TIMEOUT;
+        let request = WorkerRequest::new(RequestKind::CheckHealth, reference, line, now, deadline);
+        self.submit(now, worker, request);
+    }
+
     fn forward(&mut self, now: Time, id: AttemptId, worker: WorkerId, call: &Call, deadline: Time) {
         let name = call.label.as_deref().unwrap_or_default();
         let class = self
@@ -143,6 +154,8 @@
 
     /// Gives a request to the pool; a failure is queued as an input of the engine.
     fn submit(&mut self, now: Time, worker: &WorkerId, request: WorkerRequest) {
+        let lease_end = self.engine.lease_end(worker);
+        self.connection_pool.set_lease_end(worker, lease_end);
         self.connection_pool.submit(now, worker, request);
         self.record_failures(now);
     }
--- a/crates/pipithub-node/src/core/workers.rs
+++ b/crates/pipithub-node/src/core/workers.rs
@@ -1,6 +1,6 @@
 //! The worker side: connections, answers, and requests that end without one.
 
-use pipithub_engine::policy::{LoadReport, Outcome};
+use pipithub_engine::policy::{HealthCheckOutcome, HealthChecked, LoadReport, Outcome};
 use pipithub_engine::{
     AttemptId, AttemptResult, Input, LoadCommandResult, LoadPollResult, Served, Time,
 };
@@ -35,6 +35,9 @@
 
     /// A connection to a worker has ended, after the system has accepted `written` bytes on it.
     pub fn worker_closed(&mut self, now: Time, connection: ConnectionId, written: u64) {
+        if let Some(worker) = self.connection_pool.worker_of_idle(connection) {
+            self.inputs.push_back(Input::WorkerDisconnected(worker));
+        }
         self.connection_pool
             .closed(now, connection, written, SendFailure::ConnectionLost);
         self.settle_failures(now);
@@ -73,7 +76,12 @@
         let answered = self
             .connection_pool
             .answered(now, connection, &answer.reference);
-        let Some(AnsweredRequest { worker, request }) = answered else {
+        let Some(AnsweredRequest {
+            worker,
+            request,
+            connected_at,
+        }) = answered
+        else {
             return debug!(
                 front_end = self.name,
                 connection = connection.0,
@@ -105,10 +113,33 @@
                 };
                 self.run(now, Input::LoadPolled(result));
             }
+            RequestKind::CheckHealth => self.health_checked(
+                now,
+                HealthChecked {
+                    worker,
+                    outcome: health_of(answer.status),
+                    elapsed,
+                    connected_at,
+                },
+            ),
             RequestKind::EvictFunction => {}
         }
     }
 
+    /// Reports the end of a health check to the engine.
+    fn health_checked(&mut self, now: Time, checked: HealthChecked) {
+        if checked.outcome != HealthCheckOutcome::Healthy {
+            info!(
+                front_end = self.name,
+                worker = &*checked.worker.0,
+                outcome = ?checked.outcome,
+                took_us = checked.elapsed / 1000,
+                "health check failed while the endpoint list is out of reach"
+            );
+        }
+        self.run(now, Input::HealthChecked(checked));
+    }
+
     /// Queues the end of an attempt as an input of the engine, behind the current one.
     pub(super) fn attempt_ended(&mut self, end: AttemptResult) {
         debug!(
@@ -156,6 +187,15 @@
                     };
                     self.inputs.push_back(Input::LoadPolled(result));
                 }
+                RequestKind::CheckHealth => {
+                    let checked = HealthChecked {
+                        worker,
+                        outcome: failed_check(failure),
+                        elapsed,
+                        connected_at: 0,
+                    };
+                    self.inputs.push_back(Input::HealthChecked(checked));
+                }
                 RequestKind::EvictFunction => {}
             }
         }
@@ -199,6 +239,24 @@
     Ok(Some(worker::read_answer(&line)?))
 }
 
+/// What the answer to a health check tells.
+fn health_of(status: AnswerStatus) -> HealthCheckOutcome {
+    match status {
+        AnswerStatus::Healthy => HealthCheckOutcome::Healthy,
+        _ => HealthCheckOutcome::Unhealthy,
+    }
+}
+
+/// The outcome of a health check that got no answer.
+fn failed_check(failure: SendFailure) -> HealthCheckOutcome {
+    match failure {
+        SendFailure::Unreachable | SendFailure::ConnectionLost => HealthCheckOutcome::Disconnected,
+        SendFailure::NeverSent | SendFailure::Malformed | SendFailure::TimedOut => {
+            HealthCheckOutcome::Unanswered
+        }
+    }
+}
+
 /// The outcome of a request by its answer.
 fn outcome(status: AnswerStatus) -> Outcome {
     match status {
--- a/crates/pipithub-platform/src/settings.rs
+++ b/crates/pipithub-platform/src/settings.rs
@@ -130,6 +130,7 @@
             load_poll: number(&all["Prices"]["Probe"]).max(0.0),
         },
         zone: string(&all["Zone"]),
+        drain_grace: Some(time(&all["Rules"]["DrainGrace"])).filter(|grace| *grace > 0),
         watch_on_request: all["RegistryMode"].as_str() == Some("on_request"),
     })
 }
@@ -143,6 +144,7 @@
         max_attempts: time(&limits["MostTries"]).clamp(1, u64::from(u32::MAX)) as u32,
         cancel: flag(&limits["MayCancel"]),
         load_polls: flag(&limits["Probes"]) && workers_report_load,
+        health_checks: flag(&limits["Probes"]),
         retry_after: flag(&limits["RetryAfter"]),
         max_retry_after: time(&limits["MaxRetryAfter"]),
     }
--- a/crates/pipithub-platform/src/worker.rs
+++ b/crates/pipithub-platform/src/worker.rs
@@ -70,6 +70,11 @@
     format!("{{\"cmd\":\"METER\",\"ref\":\"{tag}\"}}\n").into()
 }
 
+/// The line of a health check; the answer repeats `tag`. Unlike a load poll it brings no load report.
+pub fn health_check_line(tag: &str) -> Bytes {
+    format!("{{\"cmd\":\"ECHO\",\"ref\":\"{tag}\"}}\n").into()
+}
+
 /// The line of a load command for this number of replicas; 0 only asks how many are loaded.
 pub fn load_function_line(tag: &str, function: &str, copies: u32) -> Bytes {
     format!("{{\"cmd\":\"PIN\",\"ref\":\"{tag}\",\"opts\":{{\"asset\":\"{function}\",\"n\":{copies}}}}}\n")
--- a/crates/pipithub-policy/src/api.rs
+++ b/crates/pipithub-policy/src/api.rs
@@ -1,7 +1,7 @@
 //! The interface of the decision module: settings, events and actions as plain types.
 //!
-//! All times are in nanoseconds. A [`Time`] is a duration unless its description says otherwise; the
-//! time of an event is an argument of [`crate::FrontEnd::handle`].
+//! All times are in nanoseconds. A [`Time`] is a duration unless its description says otherwise;
+//! the time of an event is an argument of [`crate::FrontEnd::handle`].
 
 mod settings;
 
@@ -16,8 +16,8 @@
 
 /// Identifies one attempt of a client at a request; never used twice.
 ///
-/// The caller chooses the numbers. They are below 2^61: a timer's token is a request's number or one
-/// with a flag above these bits.
+/// The caller chooses the numbers. They are below 2^61: a timer's token is a request's number or
+/// one with a flag above these bits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
@@ -89,8 +89,8 @@
     pub cell: u64,
     /// Its memory for replicas, in MB; 0 where it is not known, which counts as enough.
     pub memory_mb: f64,
-    /// The time at which its process started, on the clock of [`crate::FrontEnd::handle`]; `None`: long
-    /// ago. Another value than before means that it has restarted.
+    /// The time at which its process started, on the clock of [`crate::FrontEnd::handle`]; `None`:
+    /// long ago. Another value than before means that it has restarted.
     pub started_at: Option<Time>,
 }
 
@@ -112,8 +112,8 @@
     pub load_time: Option<Time>,
     /// The function that must be loaded where it runs.
     pub function: FunctionId,
-    /// How long the client waits for this answer, in nanoseconds; `None`: the `client_timeout` of its
-    /// class.
+    /// How long the client waits for this answer, in nanoseconds; `None`: the `client_timeout` of
+    /// its class.
     pub timeout: Option<Time>,
 }
 
@@ -176,6 +176,49 @@
     pub pending_loads: Option<f64>,
 }
 
+/// What the source of the endpoint list shows of itself, where it gives signs of life.
+///
+/// As long as no contact was reported, the list is relied on without a limit of age: then nothing
+/// tells a list that does not change from one that is out of reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointListContact {
+    /// The front end begins to follow the list; it was started with the list of that time.
+    Sought,
+    /// The source has answered a request to follow the list. It may be about to send changes.
+    Answered,
+    /// The source has given a sign of life behind all changes so far: the list was current when it
+    /// was sent.
+    Current,
+}
+
+/// How a health check ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthCheckOutcome {
+    /// The worker is in service.
+    Healthy,
+    /// The worker is not in service, as when it drains.
+    Unhealthy,
+    /// No answer came in time.
+    Unanswered,
+    /// No connection could be established, or it broke.
+    Disconnected,
+}
+
+/// The end of a health check that [`Action::CheckHealth`] started.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HealthChecked {
+    /// The worker that was checked.
+    pub worker: WorkerId,
+    /// How the check ended.
+    pub outcome: HealthCheckOutcome,
+    /// The time since the check was sent, in nanoseconds: what it proves was so at some time since
+    /// then.
+    pub elapsed: Time,
+    /// When the connection was established on which the answer came, on the clock of
+    /// [`crate::FrontEnd::handle`]; 0 where it is not known or none came.
+    pub connected_at: Time,
+}
+
 /// The end of an attempt that [`Action::Forward`] started.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AttemptFinished {
@@ -189,8 +232,8 @@
     pub outcome: Outcome,
     /// How long it took, in nanoseconds.
     pub elapsed: Time,
-    /// Whether the request has its final answer, by this outcome or before it; else it is retried or
-    /// ended by an action.
+    /// Whether the request has its final answer, by this outcome or before it; else it is retried
+    /// or ended by an action.
     pub settled: bool,
     /// What the answer tells about the replica; `None` where it does not.
     pub replica_status: Option<ReplicaStatus>,
@@ -251,6 +294,15 @@
     },
     /// A load command has ended.
     LoadFinished(LoadFinished),
+    /// The source of the endpoint list has shown something of itself.
+    EndpointListContact(EndpointListContact),
+    /// A health check has ended.
+    HealthChecked(HealthChecked),
+    /// A worker has closed or reset a connection on which nothing was in flight.
+    WorkerDisconnected {
+        /// The worker.
+        worker: WorkerId,
+    },
     /// A timer has expired.
     Timer {
         /// The token that [`Action::SetTimer`] gave.
@@ -274,8 +326,8 @@
         request: RequestId,
         /// The worker to send it to.
         worker: WorkerId,
-        /// The time after which the attempt is to be given up, in nanoseconds; `None`: when the client
-        /// gives up.
+        /// The time after which the attempt is to be given up, in nanoseconds; `None`: when the
+        /// client gives up.
         timeout: Option<Time>,
     },
     /// Stop waiting for an attempt, which then ends as [`Outcome::Cancelled`].
@@ -318,6 +370,11 @@
         /// The worker to poll.
         worker: WorkerId,
     },
+    /// Check whether a worker is in service. One [`Event::HealthChecked`] follows.
+    CheckHealth {
+        /// The worker to check.
+        worker: WorkerId,
+    },
     /// Set a timer. One [`Event::Timer`] follows.
     SetTimer {
         /// The time from now until it expires, in nanoseconds.
--- a/crates/pipithub-policy/src/api/settings.rs
+++ b/crates/pipithub-policy/src/api/settings.rs
@@ -40,8 +40,8 @@
     /// The longest time that a client waits for the final answer, over all attempts. A request's own
     /// `timeout` replaces it.
     pub client_timeout: Time,
-    /// The share of its value that an answer after the latency objective has, from 0 to 1. With 0 no
-    /// attempt is made once the objective has passed.
+    /// The share of its value that an answer after the latency objective has, from 0 to 1. With 0
+    /// no attempt is made once the objective has passed.
     pub late_answer_weight: f64,
     /// Whether requests of the class may run more than once.
     pub idempotency: Idempotency,
@@ -75,6 +75,8 @@
     pub cancel: bool,
     /// Whether [`super::Action::PollLoad`] may be used.
     pub load_polls: bool,
+    /// Whether [`super::Action::CheckHealth`] may be used.
+    pub health_checks: bool,
     /// Whether rejections may carry a Retry-After.
     pub retry_after: bool,
     /// The longest Retry-After that clients respect, in nanoseconds; with 0 none is given.
@@ -87,6 +89,7 @@
             max_attempts: 3,
             cancel: false,
             load_polls: false,
+            health_checks: false,
             retry_after: false,
             max_retry_after: 0,
         }
@@ -95,8 +98,8 @@
 
 /// How much a worker that has just started can take.
 ///
-/// Its capacity grows linearly from `initial_weight` to 1 over `window`. A worker that is sent more than
-/// `overload_factor` times its present capacity throughout `overload_window` fails.
+/// Its capacity grows linearly from `initial_weight` to 1 over `window`. A worker that is sent more
+/// than `overload_factor` times its present capacity throughout `overload_window` fails.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SlowStart {
     /// The least capacity of a worker at its start, as a share of that of a warm one, from 0 to 1.
@@ -120,8 +123,8 @@
     }
 }
 
-/// The limit on the rate of load commands: over any `window`, at most `burst` and `per_request` for each
-/// request that arrived.
+/// The limit on the rate of load commands: over any `window`, at most `burst` and `per_request` for
+/// each request that arrived.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadRateLimit {
     /// The time over which commands and requests are counted, in nanoseconds.
@@ -167,8 +170,8 @@
 /// The prices of actions, as far as they are not free.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Costs {
-    /// The cost of one load poll for each request, as a share of the value of all requests, from 0 to
-    /// 1; 0 where it is not known, so that polls count as free.
+    /// The cost of one load poll for each request, as a share of the value of all requests, from 0
+    /// to 1; 0 where it is not known, so that polls count as free.
     pub load_poll: f64,
 }
 
@@ -177,11 +180,11 @@
 pub struct Settings {
     /// How many front ends send requests to the same workers, this one included; 0 counts as 1.
     pub front_ends: u32,
-    /// The shortest time between two calls of [`crate::FrontEnd::handle`], in nanoseconds; deadlines
-    /// keep a distance of a few ticks. 0: events are handled as they come.
+    /// The shortest time between two calls of [`crate::FrontEnd::handle`], in nanoseconds;
+    /// deadlines keep a distance of a few ticks. 0: events are handled as they come.
     pub tick: Time,
-    /// The classes, in the order that [`super::Request::class`] refers to; if there is none, one default
-    /// class is used.
+    /// The classes, in the order that [`super::Request::class`] refers to; if there is none, one
+    /// default class is used.
     pub classes: Vec<Class>,
     /// Which actions may be taken, and how often.
     pub limits: Limits,
@@ -193,6 +196,10 @@
     pub costs: Costs,
     /// The zone of this front end, as the endpoint list spells it; empty where it is not known.
     pub zone: String,
-    /// Whether updates of the endpoint list must be asked for with [`super::Action::WatchEndpoints`].
+    /// How long after the notification that a worker drains or has left new work may still be sent
+    /// there, in nanoseconds; `None` where it is not known.
+    pub drain_grace: Option<Time>,
+    /// Whether updates of the endpoint list must be asked for with
+    /// [`super::Action::WatchEndpoints`].
     pub watch_on_request: bool,
 }
--- a/crates/pipithub-policy/src/front_end.rs
+++ b/crates/pipithub-policy/src/front_end.rs
@@ -15,11 +15,13 @@
 mod replay;
 mod requests;
 mod routing;
+mod service_checks;
 
 use std::collections::BTreeMap;
 
 use self::maintenance::MAINTENANCE_PERIOD;
 use crate::api::{Action, Class, Event, RequestId, Settings, Time};
+use crate::endpoint_list_lease::EndpointListLease;
 use crate::estimates::Estimates;
 use crate::load_limiter::LoadLimiter;
 use crate::load_polls::LoadPolls;
@@ -31,6 +33,7 @@
 use crate::statistics::EventTimes;
 use crate::time::{MAX_DURATION, MAX_TIME};
 use crate::timer::TimerToken;
+use crate::waiting_requests::WaitingRequests;
 use crate::worker_table::WorkerTable;
 use crate::zone_ejection::ZoneEjection;
 
@@ -52,6 +55,9 @@
     estimates: Estimates,
     load_limiter: LoadLimiter,
     load_polls: LoadPolls,
+    list_lease: EndpointListLease,
+    /// Requests that wait for a worker's health check.
+    awaiting_check: WaitingRequests,
     rebalancer: Rebalancer,
     slow_start: SlowStart,
     speculation: Speculation,
@@ -100,6 +106,9 @@
                 answered,
                 report,
             } => self.record_load_report(&worker, answered.then_some(report), actions),
+            Event::EndpointListContact(contact) => self.record_list_contact(contact),
+            Event::HealthChecked(checked) => self.finish_check(&checked, actions),
+            Event::WorkerDisconnected { worker } => self.record_connection_lost(&worker),
             Event::Timer { token } => self.handle_timer(token, actions),
             Event::Peer { .. } => {}
         }
@@ -119,6 +128,7 @@
         match TimerToken::from(token) {
             TimerToken::Maintenance => self.run_maintenance(actions),
             TimerToken::PollTimeout(request) => self.expire_poll(request, actions),
+            TimerToken::CheckTimeout(request) => self.expire_check(request, actions),
             TimerToken::RequestTimeout(request) => self.expire_request(request, actions),
         }
     }
@@ -136,6 +146,7 @@
     bound(&mut settings.slow_start.window);
     bound(&mut settings.slow_start.overload_window);
     bound(&mut settings.loading.keep_alive);
+    settings.drain_grace.as_mut().map(bound);
     if let Some(limit) = &mut settings.loading.rate_limit {
         bound(&mut limit.window);
     }
--- a/crates/pipithub-policy/src/front_end/attempts.rs
+++ b/crates/pipithub-policy/src/front_end/attempts.rs
@@ -64,6 +64,9 @@
         }
         let mut worker = self.workers.get_mut(&end.worker)?;
         let attempt = worker.attempts.finish(end, now)?;
+        if matches!(end.outcome, Outcome::Unreachable | Outcome::ConnectionLost) {
+            worker.service.record_connection_lost(now);
+        }
         let endpoint = worker.endpoint();
         let execution = PossibleExecution {
             sent_at: attempt.sent_at,
--- a/crates/pipithub-policy/src/front_end/endpoints.rs
+++ b/crates/pipithub-policy/src/front_end/endpoints.rs
@@ -7,7 +7,6 @@
 use super::FrontEnd;
 use crate::api::{Action, Endpoint, EndpointUpdate, WorkerId};
 use crate::time::MAX_TIME;
-use crate::worker::WorkerState;
 
 /// Needs the settings and the workers.
 impl FrontEnd {
@@ -41,9 +40,10 @@
 
     fn remove_all_but(&mut self, endpoints: &[Endpoint]) {
         let named: BTreeSet<&WorkerId> = endpoints.iter().map(|e| &e.worker).collect();
+        let now = self.now;
         self.workers.change_where(
             |worker| !named.contains(&worker.endpoint().worker),
-            WorkerState::mark_removed,
+            |worker| worker.mark_removed(now),
         );
     }
 
@@ -52,6 +52,6 @@
         endpoint.started_at = endpoint.started_at.map(|time| time.min(MAX_TIME));
         self.workers
             .get_or_add(&endpoint, classes)
-            .update_endpoint(endpoint);
+            .update_endpoint(endpoint, self.now);
     }
 }
--- a/crates/pipithub-policy/src/front_end/function_loading.rs
+++ b/crates/pipithub-policy/src/front_end/function_loading.rs
@@ -1,7 +1,7 @@
 //! Loads of functions: how many are in progress, and the commands that load them.
 //!
-//! The limits on loads are in `src/load_limiter.rs`: a slow store must not be asked for more than it
-//! delivers.
+//! The limits on loads are in `src/load_limiter.rs`: a slow store must not be asked for more than
+//! it delivers.
 
 use std::collections::BTreeSet;
 
@@ -114,8 +114,8 @@
 
     /// Makes a worker load a function; returns `false` where it may not.
     ///
-    /// All load commands are given here: draining and removed workers get none, and the rate limit
-    /// is kept.
+    /// All load commands are given here: draining and removed workers get none, nor do those of
+    /// which it is not known that they are in service, and the rate limit is kept.
     pub(super) fn command_load(
         &mut self,
         worker_id: &WorkerId,
@@ -129,6 +129,7 @@
             || !self
                 .load_limiter
                 .rate_allows(&self.settings, &self.arrivals, now)
+            || !self.is_in_service(worker_id)
         {
             return false;
         }
--- a/crates/pipithub-policy/src/front_end/polls.rs
+++ b/crates/pipithub-policy/src/front_end/polls.rs
@@ -18,7 +18,7 @@
         if let Some(mut worker) = self.workers.get_mut(worker) {
             worker.load_report.record(report, self.now);
         }
-        for id in self.load_polls.take_waiting(worker) {
+        for id in self.load_polls.waiting.take(worker) {
             if let Some(pending) = self.pending.get_mut(&id) {
                 pending.polls.end();
             }
@@ -35,7 +35,7 @@
             after: POLL_TIMEOUT,
             token: TimerToken::PollTimeout(id).into(),
         });
-        self.load_polls.add_waiting(worker.clone(), id);
+        self.load_polls.waiting.add(worker.clone(), id);
         if let Some(pending) = self.pending.get_mut(&id) {
             pending.polls.begin(worker);
         }
--- a/crates/pipithub-policy/src/front_end/rebalancing.rs
+++ b/crates/pipithub-policy/src/front_end/rebalancing.rs
@@ -181,8 +181,9 @@
             .change_with_replicas(|worker| forget_unused_replicas(worker, now, keep_alive));
         self.workers.forget_former_holders();
         let pending = &self.pending;
-        self.load_polls
-            .forget_ended(|request| pending.contains_key(request));
+        let is_pending = |request: &RequestId| pending.contains_key(request);
+        self.load_polls.waiting.forget_ended(is_pending);
+        self.awaiting_check.forget_ended(is_pending);
         let forget_after = self.rebalancer.function_lifetime();
         self.estimates.forget_unrequested(forget_after, now);
     }
--- a/crates/pipithub-policy/src/front_end/routing.rs
+++ b/crates/pipithub-policy/src/front_end/routing.rs
@@ -13,6 +13,7 @@
 use crate::api::{Action, FunctionId, Request, RequestId, Time, WorkerId};
 use crate::load_reports::REPORT_LIFETIME;
 use crate::pending_request::PendingRequest;
+use crate::service_lease::ServiceStatus;
 use crate::worker::WorkerState;
 
 /// A worker that reports its cores to be busier than this has a queue: it is second choice.
@@ -36,6 +37,8 @@
     Busy(Prediction),
     /// It has to be polled first.
     NeedsPoll,
+    /// It failed health checks and is due for the next one.
+    Suspect,
     /// Every deadline is met there.
     Admits(Prediction),
     /// It would admit the request if it needed no load.
@@ -49,6 +52,8 @@
     target_deadline: Time,
     /// Zones that get no attempt.
     closed_zones: BTreeSet<&'a str>,
+    /// The endpoint list vouches for every worker.
+    relies_on_list: bool,
     /// A replica of the function is believed somewhere.
     located: bool,
     /// A load may begin.
@@ -72,6 +77,8 @@
     busy: Option<Candidate>,
     /// One that has to be polled first; it ends the search.
     needs_poll: Option<WorkerId>,
+    /// The first one that failed health checks and is due for the next one.
+    suspect: Option<WorkerId>,
 }
 
 /// Asks every owner of state; it writes the pending request and takes speculation tokens.
@@ -82,8 +89,8 @@
             return;
         };
         pending.awaits_load = false;
-        if pending.attempts.in_flight().is_some() || pending.streaming || pending.polls.is_waiting()
-        {
+        let is_waiting = pending.polls.is_waiting() || pending.checks.is_waiting();
+        if pending.attempts.in_flight().is_some() || pending.streaming || is_waiting {
             return;
         }
         let pending = &self.pending[&id];
@@ -91,7 +98,11 @@
         let Some(target_deadline) = self.target_deadline(pending) else {
             return self.reject_or_fail(id, actions);
         };
+        let may_await_check = pending.checks.may_wait();
         let mut found = self.search(pending, target_deadline);
+        if let Some(suspect) = &found.suspect {
+            self.check_health(suspect, actions);
+        }
         if let Some(worker) = found.needs_poll {
             return self.poll_load(id, worker, actions);
         }
@@ -108,7 +119,15 @@
                 .take()
                 .and_then(|miss| self.speculate(miss, deadline));
         }
-        match choice.or(found.busy) {
+        let choice = choice.or(found.busy);
+        let unchecked = match &choice {
+            Some(_) => self.unchecked_worker(choice.as_ref()),
+            None => found.suspect.filter(|_| may_await_check),
+        };
+        if let Some(worker) = unchecked {
+            return self.await_check(id, worker, actions);
+        }
+        match choice {
             Some(chosen)
                 if chosen.prediction.cold_start && !self.settings.loading.loads_on_request =>
             {
@@ -144,9 +163,9 @@
         let search = self.begin_search(pending, target_deadline);
         let mut found = Found::default();
         // A function that no worker is believed to hold is presumed loaded at its first worker: a
-        // front end that knows nothing must neither reject nor spread. Where that one is lost it is loaded
-        // nowhere: presumed at the next one, each of the lost worker's functions would begin a load
-        // there past the limit on loads.
+        // front end that knows nothing must neither reject nor spread. Where that one is lost it is
+        // loaded nowhere: presumed at the next one, each of the lost worker's functions would begin
+        // a load there past the limit on loads.
         let mut presumed = !search.located && pending.attempts.count() == 0;
         for id in order {
             if pending.attempts.excludes(id) {
@@ -161,6 +180,9 @@
             };
             match verdict {
                 Verdict::Unsuitable => {}
+                Verdict::Suspect => {
+                    found.suspect.get_or_insert_with(|| id.clone());
+                }
                 Verdict::Busy(prediction) => {
                     if found.busy.is_none() && !prediction.cold_start {
                         found.busy = Some(candidate(prediction, target_deadline));
@@ -207,6 +229,7 @@
             pending,
             target_deadline,
             closed_zones: self.zones.closed_zones(&self.workers, self.now),
+            relies_on_list: self.relies_on_list(),
             located: self.is_located(function),
             // One load of a function is awaited before the next.
             may_load: may_add_replica && !loads.of_function,
@@ -228,6 +251,17 @@
         if !self.may_attempt(search, worker) {
             return Verdict::Unsuitable;
         }
+        let service = if search.relies_on_list {
+            ServiceStatus::InService
+        } else {
+            worker.service.status(now)
+        };
+        match service {
+            ServiceStatus::InService => {}
+            ServiceStatus::Unknown if search.pending.checks.may_wait() => {}
+            ServiceStatus::Suspect => return Verdict::Suspect,
+            ServiceStatus::Unknown | ServiceStatus::OutOfService => return Verdict::Unsuitable,
+        }
         let prediction = self.predict(worker, &search.pending.request, presumed);
         let target_deadline = search.target_deadline;
         let saturated = search.padded_run_time * self.reported_slowdown(worker)
@@ -246,7 +280,10 @@
             }
             let last_heard_at = report.received_at.max(worker.responses.last_at());
             let unheard = now > REPORT_LIFETIME + last_heard_at;
+            // A request that has to wait for a health check does not wait for a load report as
+            // well.
             if unheard
+                && service == ServiceStatus::InService
                 && self
                     .load_polls
                     .may_poll(&search.pending.polls, &self.settings)
--- /dev/null
+++ b/crates/pipithub-policy/src/front_end/service_checks.rs
@@ -0,0 +1,157 @@
+//! The steps that keep work away from workers that may not be in service any more: leases by the
+//! endpoint list and by health checks, and requests that wait for a check.
+
+use super::FrontEnd;
+use super::routing::Candidate;
+use crate::api::{
+    Action, EndpointListContact, HealthCheckOutcome, HealthChecked, RequestId, Time, WorkerId,
+};
+use crate::service_lease::{CHECK_TIMEOUT, ServiceStatus, lease_time};
+use crate::timer::TimerToken;
+use crate::worker::WorkerState;
+
+/// Needs the workers, the lease of the endpoint list and the pending requests; it routes the
+/// requests that waited.
+impl FrontEnd {
+    /// Records a contact with the source of the endpoint list.
+    pub(super) fn record_list_contact(&mut self, contact: EndpointListContact) {
+        let lease = self.lease_time();
+        self.list_lease.record_contact(contact, lease, self.now);
+    }
+
+    /// How long work may be sent to a worker after it was last known to be in service.
+    pub(super) fn lease_time(&self) -> Time {
+        lease_time(self.settings.drain_grace)
+    }
+
+    /// When work that was decided must have been written to a worker: a request that waits for a
+    /// connection until then must not be sent any more. [`Time::MAX`] where nothing limits that.
+    pub fn lease_end(&self, worker: &WorkerId) -> Time {
+        if !self.checks_service() {
+            return Time::MAX;
+        }
+        match self.workers.get(worker) {
+            Some(worker) if worker.is_ready() => self.list_lease.end().max(worker.service.end()),
+            Some(worker) => worker.service.closed_at() + self.lease_time(),
+            None => 0,
+        }
+    }
+
+    /// Whether leases are kept: without health checks nothing could renew them, and the last list
+    /// is all there is.
+    fn checks_service(&self) -> bool {
+        self.settings.limits.health_checks && self.list_lease.is_followed()
+    }
+
+    /// Whether the endpoint list vouches for all workers that it names as ready.
+    pub(super) fn relies_on_list(&self) -> bool {
+        self.list_lease.stands(self.now) || !self.checks_service()
+    }
+
+    /// Whether a worker may be sent work now, as far as its being in service is concerned.
+    pub(super) fn is_in_service(&self, worker: &WorkerId) -> bool {
+        let by_check =
+            |worker: &WorkerState| worker.service.status(self.now) == ServiceStatus::InService;
+        self.relies_on_list() || self.workers.get(worker).is_some_and(by_check)
+    }
+
+    /// Sends a health check, unless one is awaited already.
+    pub(super) fn check_health(&mut self, worker_id: &WorkerId, actions: &mut Vec<Action>) {
+        let Some(mut worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if worker.service.begin_check(self.now) {
+            actions.push(Action::CheckHealth {
+                worker: worker_id.clone(),
+            });
+        }
+    }
+
+    /// Makes a request wait, unsent, for a health check of the worker that it would go to.
+    pub(super) fn await_check(
+        &mut self,
+        id: RequestId,
+        worker: WorkerId,
+        actions: &mut Vec<Action>,
+    ) {
+        self.check_health(&worker, actions);
+        actions.push(Action::SetTimer {
+            after: CHECK_TIMEOUT,
+            token: TimerToken::CheckTimeout(id).into(),
+        });
+        if let Some(pending) = self.pending.get_mut(&id) {
+            pending.checks.begin(worker.clone());
+        }
+        self.awaiting_check.add(worker, id);
+    }
+
+    /// Handles the end of a health check.
+    pub(super) fn finish_check(&mut self, checked: &HealthChecked, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let lease = self.lease_time();
+        let confirmed_at = self.list_lease.confirmed_at();
+        let Some(mut worker) = self.workers.get_mut(&checked.worker) else {
+            return;
+        };
+        let sent_at = now.saturating_sub(checked.elapsed);
+        worker
+            .service
+            .finish_check(sent_at, checked.outcome, lease, now);
+        match checked.outcome {
+            HealthCheckOutcome::Healthy => {
+                // The list would have told of a restart, were it in reach.
+                if worker
+                    .service
+                    .take_restart(confirmed_at, checked.connected_at)
+                {
+                    worker.presume_restart(now);
+                }
+            }
+            HealthCheckOutcome::Disconnected => worker.service.record_connection_lost(now),
+            HealthCheckOutcome::Unhealthy | HealthCheckOutcome::Unanswered => {}
+        }
+        drop(worker);
+        self.route_waiting(&checked.worker, actions);
+    }
+
+    /// Ends a request's wait for a health check that has taken too long.
+    pub(super) fn expire_check(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let awaited = self
+            .pending
+            .get(&id)
+            .and_then(|pending| pending.checks.worker());
+        let Some(worker_id) = awaited.cloned() else {
+            return;
+        };
+        if let Some(mut worker) = self.workers.get_mut(&worker_id) {
+            worker.service.expire_check(self.now);
+        }
+        self.route_waiting(&worker_id, actions);
+    }
+
+    /// Routes the requests that waited for a worker's health check.
+    fn route_waiting(&mut self, worker: &WorkerId, actions: &mut Vec<Action>) {
+        for id in self.awaiting_check.take(worker) {
+            if let Some(pending) = self.pending.get_mut(&id) {
+                pending.checks.end();
+            }
+            self.route(id, actions);
+        }
+    }
+
+    /// Records that a connection to a worker has failed or was closed by it: it may have been
+    /// restarted.
+    pub(super) fn record_connection_lost(&mut self, worker: &WorkerId) {
+        let now = self.now;
+        if let Some(mut worker) = self.workers.get_mut(worker) {
+            worker.service.record_connection_lost(now);
+        }
+    }
+
+    /// The worker that a request has to wait for before it goes to its candidate; `None` if it may
+    /// go there now.
+    pub(super) fn unchecked_worker(&self, candidate: Option<&Candidate>) -> Option<WorkerId> {
+        let worker = &candidate?.worker;
+        (!self.is_in_service(worker)).then(|| worker.clone())
+    }
+}
--- a/crates/pipithub-policy/src/load_polls.rs
+++ b/crates/pipithub-policy/src/load_polls.rs
@@ -6,11 +6,10 @@
 //! limit all front ends polled for every request, whatever it cost. The price: where polls are
 //! expensive, a worker that has fallen silent is found by requests alone.
 
-use std::collections::{BTreeMap, BTreeSet};
-
-use crate::api::{RequestId, Settings, Time, WorkerId};
+use crate::api::{Settings, Time, WorkerId};
 use crate::estimates::RUN_TIME_GAIN;
 use crate::time::MILLISECOND;
+use crate::waiting_requests::WaitingRequests;
 
 /// How long a request waits for a load report.
 pub(crate) const POLL_TIMEOUT: Time = 30 * MILLISECOND;
@@ -23,8 +22,8 @@
 /// The requests that wait for a load report, and whether polls are worth their cost.
 #[derive(Debug, Default)]
 pub(crate) struct LoadPolls {
-    /// Requests that wait for a load report, by worker; some may have ended since.
-    waiting: BTreeMap<WorkerId, BTreeSet<RequestId>>,
+    /// Requests that wait for a load report.
+    pub(crate) waiting: WaitingRequests,
     /// Mean share of their value that attempts lost: answered late, in error or not at all.
     mean_lost_value: f64,
 }
@@ -46,22 +45,6 @@
     pub(crate) fn record_lost_value(&mut self, lost: f64) {
         self.mean_lost_value += RUN_TIME_GAIN * (lost - self.mean_lost_value);
     }
-
-    /// Makes a request wait for a worker's load report.
-    pub(crate) fn add_waiting(&mut self, worker: WorkerId, request: RequestId) {
-        self.waiting.entry(worker).or_default().insert(request);
-    }
-
-    /// Ends the wait for a worker's load report; returns the requests that waited.
-    pub(crate) fn take_waiting(&mut self, worker: &WorkerId) -> BTreeSet<RequestId> {
-        self.waiting.remove(worker).unwrap_or_default()
-    }
-
-    /// Forgets the workers for which only requests wait that have ended.
-    pub(crate) fn forget_ended(&mut self, is_pending: impl Fn(&RequestId) -> bool) {
-        self.waiting
-            .retain(|_, requests| requests.iter().any(&is_pending));
-    }
 }
 
 /// The load polls of one request.
--- a/crates/pipithub-policy/src/pending_request.rs
+++ b/crates/pipithub-policy/src/pending_request.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Outcome, Request, Time, WorkerId};
 use crate::load_polls::RequestPolls;
+use crate::service_lease::RequestChecks;
 
 /// A request that has no final answer yet.
 #[derive(Debug, Default)]
@@ -13,6 +14,7 @@
     pub(crate) deadline: Time,
     pub(crate) attempts: RequestAttempts,
     pub(crate) polls: RequestPolls,
+    pub(crate) checks: RequestChecks,
     /// Its answer is being streamed.
     pub(crate) streaming: bool,
     /// It waits, unsent, for the reply to a load command.
--- /dev/null
+++ b/crates/pipithub-policy/src/service_lease.rs
@@ -0,0 +1,237 @@
+//! A front end's own lease on a worker's being in service, by health checks.
+//!
+//! It counts only while the lease of the endpoint list has ended. A check that the worker answered well
+//! proves that the worker was in service at some time after the check was *sent*, so the lease counts
+//! from then, for as long as work may be sent after the notification of a drain. Answers to calls prove
+//! nothing: a worker that drains goes on to serve for a while. `docs/design.md`, "Leases on workers
+//! while discovery is out of reach", tells why.
+
+use crate::api::{HealthCheckOutcome, Time, WorkerId};
+use crate::time::MILLISECOND;
+
+/// How long a request waits for a health check.
+pub(crate) const CHECK_TIMEOUT: Time = 50 * MILLISECOND;
+/// How often a request may wait for one.
+const MAX_CHECKS_PER_REQUEST: u32 = 4;
+/// The backoff after a check that failed; it doubles with each further one.
+const BASE_BACKOFF: Time = 200 * MILLISECOND;
+const MAX_BACKOFF_DOUBLINGS: u32 = 3;
+/// After this many failed checks no request waits for the next one as long as another worker takes
+/// it.
+const MAX_AWAITED_FAILURES: u32 = 1;
+/// Work that was decided within a lease arrives a little later. This is left of the grace for that,
+/// at most a quarter of it.
+const MAX_MARGIN: Time = 150 * MILLISECOND;
+/// The grace after the notification of a drain where the settings do not tell.
+const DEFAULT_DRAIN_GRACE: Time = 1_000 * MILLISECOND;
+
+/// How long work may be sent to a worker after it was last known to be in service.
+pub(crate) fn lease_time(drain_grace: Option<Time>) -> Time {
+    let grace = drain_grace.unwrap_or(DEFAULT_DRAIN_GRACE);
+    grace - MAX_MARGIN.min(grace / 4)
+}
+
+/// What is known of a worker whose lease by the endpoint list has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ServiceStatus {
+    /// A check vouches for it.
+    InService,
+    /// A request may wait for a check.
+    Unknown,
+    /// Checks have failed and another one is due: it is sent, but no request waits for it if
+    /// another worker takes the request.
+    Suspect,
+    /// Checks have failed, and the next one is not due yet.
+    OutOfService,
+}
+
+/// A health check without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Check {
+    sent_at: Time,
+    /// It counts as failed, as no answer came within [`CHECK_TIMEOUT`].
+    is_overdue: bool,
+}
+
+/// The lease on one worker, and the checks that renew it.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceLease {
+    end: Time,
+    /// When the check was sent that told the most recent state.
+    evidence_at: Time,
+    check: Option<Check>,
+    /// Failed checks since the last one that was answered well.
+    failures: u32,
+    /// No check is sent before.
+    next_check_at: Time,
+    /// When a connection to it last failed or was closed by it; 0 if none was.
+    connection_lost_at: Time,
+    /// When the endpoint list told that it drains or has left.
+    closed_at: Time,
+}
+
+impl ServiceLease {
+    /// When the lease by checks ends.
+    pub(crate) fn end(&self) -> Time {
+        self.end
+    }
+
+    /// When the endpoint list told that the worker drains or has left; 0 if it is ready.
+    pub(crate) fn closed_at(&self) -> Time {
+        self.closed_at
+    }
+
+    /// Takes over what the endpoint list tells of the worker: that counts from now on, whatever
+    /// checks have told.
+    pub(crate) fn record_listed(&mut self, is_ready: bool, now: Time) {
+        if is_ready {
+            *self = ServiceLease {
+                connection_lost_at: self.connection_lost_at,
+                ..ServiceLease::default()
+            };
+        } else if self.closed_at == 0 {
+            self.closed_at = now;
+        }
+    }
+
+    /// What is known of the worker by checks.
+    pub(crate) fn status(&self, now: Time) -> ServiceStatus {
+        let is_awaited = self.check.is_some_and(|check| !check.is_overdue);
+        if now < self.end {
+            ServiceStatus::InService
+        } else if is_awaited && self.failures <= MAX_AWAITED_FAILURES {
+            ServiceStatus::Unknown
+        } else if is_awaited || now < self.next_check_at {
+            ServiceStatus::OutOfService
+        } else if self.failures <= MAX_AWAITED_FAILURES {
+            ServiceStatus::Unknown
+        } else {
+            ServiceStatus::Suspect
+        }
+    }
+
+    /// Records that a check is sent, unless one is awaited already; returns whether it is to be
+    /// sent.
+    pub(crate) fn begin_check(&mut self, now: Time) -> bool {
+        if self.check.is_some_and(|check| !check.is_overdue) {
+            return false;
+        }
+        self.check = Some(Check {
+            sent_at: now,
+            is_overdue: false,
+        });
+        true
+    }
+
+    /// Counts a check as failed that was not answered in time. One lost check alone does not take a
+    /// worker out of service: the next one may follow at once.
+    pub(crate) fn expire_check(&mut self, now: Time) {
+        let Some(check) = &mut self.check else {
+            return;
+        };
+        if !check.is_overdue && now >= check.sent_at + CHECK_TIMEOUT {
+            check.is_overdue = true;
+            self.record_failure(now, self.failures);
+        }
+    }
+
+    /// Records the end of the check that was sent at this time.
+    pub(crate) fn finish_check(
+        &mut self,
+        sent_at: Time,
+        outcome: HealthCheckOutcome,
+        lease: Time,
+        now: Time,
+    ) {
+        let finished = self.check.filter(|check| check.sent_at == sent_at);
+        if finished.is_some() {
+            self.check = None;
+        }
+        let was_counted = finished.is_none_or(|check| check.is_overdue);
+        match outcome {
+            HealthCheckOutcome::Healthy => self.renew(sent_at, lease),
+            HealthCheckOutcome::Unhealthy => self.refuse(sent_at, now),
+            HealthCheckOutcome::Unanswered | HealthCheckOutcome::Disconnected if was_counted => {}
+            HealthCheckOutcome::Unanswered | HealthCheckOutcome::Disconnected => {
+                self.record_failure(now, self.failures);
+            }
+        }
+    }
+
+    fn renew(&mut self, sent_at: Time, lease: Time) {
+        if sent_at >= self.evidence_at {
+            self.evidence_at = sent_at;
+            self.end = sent_at + lease;
+            self.failures = 0;
+            self.next_check_at = 0;
+        }
+    }
+
+    /// The worker has told that it is not in service: its lease ends now, whatever was known
+    /// before.
+    fn refuse(&mut self, sent_at: Time, now: Time) {
+        if sent_at >= self.evidence_at {
+            self.evidence_at = sent_at;
+            self.end = 0;
+            self.record_failure(now, self.failures + 1);
+        }
+    }
+
+    fn record_failure(&mut self, now: Time, backoff_steps: u32) {
+        self.failures += 1;
+        self.next_check_at = match backoff_steps.checked_sub(1) {
+            None => now,
+            Some(doublings) => now + (BASE_BACKOFF << doublings.min(MAX_BACKOFF_DOUBLINGS)),
+        };
+    }
+
+    /// Records that a connection to the worker has failed or was closed by it.
+    pub(crate) fn record_connection_lost(&mut self, now: Time) {
+        self.connection_lost_at = now;
+    }
+
+    /// Whether a worker that has just answered may have been restarted since this time: a
+    /// connection to it was lost, and the one on which it answered is younger. The end of a process
+    /// ends all of its connections. It is asked once for each loss.
+    pub(crate) fn take_restart(&mut self, since: Time, connected_at: Time) -> bool {
+        let lost_at = std::mem::take(&mut self.connection_lost_at);
+        lost_at > since && connected_at >= lost_at
+    }
+}
+
+/// The health checks that one request has waited for.
+#[derive(Debug, Default)]
+pub(crate) struct RequestChecks {
+    /// The worker whose check it waits for.
+    worker: Option<WorkerId>,
+    /// How often it has waited for one.
+    count: u32,
+}
+
+impl RequestChecks {
+    /// Whether the request waits for a check.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.worker.is_some()
+    }
+
+    /// The worker whose check the request waits for; `None` if it waits for none.
+    pub(crate) fn worker(&self) -> Option<&WorkerId> {
+        self.worker.as_ref()
+    }
+
+    /// Whether it may wait for a further one.
+    pub(crate) fn may_wait(&self) -> bool {
+        self.count < MAX_CHECKS_PER_REQUEST
+    }
+
+    /// Begins to wait.
+    pub(crate) fn begin(&mut self, worker: WorkerId) {
+        self.worker = Some(worker);
+        self.count += 1;
+    }
+
+    /// Ends the wait.
+    pub(crate) fn end(&mut self) {
+        self.worker = None;
+    }
+}
--- a/crates/pipithub-policy/src/timer.rs
+++ b/crates/pipithub-policy/src/timer.rs
@@ -7,6 +7,9 @@
 /// The flag of the timers of load polls; the bits below hold the request.
 const POLL_TIMEOUT: u64 = 1 << 61;
 
+/// The flags of the timers of health checks; the bits below hold the request.
+const CHECK_TIMEOUT: u64 = MAINTENANCE | POLL_TIMEOUT;
+
 /// What a timer was set for.
 ///
 /// Numbers of requests are below 2^61, so that the bits above can tell the timers apart.
@@ -16,6 +19,8 @@
     Maintenance,
     /// The end of a request's wait for a load report.
     PollTimeout(RequestId),
+    /// The end of a request's wait for a health check.
+    CheckTimeout(RequestId),
     /// The end of the time in which a request must get its final answer.
     RequestTimeout(RequestId),
 }
@@ -25,6 +30,7 @@
         match token {
             TimerToken::Maintenance => MAINTENANCE,
             TimerToken::PollTimeout(request) => request.0 | POLL_TIMEOUT,
+            TimerToken::CheckTimeout(request) => request.0 | CHECK_TIMEOUT,
             TimerToken::RequestTimeout(request) => request.0,
         }
     }
@@ -34,6 +40,8 @@
     fn from(token: u64) -> TimerToken {
         if token == MAINTENANCE {
             TimerToken::Maintenance
+        } else if token & CHECK_TIMEOUT == CHECK_TIMEOUT {
+            TimerToken::CheckTimeout(RequestId(token & !CHECK_TIMEOUT))
         } else if token & POLL_TIMEOUT > 0 {
             TimerToken::PollTimeout(RequestId(token & !POLL_TIMEOUT))
         } else {
--- /dev/null
+++ b/crates/pipithub-policy/src/waiting_requests.rs
@@ -0,0 +1,27 @@
+//! Requests that wait for an answer of a worker before they are routed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::api::{RequestId, WorkerId};
+
+/// The requests that wait, by the worker that they wait for; some may have ended since.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingRequests(BTreeMap<WorkerId, BTreeSet<RequestId>>);
+
+impl WaitingRequests {
+    /// Makes a request wait for a worker.
+    pub(crate) fn add(&mut self, worker: WorkerId, request: RequestId) {
+        self.0.entry(worker).or_default().insert(request);
+    }
+
+    /// Ends the wait for a worker; returns the requests that waited.
+    pub(crate) fn take(&mut self, worker: &WorkerId) -> BTreeSet<RequestId> {
+        self.0.remove(worker).unwrap_or_default()
+    }
+
+    /// Forgets the workers for which only requests wait that have ended.
+    pub(crate) fn forget_ended(&mut self, is_pending: impl Fn(&RequestId) -> bool) {
+        self.0
+            .retain(|_, requests| requests.iter().any(&is_pending));
+    }
+}
--- a/crates/pipithub-policy/src/worker.rs
+++ b/crates/pipithub-policy/src/worker.rs
@@ -8,6 +8,7 @@
 use crate::outlier::{OutlierDetection, RecalledAttempt};
 use crate::replicas::ReplicaTable;
 use crate::responses::Responses;
+use crate::service_lease::ServiceLease;
 use crate::slow_start::RecentForwards;
 use crate::slowdown::Slowdown;
 use crate::worker_table::IndexedState;
@@ -28,6 +29,7 @@
     pub(crate) outliers: OutlierDetection,
     pub(crate) load_report: ReportedLoad,
     pub(crate) recent_forwards: RecentForwards,
+    pub(crate) service: ServiceLease,
 }
 
 impl WorkerState {
@@ -45,6 +47,7 @@
             outliers: OutlierDetection::new(classes),
             load_report: ReportedLoad::default(),
             recent_forwards: RecentForwards::default(),
+            service: ServiceLease::default(),
         }
     }
 
@@ -75,16 +78,25 @@
 
     /// Takes over a new entry of the endpoint list. A worker that has restarted is as good as a new
     /// one, whatever was learnt of the process before.
-    pub(crate) fn update_endpoint(&mut self, endpoint: Endpoint) {
+    pub(crate) fn update_endpoint(&mut self, endpoint: Endpoint, now: Time) {
         if self.endpoint.started_at != endpoint.started_at {
             self.forget_former_process();
         }
         self.endpoint = endpoint;
+        self.service.record_listed(self.is_ready(), now);
+    }
+
+    /// Takes the worker for one that has just started, as it may have been restarted while the
+    /// endpoint list could not tell.
+    pub(crate) fn presume_restart(&mut self, now: Time) {
+        self.endpoint.started_at = Some(now);
+        self.forget_former_process();
     }
 
     /// Records that the endpoint list does not name it any more.
-    pub(crate) fn mark_removed(&mut self) {
+    pub(crate) fn mark_removed(&mut self, now: Time) {
         self.endpoint.state = EndpointState::Removed;
+        self.service.record_listed(false, now);
     }
 
     /// A process that has restarted holds no replica and has no history.
--- a/crates/pipithub-policy/src/worker_table.rs
+++ b/crates/pipithub-policy/src/worker_table.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// A worker; `None` where it is not known.
+    pub(crate) fn get(&self, worker: &WorkerId) -> Option<&WorkerState> {
+        looked(1);
+        self.workers.get(worker)
+    }
+
     /// A worker to be changed.
     pub(crate) fn get_mut(&mut self, worker: &WorkerId) -> Option<WorkerGuard<'_>> {
         looked(1);
--- a/crates/pipithub-policy/src/worker_table/tests.rs
+++ b/crates/pipithub-policy/src/worker_table/tests.rs
@@ -94,12 +94,13 @@
 
     /// The worker is listed with a later start time.
     fn restart(&mut self, worker: u8) {
+        let now = self.now;
         self.change(worker, |worker, naive| {
             let restarted = Endpoint {
                 started_at: Some(worker.endpoint().started_at.map_or(0, |time| time + 1)),
                 ..worker.endpoint().clone()
             };
-            worker.update_endpoint(restarted.clone());
+            worker.update_endpoint(restarted.clone(), now);
             naive.update_endpoint(restarted);
         });
     }
@@ -123,7 +124,7 @@
         let is_new = !self.model.contains_key(&endpoint.worker);
         self.table
             .get_or_add(&endpoint, CLASSES)
-            .update_endpoint(endpoint.clone());
+            .update_endpoint(endpoint.clone(), self.now);
         let naive = self.model.entry(name(worker)).or_default();
         if is_new {
             naive.endpoint = endpoint;
@@ -133,10 +134,11 @@
     }
 
     fn lose_all_but(&mut self, but: u8) {
+        let now = self.now;
         let lost = |w: &WorkerId| *w != name(but);
         self.table.change_where(
             |worker| lost(&worker.endpoint().worker),
-            WorkerState::mark_removed,
+            |worker| worker.mark_removed(now),
         );
         self.model
             .iter_mut()
--- a/crates/pipithub-policy/tests/common/mod.rs
+++ b/crates/pipithub-policy/tests/common/mod.rs
@@ -35,6 +35,7 @@
             max_attempts: 4,
             cancel: true,
             load_polls: false,
+            health_checks: true,
             retry_after: true,
             max_retry_after: 500 * MS,
         },
--- a/crates/pipithub-policy/tests/limits.rs
+++ b/crates/pipithub-policy/tests/limits.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// Plain data, the interface, counters, sums and tests: these files decide nothing.
-const WITHOUT_DECISIONS: [&str; 15] = [
+const WITHOUT_DECISIONS: [&str; 16] = [
     "api.rs",
     "api/settings.rs",
     "hashing.rs",
@@ -15,6 +15,7 @@
     "statistics/tests.rs",
     "time.rs",
     "timer.rs",
+    "waiting_requests.rs",
     "work.rs",
     "worker_table.rs",
     "worker_table/index.rs",
--- a/crates/pipithub-policy/tests/reference/front_end.rs
+++ b/crates/pipithub-policy/tests/reference/front_end.rs
@@ -86,7 +86,11 @@
                 report,
             } => self.record_load_report(&worker, answered.then_some(report), actions),
             Event::Timer { token } => self.expire_timer(token, actions),
-            Event::Peer { .. } => {}
+            // No scenario reports a contact with the source of the endpoint list.
+            Event::EndpointListContact(_)
+            | Event::HealthChecked(_)
+            | Event::WorkerDisconnected { .. }
+            | Event::Peer { .. } => {}
         }
     }
 
--- a/crates/pipithub-policy/tests/simulated_fleet/mod.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/mod.rs
@@ -157,6 +157,7 @@
             } => self.load_function(worker, *function, *replicas),
             Action::EvictFunction { worker, function } => self.evict_function(worker, *function),
             Action::PollLoad { worker } => self.poll_load(worker),
+            Action::CheckHealth { .. } => self.count("health check"),
             Action::SetTimer { after, token } => {
                 let mut random = self.draws(Purpose::Timer, *token, self.now);
                 let delay = random.random_range(0..4) * MS / 2;
--- a/crates/pipithub-policy/tests/simulated_fleet/random_scenario.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/random_scenario.rs
@@ -202,6 +202,7 @@
                 load_poll: self.pick(&[0.0, 0.001, 0.01, 1.0]),
             },
             zone: self.pick(&["", "z0", "z1", "elsewhere"]).to_string(),
+            drain_grace: None,
             watch_on_request: self.chance(0.5),
         }
     }
@@ -235,6 +236,7 @@
             max_attempts: self.random.random_range(1..6),
             cancel: self.focus == Focus::SilentZone || self.chance(0.6),
             load_polls: self.chance(0.6),
+            health_checks: true,
             retry_after: self.chance(0.5),
             max_retry_after: self.pick(&[0, 500 * MS]),
         }
--- a/crates/pipithub-policy/tests/simulated_fleet/scenario.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/scenario.rs
@@ -234,6 +234,7 @@
             max_attempts: 3,
             cancel: true,
             load_polls: true,
+            health_checks: true,
             retry_after: true,
             max_retry_after: 500 * MS,
         },
--- a/crates/pipithub-settings/src/policy.rs
+++ b/crates/pipithub-settings/src/policy.rs
@@ -120,10 +120,12 @@
 fn read_limits(root: &Reader<'_>) -> Limits {
     let node = root.child_or_missing("limits");
     let max_retry_after = node.optional_duration("retry-after", MS..=HOUR);
+    let probes = node.flag("probes", true);
     let limits = Limits {
         max_attempts: node.integer("attempts", 4, 1..=16) as u32,
         cancel: node.flag("cancel", true),
-        load_polls: node.flag("probes", true),
+        load_polls: probes,
+        health_checks: probes,
         retry_after: max_retry_after.is_some(),
         max_retry_after: max_retry_after.unwrap_or(0),
     };
