--- a/crates/pipithub-policy/src/service_lease.rs
+++ b/crates/pipithub-policy/src/service_lease.rs
@@ -143,7 +143,9 @@
         lease: Time,
         now: Time,
     ) {
-        let finished = self.check.filter(|check| check.sent_at == sent_at);
+        // A former check was sent at least its timeout before; its sender's clock may be read a little apart.
+        let is_awaited = |check: &Check| check.sent_at < sent_at + CHECK_TIMEOUT / 2;
+        let finished = self.check.filter(is_awaited);
         if finished.is_some() {
             self.check = None;
         }
--- /dev/null
+++ b/crates/pipithub-policy/tests/service_leases.rs
@@ -0,0 +1,350 @@
+//! Leases: how long the endpoint list and health checks vouch for a worker, and what happens to
+//! requests once neither does.
+
+mod common;
+
+use common::{FrontEndHarness, MS, endpoint, forwarded_to, is_rejected, settings};
+use pipithub_policy::api::{
+    Action, Endpoint, EndpointListContact, EndpointState, Event, HealthCheckOutcome, HealthChecked,
+    Idempotency, Outcome, Settings, Time, WorkerId,
+};
+
+const GRACE: Time = 1_000 * MS;
+/// The grace less its margin.
+const LEASE: Time = 850 * MS;
+/// From the last sign of life of the list's source on.
+const LIST_LEASE: Time = 2_000 * MS + LEASE;
+const WORKERS: [&str; 4] = ["w1", "w2", "w3", "w4"];
+const FUNCTION: u64 = 7;
+
+fn lease_settings() -> Settings {
+    Settings {
+        drain_grace: Some(GRACE),
+        ..settings(Idempotency::Idempotent)
+    }
+}
+
+/// A front end whose list was confirmed just now, with a function that is loaded at its preferred
+/// worker.
+fn confirmed_front_end() -> (FrontEndHarness, WorkerId) {
+    let mut front_end = FrontEndHarness::new(lease_settings(), &WORKERS);
+    contact(&mut front_end, EndpointListContact::Sought);
+    let preferred = front_end.warm_up(FUNCTION);
+    contact(&mut front_end, EndpointListContact::Current);
+    (front_end, preferred)
+}
+
+/// The same, once the lease of the list has ended.
+fn front_end_in_outage() -> (FrontEndHarness, WorkerId) {
+    let (mut front_end, preferred) = confirmed_front_end();
+    front_end.advance(LIST_LEASE);
+    (front_end, preferred)
+}
+
+fn contact(front_end: &mut FrontEndHarness, contact: EndpointListContact) {
+    front_end.handle(Event::EndpointListContact(contact));
+}
+
+fn checked_worker(actions: &[Action]) -> Option<WorkerId> {
+    actions.iter().find_map(|action| match action {
+        Action::CheckHealth { worker } => Some(worker.clone()),
+        _ => None,
+    })
+}
+
+/// Ends a health check that was sent `elapsed` ago.
+fn finish_check(
+    front_end: &mut FrontEndHarness,
+    worker: &WorkerId,
+    outcome: HealthCheckOutcome,
+    elapsed: Time,
+) -> Vec<Action> {
+    finish_check_on(front_end, worker, outcome, elapsed, 0)
+}
+
+/// The same, answered on a connection that was established at this time.
+fn finish_check_on(
+    front_end: &mut FrontEndHarness,
+    worker: &WorkerId,
+    outcome: HealthCheckOutcome,
+    elapsed: Time,
+    connected_at: Time,
+) -> Vec<Action> {
+    front_end.handle(Event::HealthChecked(HealthChecked {
+        worker: worker.clone(),
+        outcome,
+        elapsed,
+        connected_at,
+    }))
+}
+
+/// Has a request arrive and answers every check that it waits for in this way; returns where it was
+/// served.
+fn route_with_checks(
+    front_end: &mut FrontEndHarness,
+    mut outcome: impl FnMut(&WorkerId) -> HealthCheckOutcome,
+) -> Option<WorkerId> {
+    let (id, mut actions) = front_end.request(FUNCTION);
+    let mut taken_by = forwarded_to(&actions);
+    // A check may be sent beside a forward: then nothing waits for it.
+    while let Some(worker) = checked_worker(&actions) {
+        let outcome = outcome(&worker);
+        actions = finish_check(front_end, &worker, outcome, MS);
+        taken_by = taken_by.or(forwarded_to(&actions));
+    }
+    let worker = taken_by?;
+    front_end.finish_attempt(id, 0, &worker, Outcome::Served);
+    Some(worker)
+}
+
+fn listed(address: &str, state: EndpointState) -> Endpoint {
+    Endpoint {
+        state,
+        ..endpoint(address)
+    }
+}
+
+#[test]
+fn nothing_is_checked_while_the_list_is_confirmed() {
+    let (mut front_end, preferred) = confirmed_front_end();
+    for _ in 0..100 {
+        front_end.advance(1_000 * MS);
+        contact(&mut front_end, EndpointListContact::Current);
+        let (id, actions) = front_end.request(FUNCTION);
+        assert_eq!(forwarded_to(&actions), Some(preferred.clone()));
+        front_end.finish_attempt(id, 0, &preferred, Outcome::Served);
+    }
+    let is_check = |action: &Action| matches!(action, Action::CheckHealth { .. });
+    assert!(
+        !front_end
+            .actions_taken
+            .iter()
+            .any(|taken| is_check(&taken.action))
+    );
+}
+
+#[test]
+fn the_lists_lease_ends_with_the_notified_time_and_the_grace() {
+    let (mut front_end, preferred) = confirmed_front_end();
+    assert_eq!(
+        front_end.module.lease_end(&preferred),
+        front_end.now + LIST_LEASE
+    );
+    front_end.advance(LIST_LEASE - MS);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert_eq!(forwarded_to(&actions), Some(preferred.clone()));
+    front_end.advance(MS);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert_eq!(forwarded_to(&actions), None);
+    assert_eq!(checked_worker(&actions), Some(preferred.clone()));
+    let actions = finish_check(&mut front_end, &preferred, HealthCheckOutcome::Healthy, 0);
+    assert_eq!(forwarded_to(&actions), Some(preferred));
+}
+
+#[test]
+fn a_check_vouches_from_when_it_was_sent_and_a_served_call_not_at_all() {
+    let (mut front_end, preferred) = front_end_in_outage();
+    let (id, _) = front_end.request(FUNCTION);
+    let sent_at = front_end.now;
+    front_end.advance(40 * MS);
+    finish_check(
+        &mut front_end,
+        &preferred,
+        HealthCheckOutcome::Healthy,
+        40 * MS,
+    );
+    assert_eq!(front_end.module.lease_end(&preferred), sent_at + LEASE);
+    front_end.advance(LEASE - 50 * MS);
+    front_end.finish_attempt(id, 0, &preferred, Outcome::Served);
+    assert_eq!(front_end.module.lease_end(&preferred), sent_at + LEASE);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert_eq!(
+        forwarded_to(&actions),
+        Some(preferred.clone()),
+        "within the lease"
+    );
+    front_end.advance(10 * MS);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert_eq!(forwarded_to(&actions), None);
+    assert_eq!(checked_worker(&actions), Some(preferred));
+}
+
+#[test]
+fn requests_that_wait_for_one_worker_share_its_check() {
+    let (mut front_end, preferred) = front_end_in_outage();
+    let (_, first) = front_end.request(FUNCTION);
+    let (_, second) = front_end.request(FUNCTION);
+    assert_eq!(checked_worker(&first), Some(preferred.clone()));
+    assert_eq!(checked_worker(&second), None);
+    let actions = finish_check(&mut front_end, &preferred, HealthCheckOutcome::Healthy, 0);
+    let is_forward = |action: &&Action| matches!(action, Action::Forward { .. });
+    assert_eq!(actions.iter().filter(is_forward).count(), 2);
+}
+
+#[test]
+fn a_worker_that_says_that_it_is_not_in_service_gets_nothing_until_it_says_otherwise() {
+    let (mut front_end, preferred) = front_end_in_outage();
+    let mut checks = 0;
+    for _ in 0..40 {
+        let taken_by = route_with_checks(&mut front_end, |worker| {
+            checks += usize::from(*worker == preferred);
+            if *worker == preferred {
+                HealthCheckOutcome::Unhealthy
+            } else {
+                HealthCheckOutcome::Healthy
+            }
+        });
+        assert!(taken_by.is_some_and(|worker| worker != preferred));
+        front_end.advance(100 * MS);
+    }
+    assert!(
+        (4..=8).contains(&checks),
+        "in 4 s, with a backoff: {checks}"
+    );
+    front_end.advance(1_600 * MS);
+    let taken_by =
+        (0..2).map(|_| route_with_checks(&mut front_end, |_| HealthCheckOutcome::Healthy));
+    assert_eq!(
+        taken_by.last().flatten(),
+        Some(preferred),
+        "in service again"
+    );
+}
+
+#[test]
+fn a_request_does_not_wait_for_a_check_that_is_not_answered() {
+    let (mut front_end, preferred) = front_end_in_outage();
+    front_end.request(FUNCTION);
+    let actions = front_end.advance(50 * MS);
+    let next = checked_worker(&actions).expect("one lost check may be repeated at once");
+    assert_eq!(next, preferred);
+    let actions = front_end.advance(50 * MS);
+    let next = checked_worker(&actions).expect("another worker is checked");
+    assert_ne!(next, preferred);
+    let actions = finish_check(&mut front_end, &next, HealthCheckOutcome::Healthy, MS);
+    assert_eq!(forwarded_to(&actions), Some(next));
+    // The late answer still counts from when its check was sent.
+    finish_check(
+        &mut front_end,
+        &preferred,
+        HealthCheckOutcome::Healthy,
+        100 * MS,
+    );
+    assert_eq!(
+        front_end.module.lease_end(&preferred),
+        front_end.now - 100 * MS + LEASE
+    );
+}
+
+#[test]
+fn a_tier_does_not_vanish_by_one_lost_check_of_each_worker() {
+    let (mut front_end, _) = front_end_in_outage();
+    let mut lost = Vec::new();
+    let taken_by = route_with_checks(&mut front_end, |worker| {
+        if lost.contains(worker) {
+            return HealthCheckOutcome::Healthy;
+        }
+        lost.push(worker.clone());
+        HealthCheckOutcome::Unanswered
+    });
+    assert!(taken_by.is_some());
+}
+
+#[test]
+fn a_request_is_rejected_where_no_worker_is_in_service() {
+    let (mut front_end, _) = front_end_in_outage();
+    let (_, mut actions) = front_end.request(FUNCTION);
+    let mut checks = 0;
+    while let Some(worker) = checked_worker(&actions) {
+        checks += 1;
+        actions = finish_check(&mut front_end, &worker, HealthCheckOutcome::Unhealthy, MS);
+    }
+    assert!(is_rejected(&actions));
+    assert_eq!(checks, 4, "bounded, and no worker twice");
+}
+
+#[test]
+fn the_list_rules_again_once_it_is_back() {
+    let (mut front_end, preferred) = front_end_in_outage();
+    let (_, actions) = front_end.request(FUNCTION);
+    assert_eq!(checked_worker(&actions), Some(preferred.clone()));
+    // A check is under way when the list comes back and says otherwise.
+    front_end.update_endpoints(vec![listed(&preferred.0, EndpointState::Draining)]);
+    contact(&mut front_end, EndpointListContact::Current);
+    assert_eq!(
+        front_end.module.lease_end(&preferred),
+        front_end.now + LEASE,
+        "what was decided before may still be written for the grace"
+    );
+    let actions = finish_check(&mut front_end, &preferred, HealthCheckOutcome::Healthy, MS);
+    assert!(forwarded_to(&actions).is_some_and(|worker| worker != preferred));
+}
+
+#[test]
+fn the_head_of_a_response_counts_once_and_for_less_than_a_sign_of_life() {
+    let mut front_end = FrontEndHarness::new(lease_settings(), &WORKERS);
+    let worker = WorkerId::new("w1");
+    contact(&mut front_end, EndpointListContact::Sought);
+    assert_eq!(front_end.module.lease_end(&worker), front_end.now + LEASE);
+    contact(&mut front_end, EndpointListContact::Answered);
+    assert_eq!(
+        front_end.module.lease_end(&worker),
+        front_end.now + 1_200 * MS
+    );
+    contact(&mut front_end, EndpointListContact::Current);
+    let end = front_end.now + LIST_LEASE;
+    front_end.advance(500 * MS);
+    contact(&mut front_end, EndpointListContact::Answered);
+    assert_eq!(front_end.module.lease_end(&worker), end);
+}
+
+#[test]
+fn a_worker_that_came_back_unseen_has_slow_start() {
+    for (connected_after_loss, is_limited) in [(true, true), (false, false)] {
+        let (mut front_end, preferred) = front_end_in_outage();
+        let connected_before = front_end.now - 10_000 * MS;
+        front_end.handle(Event::WorkerDisconnected {
+            worker: preferred.clone(),
+        });
+        front_end.advance(100 * MS);
+        let connected_at = if connected_after_loss {
+            front_end.now
+        } else {
+            connected_before
+        };
+        front_end.request(FUNCTION);
+        finish_check_on(
+            &mut front_end,
+            &preferred,
+            HealthCheckOutcome::Healthy,
+            0,
+            connected_at,
+        );
+        let forwards = |front_end: &FrontEndHarness| {
+            let is_there = |action: &Action| matches!(action, Action::Forward { worker, .. } if *worker == preferred);
+            front_end
+                .actions_taken
+                .iter()
+                .filter(|taken| is_there(&taken.action))
+                .count()
+        };
+        let before = forwards(&front_end);
+        for _ in 0..30 {
+            front_end.request(FUNCTION);
+        }
+        let sent = forwards(&front_end) - before;
+        assert_eq!(sent < 5, is_limited, "{sent} of 30 at once");
+    }
+}
+
+#[test]
+fn without_health_checks_the_last_list_stays_in_use() {
+    let mut settings = lease_settings();
+    settings.limits.health_checks = false;
+    let mut front_end = FrontEndHarness::new(settings, &WORKERS);
+    contact(&mut front_end, EndpointListContact::Sought);
+    front_end.advance(60_000 * MS);
+    let (_, actions) = front_end.request(FUNCTION);
+    let worker = forwarded_to(&actions).expect("forwarded");
+    assert_eq!(front_end.module.lease_end(&worker), Time::MAX);
+}
--- a/crates/pipithub-scenario/src/outage.rs
+++ b/crates/pipithub-scenario/src/outage.rs
@@ -1,12 +1,13 @@
 //! Outages of discovery beside drains, restarts and faulty workers, with real `pipithub node` processes on loopback.
 //!
-//! A [`Plan`] states the processes, the load and each step with its time. [`run()`] plays
+//! A [`Plan`] states the processes, the load and each step with its time; [`Plan::draw`] draws one from a seed. [`run()`] plays
 //! the coordinator, the workers and the clients, carries out the steps, and records what each of them saw. [`check()`] judges
 //! these records alone, by the rules of request handling and the platform's clocks.
 
 mod checks;
 mod client;
 mod discovery;
+mod draw;
 mod history;
 mod node;
 mod plan;
@@ -15,8 +16,8 @@
 
 pub use checks::{Breach, Rule, Verdict, check};
 pub use history::{
-    AnswerKind, CallRecord, ClientEnd, History, Instant, ListChange, ReceivedWork, WorkKind,
-    WorkerStart,
+    AnswerKind, CallRecord, ClientEnd, Execution, History, Instant, ListChange, NodeEvent,
+    NodeRecord, OutageRecord, ReceivedWork, WorkKind, WorkerStart,
 };
 pub use plan::{ListState, OutageKind, Plan, Rates, Settings, Step, TimedStep};
 pub use run::run;
--- a/crates/pipithub-scenario/src/outage/checks.rs
+++ b/crates/pipithub-scenario/src/outage/checks.rs
@@ -166,7 +166,7 @@
     let mut closed: BTreeMap<(usize, usize), Vec<ClosedTime>> = BTreeMap::new();
     for work in &history.work {
         let rule = match work.kind {
-            WorkKind::Call { .. } => Rule::DrainedCall,
+            WorkKind::Call => Rule::DrainedCall,
             WorkKind::LoadCommand => Rule::DrainedLoadCommand,
             WorkKind::HealthCheck => continue,
         };
@@ -190,20 +190,15 @@
 
 fn check_effects(history: &History, breaches: &mut Vec<Breach>) {
     let mut ran: BTreeSet<&str> = BTreeSet::new();
-    for work in &history.work {
-        let WorkKind::Call {
-            call,
-            unsafe_to_repeat: true,
-            accepted: true,
-        } = &work.kind
-        else {
-            continue;
-        };
-        if !ran.insert(call) {
+    for execution in history.executions.iter().filter(|e| e.unsafe_to_repeat) {
+        if !ran.insert(&execution.call) {
             breaches.push(Breach {
                 rule: Rule::EffectOnce,
-                at: work.at,
-                what: format!("call {call} ran twice, now at worker {}", work.worker),
+                at: execution.at,
+                what: format!(
+                    "call {} ran twice, now at worker {}",
+                    execution.call, execution.worker
+                ),
             });
         }
     }
@@ -279,7 +274,7 @@
     let calls: Vec<_> = history
         .work
         .iter()
-        .filter(|work| matches!(work.kind, WorkKind::Call { .. }))
+        .filter(|work| work.kind == WorkKind::Call)
         .collect();
     let window = OVERLOAD_WINDOW.as_secs_f64();
     let windows = (plan.duration.as_secs_f64() / window).max(1.0);
--- a/crates/pipithub-scenario/src/outage/history.rs
+++ b/crates/pipithub-scenario/src/outage/history.rs
@@ -35,15 +35,8 @@
 /// What a worker was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkKind {
-    /// A call, by its name and class; `ran` if the worker has begun to run it.
-    Call {
-        /// The name of the call.
-        call: String,
-        /// Whether it must not run twice.
-        unsafe_to_repeat: bool,
-        /// Whether the worker accepted it: it has run or will.
-        accepted: bool,
-    },
+    /// A call.
+    Call,
     /// A command to load replicas of a function.
     LoadCommand,
     /// A health check or a load poll.
@@ -63,6 +56,19 @@
     pub kind: WorkKind,
 }
 
+/// A call that a worker has begun to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Execution {
+    /// When.
+    pub at: Instant,
+    /// The worker.
+    pub worker: usize,
+    /// The name of the call.
+    pub call: String,
+    /// Whether it must not run twice.
+    pub unsafe_to_repeat: bool,
+}
+
 /// The start of a worker process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerStart {
@@ -150,6 +156,8 @@
     pub outages: Vec<OutageRecord>,
     /// Work that arrived at workers, by time for each worker.
     pub work: Vec<ReceivedWork>,
+    /// Calls that workers ran, by time for each worker.
+    pub executions: Vec<Execution>,
     /// Starts of worker processes after the first.
     pub worker_starts: Vec<WorkerStart>,
     /// Starts and ends of front ends.
--- a/crates/pipithub-scenario/src/outage/run.rs
+++ b/crates/pipithub-scenario/src/outage/run.rs
@@ -270,6 +270,7 @@
     /// Ends the front ends and takes the history.
     async fn finish(mut self) -> Result<History, RunError> {
         let crashed: Vec<usize> = (0..self.nodes.len())
+            .filter(|node| !self.restarts.iter().any(|restart| restart.node == *node))
             .filter(|node| self.nodes[*node].has_crashed())
             .collect();
         for node in &mut self.nodes {
--- a/crates/pipithub-scenario/src/outage/worker.rs
+++ b/crates/pipithub-scenario/src/outage/worker.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
-use super::history::{ReceivedWork, Recorder, WorkKind, WorkerStart};
+use super::history::{Execution, ReceivedWork, Recorder, WorkKind, WorkerStart};
 
 /// How many calls a worker runs or holds at most; more are turned away.
 const MAX_IN_FLIGHT: usize = 64;
@@ -182,14 +182,10 @@
         read: OwnedReadHalf,
         answers: mpsc::Sender<String>,
     ) {
-        let mut mode = self.mode.subscribe();
         let mut lines = BufReader::new(read).lines();
         let mut running: BTreeMap<String, tokio::task::AbortHandle> = BTreeMap::new();
         while let Ok(Some(line)) = lines.next_line().await {
             let at = self.recorder.now();
-            if mode.wait_for(|mode| !mode.hung).await.is_err() {
-                return;
-            }
             let Ok(request) = serde_json::from_str::<Value>(&line) else {
                 return;
             };
@@ -200,25 +196,24 @@
                 }
                 continue;
             }
-            let handling = self.clone().handle(at, node, request, answers.clone());
+            self.record_arrival(at, node, &request);
+            let handling = self.clone().handle(request, answers.clone());
             running.insert(reference, tokio::spawn(handling).abort_handle());
         }
         running.values().for_each(tokio::task::AbortHandle::abort);
     }
 
-    /// Handles one request and answers it.
-    async fn handle(
-        self: Arc<Self>,
-        at: Duration,
-        node: usize,
-        request: Value,
-        answers: mpsc::Sender<String>,
-    ) {
+    /// Handles one request and answers it, once the worker does not hang.
+    async fn handle(self: Arc<Self>, request: Value, answers: mpsc::Sender<String>) {
+        let mut mode = self.mode.subscribe();
+        if mode.wait_for(|mode| !mode.hung).await.is_err() {
+            return;
+        }
         let reference = request["ref"].clone();
         let answer = match request["cmd"].as_str() {
-            Some("DO") => self.run_call(at, node, &request).await,
-            Some("PIN") => self.load(at, node, &request).await,
-            Some("METER" | "ECHO") => self.check_health(at, node),
+            Some("DO") => self.run_call(&request).await,
+            Some("PIN") => self.load(&request).await,
+            Some("METER" | "ECHO") => self.check_health(),
             _ => return,
         };
         let mut line = json!({"cmd": answer.status, "ref": reference, "payload": answer.body});
@@ -230,7 +225,14 @@
         format!("inflight:{};util:0.3", self.in_flight.load(Relaxed))
     }
 
-    fn record(&self, at: Duration, node: usize, kind: WorkKind) {
+    /// Records what has arrived, whatever becomes of it.
+    fn record_arrival(&self, at: Duration, node: usize, request: &Value) {
+        let kind = match request["cmd"].as_str() {
+            Some("DO") => WorkKind::Call,
+            Some("PIN") if request["opts"]["n"] != 0 => WorkKind::LoadCommand,
+            Some("METER" | "ECHO") => WorkKind::HealthCheck,
+            _ => return,
+        };
         let worker = self.index;
         self.recorder.record(|history| {
             history.work.push(ReceivedWork {
@@ -252,18 +254,19 @@
         self.recorder.now() >= since + served_for
     }
 
-    async fn run_call(&self, at: Duration, node: usize, request: &Value) -> Answer {
+    async fn run_call(&self, request: &Value) -> Answer {
         let is_full = self.in_flight.load(Relaxed) >= MAX_IN_FLIGHT;
-        let accepted = !is_full && !self.turns_away();
-        let call = WorkKind::Call {
+        if is_full || self.turns_away() {
+            return Answer::status("AGAIN");
+        }
+        let execution = Execution {
+            at: self.recorder.now(),
+            worker: self.index,
             call: request["ref"].as_str().unwrap_or_default().to_string(),
             unsafe_to_repeat: request["opts"]["sort"] == UNSAFE_CLASS,
-            accepted,
         };
-        self.record(at, node, call);
-        if !accepted {
-            return Answer::status("AGAIN");
-        }
+        self.recorder
+            .record(|history| history.executions.push(execution));
         let _counted = CountedCall::begin(&self.in_flight);
         self.ensure_loaded(&request["opts"]["asset"]).await;
         let draw = self.draws.fetch_add(7, Relaxed) % RUN_TIME_SPREAD_MS;
@@ -274,13 +277,12 @@
         }
     }
 
-    async fn load(&self, at: Duration, node: usize, request: &Value) -> Answer {
+    async fn load(&self, request: &Value) -> Answer {
         let copies = &request["opts"]["n"];
         let only_asks = copies.as_u64() == Some(0);
         if only_asks {
             return Answer::status("ACK");
         }
-        self.record(at, node, WorkKind::LoadCommand);
         if self.state().draining_since.is_some() {
             return Answer::status("AGAIN");
         }
@@ -299,8 +301,7 @@
         }
     }
 
-    fn check_health(&self, at: Duration, node: usize) -> Answer {
-        self.record(at, node, WorkKind::HealthCheck);
+    fn check_health(&self) -> Answer {
         let draining = self.state().draining_since.is_some();
         Answer::status(if draining { "AILING" } else { "READY" })
     }
--- a/crates/pipithub/src/main.rs
+++ b/crates/pipithub/src/main.rs
@@ -6,6 +6,7 @@
 mod logging;
 mod membership;
 mod node;
+mod outage;
 mod publish;
 mod scenario;
 mod serve;
@@ -62,6 +63,8 @@
     /// Runs a fault scenario from a file and checks the guarantees; exits with 0 only if all of them held.
     #[command(visible_alias = "drill")]
     Scenario(scenario::ScenarioArguments),
+    /// Plays seeded outages of discovery beside drains and restarts against front ends on loopback, and checks the rules.
+    Outage(outage::OutageArguments),
 }
 
 #[derive(Subcommand)]
@@ -97,5 +100,6 @@
         Command::Publish(arguments) => publish::run(arguments).await,
         Command::Demo => demo::run().await,
         Command::Scenario(arguments) => scenario::run(arguments).await,
+        Command::Outage(arguments) => outage::play(arguments).await,
     }
 }
--- /dev/null
+++ b/crates/pipithub/src/outage.rs
@@ -0,0 +1,122 @@
+//! `pipithub outage`: plays seeded outages of discovery against front ends on loopback, and checks the rules.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Args;
+use miette::{IntoDiagnostic, Result};
+use pipithub_scenario::outage::{Plan, Rule, Verdict, check, run};
+
+use crate::logging;
+use crate::scenario::RunFolder;
+
+/// The least share served, as a part of that of the same seed without the outage.
+const MIN_RELATIVE_SHARE: f64 = 0.9;
+const RULES: [Rule; 5] = [
+    Rule::FinalAnswer,
+    Rule::EffectOnce,
+    Rule::DrainedCall,
+    Rule::DrainedLoadCommand,
+    Rule::SlowStart,
+];
+/// Violations that are printed in full for each seed.
+const MAX_SHOWN: usize = 3;
+
+/// Arguments of `pipithub outage`.
+#[derive(Args)]
+pub(crate) struct OutageArguments {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many seeds are played, one after the other.
+    #[arg(long, default_value_t = 1)]
+    count: u64,
+    /// Shorter runs with fewer front ends.
+    #[arg(long)]
+    short: bool,
+    /// Play each seed without its outage as well, and compare the shares served.
+    #[arg(long)]
+    compare: bool,
+    /// What is added to each limit of time, in milliseconds; the platform adds 50.
+    #[arg(long, default_value_t = 50)]
+    slack_ms: u64,
+    /// The front end's program; by default this one.
+    #[arg(long)]
+    binary: Option<PathBuf>,
+    /// The folder for configurations and logs; by default a temporary one, which is removed if all rules held.
+    #[arg(long)]
+    folder: Option<PathBuf>,
+}
+
+/// Plays the seeds; exits with a failure if a rule was broken or too little was served.
+///
+/// Fails if a run could not be played to its end.
+pub(crate) async fn play(arguments: OutageArguments) -> Result<ExitCode> {
+    logging::init(false, "warn");
+    let binary = match &arguments.binary {
+        Some(binary) => binary.clone(),
+        None => std::env::current_exe().into_diagnostic()?,
+    };
+    let folder = RunFolder::new(arguments.folder.clone(), "outage", Some(arguments.seed));
+    println!(
+        "seed nodes workers  lost twice drained load cold  served  without  checks  per worker and second  verdict"
+    );
+    let mut are_rules_kept = true;
+    for seed in arguments.seed..arguments.seed + arguments.count {
+        let seed_folder = folder.path().join(seed.to_string());
+        are_rules_kept &= play_seed(&arguments, seed, &binary, &seed_folder).await?;
+    }
+    Ok(folder.finish(are_rules_kept))
+}
+
+async fn play_seed(
+    arguments: &OutageArguments,
+    seed: u64,
+    binary: &Path,
+    folder: &Path,
+) -> Result<bool> {
+    let plan = Plan::draw(seed, arguments.short);
+    let slack = Duration::from_millis(arguments.slack_ms);
+    let verdict = play_plan(&plan, binary, folder, slack).await?;
+    let share = verdict.served_share();
+    let mut without = None;
+    if arguments.compare {
+        let folder = folder.join("without");
+        let compared = play_plan(&plan.without_outage(), binary, &folder, slack).await?;
+        without = Some(compared.served_share());
+    }
+    let is_enough = without.is_none_or(|without| share >= MIN_RELATIVE_SHARE * without);
+    let is_kept = verdict.breaches.is_empty() && is_enough;
+    print_row(&plan, &verdict, without, is_kept);
+    for breach in verdict.breaches.iter().take(MAX_SHOWN) {
+        println!(
+            "     {:?} at {:.3} s: {}",
+            breach.rule,
+            breach.at.as_secs_f64(),
+            breach.what
+        );
+    }
+    Ok(is_kept)
+}
+
+async fn play_plan(plan: &Plan, binary: &Path, folder: &Path, slack: Duration) -> Result<Verdict> {
+    let history = run(plan, binary, folder).await.into_diagnostic()?;
+    Ok(check(plan, &history, slack))
+}
+
+fn print_row(plan: &Plan, verdict: &Verdict, without: Option<f64>, is_kept: bool) {
+    let [lost, twice, drained, load, cold] = RULES.map(|rule| verdict.count(rule));
+    let without = without.map_or("-".to_string(), |share| format!("{share:.4}"));
+    let worker_seconds = plan.workers as f64 * plan.duration.as_secs_f64();
+    println!(
+        "{:4} {:5} {:7} {lost:5} {twice:5} {drained:7} {load:4} {cold:4}  {:.4}  {without:>7} {:7}  {:21.2}  {}",
+        plan.seed,
+        plan.nodes,
+        plan.workers,
+        verdict.served_share(),
+        verdict.health_checks,
+        verdict.health_checks as f64 / worker_seconds,
+        if is_kept { "kept" } else { "BROKEN" },
+    );
+}
--- a/crates/pipithub/tests/discovery_outage.rs
+++ b/crates/pipithub/tests/discovery_outage.rs
@@ -54,6 +54,11 @@
     }
 }
 
+/// Seeds of the soak in CI; the long one is started by hand, with `pipithub outage`.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
+/// How many of them run at the same time.
+const THREADS: usize = 3;
+
 fn play(plan: &Plan) -> Verdict {
     let folder = tempfile::tempdir().expect("a folder");
     let binary = Path::new(env!("CARGO_BIN_EXE_pipithub"));
@@ -88,3 +93,36 @@
         );
     }
 }
+
+#[test]
+fn rules_are_kept_through_drawn_outages_beside_drains_restarts_and_faulty_workers() {
+    let seeds: Vec<u64> = SEEDS.collect();
+    let play_all = |seeds: &[u64]| -> Vec<(u64, Verdict)> {
+        seeds
+            .iter()
+            .map(|seed| (*seed, play(&Plan::draw(*seed, true))))
+            .collect()
+    };
+    let verdicts: Vec<(u64, Verdict)> = std::thread::scope(|scope| {
+        let parts: Vec<_> = seeds
+            .chunks(seeds.len() / THREADS)
+            .map(|part| scope.spawn(move || play_all(part)))
+            .collect();
+        parts
+            .into_iter()
+            .flat_map(|part| part.join().expect("played"))
+            .collect()
+    });
+    for (seed, verdict) in verdicts {
+        let shown: Vec<_> = verdict.breaches.iter().take(5).collect();
+        assert!(shown.is_empty(), "seed {seed}: {shown:#?}");
+        assert!(
+            verdict.calls > 0 && verdict.served_share() > 0.5,
+            "seed {seed}"
+        );
+        assert!(
+            verdict.health_checks > 0,
+            "seed {seed}: the outage was noticed"
+        );
+    }
+}
