Leases: the head of a response vouches for the list of the start alone; reference with outages

Cause: a front end that was started in an outage and got heads of responses without events took each head for a sign of life; before the first comment every answer renewed the lease by 1.2 s (endpoint_list_lease.rs, record_contact).

Change: an answer extends the list of the start alone, to the grace and 50 ms after the start.

--- a/crates/pipithub-policy/src/endpoint_list_lease.rs
+++ b/crates/pipithub-policy/src/endpoint_list_lease.rs
@@ -8,15 +8,17 @@
 //! while discovery is out of reach", tells where the figures come from.
 
 use crate::api::{EndpointListContact, Time};
+use crate::service_lease::lease_time;
 use crate::time::MILLISECOND;
 
 /// What the source of the list would have told counts as notified this long after it broke off, the
 /// shortest of the platform's clocks (4 s after it fell silent). Counted from the last sign of
 /// life, as nothing tells when it broke off.
 const NOTIFICATION_DELAY: Time = 2_000 * MILLISECOND;
-/// A source that answers has 1 s until its first sign of life; this much later it counts as out of
-/// reach.
-const FIRST_CONFIRMATION: Time = 1_200 * MILLISECOND;
+/// A source that answers gives its first sign of life within 1 s, mostly just before the grace after
+/// a start is over. So that nothing is checked at each start, the list of the start counts until so
+/// long after the grace, which is what the platform allows for the way to a worker.
+const ALLOWED_DELAY: Time = 50 * MILLISECOND;
 
 /// How long the endpoint list is relied on.
 #[derive(Debug, Default)]
@@ -26,21 +28,30 @@
     end: Option<Time>,
     /// When the list was last known to be current.
     confirmed_at: Time,
-    /// The list was confirmed since the start.
-    was_confirmed: bool,
+    /// The source has given a sign of life since the start.
+    was_followed: bool,
 }
 
 impl EndpointListLease {
-    /// Records a contact with the source of the list. `lease` is how long work may be sent to a
-    /// worker after it was last known to be in service.
-    pub(crate) fn record_contact(&mut self, contact: EndpointListContact, lease: Time, now: Time) {
+    /// Records a contact with the source of the list. `drain_grace` is how long new work may be sent
+    /// to a worker after the notification of its drain.
+    pub(crate) fn record_contact(
+        &mut self,
+        contact: EndpointListContact,
+        drain_grace: Time,
+        now: Time,
+    ) {
+        let lease = lease_time(drain_grace);
         match contact {
-            // The list that the front end was started with.
             EndpointListContact::Sought => self.confirm(now, lease),
-            EndpointListContact::Answered if self.was_confirmed => {}
-            EndpointListContact::Answered => self.confirm(now, lease.max(FIRST_CONFIRMATION)),
+            // Only the list of the start: the head of a response says nothing about a later one.
+            EndpointListContact::Answered if !self.was_followed => {
+                let end = self.confirmed_at + drain_grace + ALLOWED_DELAY;
+                self.end = self.end.max(Some(end));
+            }
+            EndpointListContact::Answered => {}
             EndpointListContact::Current => {
-                self.was_confirmed = true;
+                self.was_followed = true;
                 self.confirm(now, NOTIFICATION_DELAY + lease);
             }
         }
--- a/crates/pipithub-policy/src/front_end/service_checks.rs
+++ b/crates/pipithub-policy/src/front_end/service_checks.rs
@@ -6,7 +6,7 @@
 use crate::api::{
     Action, EndpointListContact, HealthCheckOutcome, HealthChecked, RequestId, Time, WorkerId,
 };
-use crate::service_lease::{CHECK_TIMEOUT, ServiceStatus, lease_time};
+use crate::service_lease::{CHECK_TIMEOUT, DEFAULT_DRAIN_GRACE, ServiceStatus, lease_time};
 use crate::timer::TimerToken;
 use crate::worker::WorkerState;
 
@@ -15,13 +15,18 @@
 impl FrontEnd {
     /// Records a contact with the source of the endpoint list.
     pub(super) fn record_list_contact(&mut self, contact: EndpointListContact) {
-        let lease = self.lease_time();
-        self.list_lease.record_contact(contact, lease, self.now);
+        let drain_grace = self.drain_grace();
+        self.list_lease
+            .record_contact(contact, drain_grace, self.now);
     }
 
     /// How long work may be sent to a worker after it was last known to be in service.
     pub(super) fn lease_time(&self) -> Time {
-        lease_time(self.settings.drain_grace)
+        lease_time(self.drain_grace())
+    }
+
+    fn drain_grace(&self) -> Time {
+        self.settings.drain_grace.unwrap_or(DEFAULT_DRAIN_GRACE)
     }
 
     /// When work that was decided must have been written to a worker: a request that waits for a
--- a/crates/pipithub-policy/src/service_lease.rs
+++ b/crates/pipithub-policy/src/service_lease.rs
@@ -23,12 +23,11 @@
 /// at most a quarter of it.
 const MAX_MARGIN: Time = 150 * MILLISECOND;
 /// The grace after the notification of a drain where the settings do not tell.
-const DEFAULT_DRAIN_GRACE: Time = 1_000 * MILLISECOND;
+pub(crate) const DEFAULT_DRAIN_GRACE: Time = 1_000 * MILLISECOND;
 
 /// How long work may be sent to a worker after it was last known to be in service.
-pub(crate) fn lease_time(drain_grace: Option<Time>) -> Time {
-    let grace = drain_grace.unwrap_or(DEFAULT_DRAIN_GRACE);
-    grace - MAX_MARGIN.min(grace / 4)
+pub(crate) fn lease_time(drain_grace: Time) -> Time {
+    drain_grace - MAX_MARGIN.min(drain_grace / 4)
 }
 
 /// What is known of a worker whose lease by the endpoint list has ended.
--- a/crates/pipithub-policy/tests/reference/attempts.rs
+++ b/crates/pipithub-policy/tests/reference/attempts.rs
@@ -9,6 +9,7 @@
 use super::estimates::{MAX_SAMPLE, RUN_TIME_GAIN, SLOWDOWN_GAIN};
 use super::front_end::FrontEnd;
 use super::load_reports::REPORT_LIFETIME;
+use super::service::is_connection_lost;
 use super::state::{Answer, Attempt, PossibleExecution, WorkerState};
 use super::time::MAX_DURATION;
 
@@ -52,6 +53,9 @@
         }
         let worker = self.workers.get_mut(&end.worker)?;
         let attempt = worker.take_attempt(end, self.now)?;
+        if is_connection_lost(end.outcome) {
+            worker.service.connection_lost_at = self.now;
+        }
         let endpoint = worker.endpoint.clone();
         self.record_lost_value(end, &attempt);
         self.record_zone_probe(&endpoint.zone, end.outcome, attempt.sent_at);
--- a/crates/pipithub-policy/tests/reference/counting_map.rs
+++ b/crates/pipithub-policy/tests/reference/counting_map.rs
@@ -33,6 +33,11 @@
         self.0.values_mut().inspect(|_| looked(1))
     }
 
+    pub(crate) fn get(&self, worker: &WorkerId) -> Option<&V> {
+        looked(1);
+        self.0.get(worker)
+    }
+
     pub(crate) fn get_mut(&mut self, worker: &WorkerId) -> Option<&mut V> {
         looked(1);
         self.0.get_mut(worker)
--- a/crates/pipithub-policy/tests/reference/endpoints.rs
+++ b/crates/pipithub-policy/tests/reference/endpoints.rs
@@ -8,7 +8,7 @@
 use pipithub_policy::api::{Action, Endpoint, EndpointState, EndpointUpdate, WorkerId};
 
 use super::front_end::FrontEnd;
-use super::state::{Health, WorkerState};
+use super::state::WorkerState;
 use super::time::MAX_TIME;
 
 impl FrontEnd {
@@ -67,14 +67,11 @@
             .entry(endpoint.worker.clone())
             .or_insert_with(|| WorkerState::new(endpoint.clone(), classes));
         if worker.endpoint.started_at != endpoint.started_at {
-            // A restarted process has no replicas, and its past says nothing about it.
-            worker.replicas.clear();
-            worker.slowdown = 1.0;
-            worker.concurrency = 1.0;
-            worker.concurrency_limit = f64::INFINITY;
-            worker.consecutive_connect_failures = 0;
-            worker.health = vec![Health::default(); classes];
+            worker.forget_process();
         }
         worker.endpoint = endpoint;
+        if worker.is_ready() {
+            worker.forget_checks();
+        }
     }
 }
--- a/crates/pipithub-policy/tests/reference/front_end.rs
+++ b/crates/pipithub-policy/tests/reference/front_end.rs
@@ -11,6 +11,7 @@
 use super::hashing::mix;
 use super::load_reports::POLL_TIMEOUT_TOKEN;
 use super::maintenance::{MAINTENANCE_PERIOD, MAINTENANCE_TOKEN};
+use super::service::CHECK_TIMEOUT_TOKEN;
 use super::slow_start::RunningMean;
 use super::state::{FunctionState, Health, PendingRequest, WorkerState};
 use super::time::{MAX_DURATION, MAX_TIME};
@@ -44,6 +45,12 @@
     pub(crate) speculation_tokens: f64,
     /// Zones that do not respond.
     pub(crate) silent_zones: BTreeMap<String, Health>,
+    /// Until when the endpoint list vouches for the workers in it; `None`: for ever.
+    pub(crate) list_lease_end: Option<Time>,
+    /// When it was last known to be current.
+    pub(crate) list_confirmed_at: Time,
+    /// Its source has given a sign of life since the start.
+    pub(crate) list_was_followed: bool,
     /// Mean share of their value that attempts lost: answered late, in error or not at all.
     pub(crate) mean_lost_value: f64,
 }
@@ -86,11 +93,10 @@
                 report,
             } => self.record_load_report(&worker, answered.then_some(report), actions),
             Event::Timer { token } => self.expire_timer(token, actions),
-            // No scenario reports a contact with the source of the endpoint list.
-            Event::EndpointListContact(_)
-            | Event::HealthChecked(_)
-            | Event::WorkerDisconnected { .. }
-            | Event::Peer { .. } => {}
+            Event::EndpointListContact(contact) => self.record_list_contact(contact),
+            Event::HealthChecked(checked) => self.finish_check(&checked, actions),
+            Event::WorkerDisconnected { worker } => self.record_connection_lost(&worker),
+            Event::Peer { .. } => {}
         }
     }
 
@@ -110,6 +116,8 @@
     fn expire_timer(&mut self, token: u64, actions: &mut Vec<Action>) {
         if token == MAINTENANCE_TOKEN {
             self.run_maintenance(actions);
+        } else if token & CHECK_TIMEOUT_TOKEN == CHECK_TIMEOUT_TOKEN {
+            self.expire_check(RequestId(token & !CHECK_TIMEOUT_TOKEN), actions);
         } else if token & POLL_TIMEOUT_TOKEN > 0 {
             self.expire_poll(RequestId(token & !POLL_TIMEOUT_TOKEN), actions);
         } else {
--- a/crates/pipithub-policy/tests/reference/function_loading.rs
+++ b/crates/pipithub-policy/tests/reference/function_loading.rs
@@ -99,6 +99,7 @@
             || !self.functions.contains_key(&function)
             || !self.store_is_available()
             || !self.load_rate_allows()
+            || !self.is_in_service(worker_id)
         {
             return false;
         }
--- a/crates/pipithub-policy/tests/reference/mod.rs
+++ b/crates/pipithub-policy/tests/reference/mod.rs
@@ -23,6 +23,7 @@
 mod replay;
 mod requests;
 mod routing;
+mod service;
 mod slow_start;
 mod state;
 mod time;
--- a/crates/pipithub-policy/tests/reference/routing.rs
+++ b/crates/pipithub-policy/tests/reference/routing.rs
@@ -9,6 +9,7 @@
 
 use super::front_end::FrontEnd;
 use super::replay::{Prediction, RUN_TIME_MARGIN};
+use super::service::ServiceStatus;
 use super::state::{PendingRequest, WorkerState};
 
 /// The most requests past their objective at one worker: they must not fill its queue.
@@ -46,6 +47,8 @@
     busy: Option<Candidate>,
     /// One that has to be polled first; it ends the search.
     needs_poll: Option<WorkerId>,
+    /// The first one that failed health checks and is due for the next one.
+    check_due: Option<WorkerId>,
 }
 
 impl FrontEnd {
@@ -59,12 +62,19 @@
         if pending.attempt_in_flight || pending.streaming || pending.polled_worker.is_some() {
             return;
         }
+        if pending.checked_worker.is_some() {
+            return;
+        }
         let pending = &self.pending[&id];
         let (function, deadline) = (pending.request.function, pending.deadline);
         let Some(target_deadline) = self.target_deadline(pending) else {
             return self.reject_or_fail(id, actions);
         };
+        let may_await_check = pending.may_await_check();
         let found = self.search(pending, target_deadline);
+        if let Some(worker) = &found.check_due {
+            self.check_health(worker, actions);
+        }
         if let Some(worker) = found.needs_poll {
             return self.poll_load(id, worker, actions);
         }
@@ -76,7 +86,18 @@
         }
         let choice = found.admits.or(found.late);
         let choice = choice.or_else(|| self.speculate(found.awaits_load?, deadline));
-        match choice.or(found.busy) {
+        let choice = choice.or(found.busy);
+        match &choice {
+            Some(chosen) if !self.is_in_service(&chosen.worker) => {
+                return self.await_check(id, chosen.worker.clone(), actions);
+            }
+            None if may_await_check && found.check_due.is_some() => {
+                let worker = found.check_due.expect("just seen");
+                return self.await_check(id, worker, actions);
+            }
+            _ => {}
+        }
+        match choice {
             Some(chosen)
                 if chosen.prediction.cold_start && !self.settings.loading.loads_on_request =>
             {
@@ -127,6 +148,15 @@
             if !self.may_attempt(pending, worker) {
                 continue;
             }
+            match self.service_status(worker) {
+                ServiceStatus::InService => {}
+                ServiceStatus::Unchecked if pending.may_await_check() => {}
+                ServiceStatus::CheckDue => {
+                    found.check_due.get_or_insert(id);
+                    continue;
+                }
+                _ => continue,
+            }
             let candidate = Candidate {
                 worker: id,
                 prediction: self.predict(worker, &pending.request, presumed),
@@ -161,7 +191,8 @@
             }
             return false;
         }
-        if self.needs_poll(worker, pending) {
+        let in_service = self.service_status(worker) == ServiceStatus::InService;
+        if in_service && self.needs_poll(worker, pending) {
             found.needs_poll = Some(candidate.worker);
             return true;
         }
--- a/crates/pipithub-policy/tests/reference/state.rs
+++ b/crates/pipithub-policy/tests/reference/state.rs
@@ -7,6 +7,7 @@
 };
 
 use super::hashing::hash_address;
+use super::service::Service;
 
 /// An attempt that has no outcome yet.
 #[derive(Clone, Debug)]
@@ -120,6 +121,7 @@
     /// Failed or broken connections since its last answer.
     pub(crate) consecutive_connect_failures: u32,
     pub(crate) load_report: ReportedLoad,
+    pub(crate) service: Service,
     /// When the last attempts were sent to it.
     pub(crate) recent_sends: VecDeque<Time>,
     /// The last answers that it served.
@@ -141,6 +143,7 @@
             health: vec![Health::default(); classes],
             consecutive_connect_failures: 0,
             load_report: ReportedLoad::default(),
+            service: Service::default(),
             recent_sends: VecDeque::new(),
             recent_answers: VecDeque::new(),
         }
@@ -208,4 +211,8 @@
     pub(crate) polled_worker: Option<WorkerId>,
     /// How often it has waited for one.
     pub(crate) load_polls: u32,
+    /// It waits, unsent, for a health check of this worker.
+    pub(crate) checked_worker: Option<WorkerId>,
+    /// How often it has waited for one.
+    pub(crate) health_checks: u32,
 }
--- a/crates/pipithub-policy/tests/same.rs
+++ b/crates/pipithub-policy/tests/same.rs
@@ -75,8 +75,7 @@
 }
 
 /// Runs one scenario and returns what happened in it.
-fn run_scenario(seed: u64) -> EventCounts {
-    let scenario = Scenario::random(seed, MAX_WORKERS);
+fn run_scenario(seed: u64, scenario: Scenario) -> EventCounts {
     let is_large = scenario.settings.front_ends > MAX_SMALL_DEPLOYMENT;
     let mut comparison = Comparison::new(seed, &scenario.settings);
     let mut fleet = SimulatedFleet::new(scenario);
@@ -150,40 +149,84 @@
 
 /// Runs the scenarios of one part, and checks that enough happened in them.
 fn run_part(part: u64) {
+    let seeds = part * SCENARIOS_PER_PART..(part + 1) * SCENARIOS_PER_PART;
+    run_scenarios(seeds, &MIN_COUNTS, |seed| {
+        Scenario::random(seed, MAX_WORKERS)
+    });
+}
+
+/// Scenarios of each part with outages of discovery, and the most workers of them.
+const OUTAGE_SCENARIOS_PER_PART: u64 = 120;
+const MAX_WORKERS_IN_OUTAGES: u64 = 40;
+/// What must have happened in each part with outages of discovery.
+const MIN_OUTAGE_COUNTS: [(&str, u64); 9] = [
+    ("request arrived", 6000),
+    ("attempt", 3000),
+    ("discovery contact", 300),
+    ("change held back", 250),
+    ("worker disconnected", 50),
+    ("health check", 1000),
+    ("health check answered well", 700),
+    ("health check failed", 20),
+    ("health check not answered", 50),
+];
+
+/// Runs the scenarios of one part with outages of discovery.
+fn run_outage_part(part: u64) {
+    let seeds = part * OUTAGE_SCENARIOS_PER_PART..(part + 1) * OUTAGE_SCENARIOS_PER_PART;
+    run_scenarios(seeds, &MIN_OUTAGE_COUNTS, |seed| {
+        Scenario::random(seed, MAX_WORKERS_IN_OUTAGES).with_outages()
+    });
+}
+
+/// Runs the scenarios of these seeds, and checks that enough happened in them.
+fn run_scenarios(
+    seeds: std::ops::Range<u64>,
+    min_counts: &[(&str, u64)],
+    scenario: impl Fn(u64) -> Scenario,
+) {
     let (mut totals, started_at) = (EventCounts::new(), Instant::now());
-    for scenario in 0..SCENARIOS_PER_PART {
-        for (name, count) in run_scenario(part * SCENARIOS_PER_PART + scenario) {
+    for seed in seeds.clone() {
+        for (name, count) in run_scenario(seed, scenario(seed)) {
             *totals.entry(name).or_default() += count;
         }
     }
     println!(
-        "part {part}: {:.1} s, {totals:?}",
+        "seeds {seeds:?}: {:.1} s, {totals:?}",
         started_at.elapsed().as_secs_f64()
     );
-    let total = |name| totals.get(name).copied().unwrap_or_default();
-    for (name, min) in MIN_COUNTS {
+    let total = |name: &str| totals.get(name).copied().unwrap_or_default();
+    for (name, min) in min_counts {
         let count = total(name);
         assert!(
-            count >= min,
-            "part {part}: {name} happened {count} times, not {min}"
+            count >= *min,
+            "seeds {seeds:?}: {name} happened {count} times, not {min}"
         );
     }
     assert!(
         total("scenario cut short") <= MAX_CUT_SHORT,
-        "part {part}: too many scenarios were cut short"
+        "seeds {seeds:?}: too many scenarios were cut short"
     );
 }
 
 macro_rules! parts {
-    ($($name:ident $part:literal),* $(,)?) => {
+    ($run:ident: $($name:ident $part:literal),* $(,)?) => {
         $(#[test]
         fn $name() {
-            run_part($part);
+            $run($part);
         })*
     };
 }
 
 parts! {
+    run_outage_part:
+    module_decides_as_reference_in_outages_part_0 0,
+    module_decides_as_reference_in_outages_part_1 1,
+    module_decides_as_reference_in_outages_part_2 2,
+}
+
+parts! {
+    run_part:
     module_decides_as_reference_in_part_0 0,
     module_decides_as_reference_in_part_1 1,
     module_decides_as_reference_in_part_2 2,
--- a/crates/pipithub-policy/tests/service_leases.rs
+++ b/crates/pipithub-policy/tests/service_leases.rs
@@ -281,16 +281,19 @@
 }
 
 #[test]
-fn the_head_of_a_response_counts_once_and_for_less_than_a_sign_of_life() {
+fn the_head_of_a_response_counts_at_the_start_alone_and_from_then() {
     let mut front_end = FrontEndHarness::new(lease_settings(), &WORKERS);
     let worker = WorkerId::new("w1");
     contact(&mut front_end, EndpointListContact::Sought);
-    assert_eq!(front_end.module.lease_end(&worker), front_end.now + LEASE);
-    contact(&mut front_end, EndpointListContact::Answered);
-    assert_eq!(
-        front_end.module.lease_end(&worker),
-        front_end.now + 1_200 * MS
-    );
+    let started_at = front_end.now;
+    assert_eq!(front_end.module.lease_end(&worker), started_at + LEASE);
+    // A source that stops after the head of each response.
+    for _ in 0..3 {
+        front_end.advance(500 * MS);
+        contact(&mut front_end, EndpointListContact::Answered);
+        let end = started_at + GRACE + 50 * MS;
+        assert_eq!(front_end.module.lease_end(&worker), end);
+    }
     contact(&mut front_end, EndpointListContact::Current);
     let end = front_end.now + LIST_LEASE;
     front_end.advance(500 * MS);
--- /dev/null
+++ b/crates/pipithub-policy/tests/simulated_fleet/discovery.rs
@@ -0,0 +1,162 @@
+//! Outages of discovery: signs of life that do not come, changes of workers that the list does not tell, and health checks.
+
+use std::collections::BTreeSet;
+
+use pipithub_policy::api::{
+    EndpointListContact, EndpointState, EndpointUpdate, Event, HealthCheckOutcome, HealthChecked,
+    Time, WorkerId,
+};
+use rand::RngExt;
+
+use super::SimulatedFleet;
+use super::draws::Purpose;
+use super::scenario::{MS, Scenario};
+use super::schedule::ScheduledEvent;
+
+/// The interval of signs of life.
+const CONFIRMATION_INTERVAL: Time = 1_000 * MS;
+/// The parts of a health check's answers that are lost, and of a restart's connections that the front end had.
+const CHECK_LOST: f64 = 0.05;
+const CONNECTION_KNOWN: f64 = 0.7;
+/// The longest grace of the scenarios, in units of 250 ms.
+const MAX_GRACE_STEPS: u64 = 8;
+
+impl Scenario {
+    /// The same scenario with outages of discovery, and settings that allow health checks.
+    pub(crate) fn with_outages(mut self) -> Scenario {
+        let mut random = super::generator(self.seed, Purpose::Outage, 0, 0);
+        self.settings.limits.health_checks = true;
+        let grace = random.random_range(0..=MAX_GRACE_STEPS) * 250 * MS;
+        self.settings.drain_grace = Some(grace).filter(|grace| *grace > 0);
+        let mut at = self.start + random.random_range(0..3_000) * MS;
+        while at < self.start + self.duration {
+            let until = at + random.random_range(100..20_000) * MS;
+            self.discovery_outages.push((at, until));
+            at = until + random.random_range(100..15_000) * MS;
+        }
+        self
+    }
+}
+
+impl SimulatedFleet {
+    /// Schedules the contacts with discovery, where the scenario has outages.
+    pub(super) fn schedule_discovery(&mut self) {
+        if self.scenario.discovery_outages.is_empty() {
+            return;
+        }
+        let contact = ScheduledEvent::DiscoveryContact;
+        self.schedule
+            .push(self.now, contact(EndpointListContact::Sought));
+        self.schedule
+            .push(self.now + MS, contact(EndpointListContact::Answered));
+        self.schedule.push(
+            self.now + CONFIRMATION_INTERVAL,
+            contact(EndpointListContact::Current),
+        );
+        for (_, until) in self.scenario.discovery_outages.clone() {
+            self.schedule.push(until, ScheduledEvent::DiscoveryReturns);
+        }
+    }
+
+    /// Whether discovery is out of reach now.
+    pub(super) fn is_out_of_reach(&self) -> bool {
+        let outages = &self.scenario.discovery_outages;
+        outages
+            .iter()
+            .any(|(from, until)| (*from..*until).contains(&self.now))
+    }
+
+    pub(super) fn discovery_contact(&mut self, contact: EndpointListContact) -> Option<Event> {
+        if contact == EndpointListContact::Current {
+            let next = self.now + CONFIRMATION_INTERVAL;
+            self.schedule
+                .push(next, ScheduledEvent::DiscoveryContact(contact));
+        }
+        if contact != EndpointListContact::Sought && self.is_out_of_reach() {
+            return None;
+        }
+        self.count("discovery contact");
+        Some(Event::EndpointListContact(contact))
+    }
+
+    /// Keeps back the change of workers that the list cannot tell now. The connections of those that have started anew end.
+    pub(super) fn hold_back(&mut self, changed: BTreeSet<usize>) {
+        self.count("change held back");
+        for &worker in &changed {
+            let is_known = self.endpoint_random.random_bool(CONNECTION_KNOWN);
+            if self.workers.get(worker).endpoint.started_at == Some(self.now) && is_known {
+                self.schedule
+                    .push(self.now + MS, ScheduledEvent::WorkerDisconnects(worker));
+            }
+        }
+        self.held_back.extend(changed);
+    }
+
+    /// Discovery is in reach again: first it tells what was missed.
+    pub(super) fn discovery_returns(&mut self) -> Event {
+        let missed = std::mem::take(&mut self.held_back);
+        Event::Endpoints {
+            update: EndpointUpdate::Delta,
+            endpoints: self.workers.endpoints(missed),
+        }
+    }
+
+    pub(super) fn worker_disconnects(&mut self, worker: usize) -> Event {
+        self.count("worker disconnected");
+        Event::WorkerDisconnected {
+            worker: self.workers.get(worker).endpoint.worker.clone(),
+        }
+    }
+
+    /// The front end checks whether a worker is in service.
+    pub(super) fn check_health(&mut self, address: &WorkerId) {
+        self.count("health check");
+        let Some(worker) = self.workers.index_of(address) else {
+            return;
+        };
+        let mut random = self.draws(Purpose::HealthCheck, worker as u64, self.now);
+        let state = self.workers.get(worker).endpoint.state;
+        let outcome = match state {
+            EndpointState::Removed => HealthCheckOutcome::Disconnected,
+            _ if self.is_silent(worker) || random.random_bool(CHECK_LOST) => {
+                HealthCheckOutcome::Unanswered
+            }
+            EndpointState::Draining => HealthCheckOutcome::Unhealthy,
+            EndpointState::Ready => HealthCheckOutcome::Healthy,
+        };
+        let (shortest, longest) = match outcome {
+            HealthCheckOutcome::Unanswered => (40, 250),
+            _ => (1, 70),
+        };
+        let ends_at = self.now + random.random_range(shortest..longest) * MS;
+        let connected_at = self.now.saturating_sub(random.random_range(0..20_000) * MS);
+        let ends = ScheduledEvent::HealthCheckEnds {
+            worker,
+            outcome,
+            sent_at: self.now,
+            connected_at,
+        };
+        self.schedule.push(ends_at, ends);
+    }
+
+    pub(super) fn health_check_ends(
+        &mut self,
+        worker: usize,
+        outcome: HealthCheckOutcome,
+        sent_at: Time,
+        connected_at: Time,
+    ) -> Event {
+        self.count(match outcome {
+            HealthCheckOutcome::Healthy => "health check answered well",
+            HealthCheckOutcome::Unhealthy => "health check failed",
+            HealthCheckOutcome::Unanswered => "health check not answered",
+            HealthCheckOutcome::Disconnected => "health check disconnected",
+        });
+        Event::HealthChecked(HealthChecked {
+            worker: self.workers.get(worker).endpoint.worker.clone(),
+            outcome,
+            elapsed: self.now - sent_at,
+            connected_at,
+        })
+    }
+}
--- a/crates/pipithub-policy/tests/simulated_fleet/draws.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/draws.rs
@@ -19,6 +19,8 @@
     AttemptCancellation = 11,
     FinalAnswer = 12,
     LoadCommand = 13,
+    Outage = 14,
+    HealthCheck = 15,
 }
 
 /// Position of the purpose in the seed's bits.
--- a/crates/pipithub-policy/tests/simulated_fleet/endpoint_updates.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/endpoint_updates.rs
@@ -83,7 +83,7 @@
     }
 
     /// Changes up to three workers, new ones among them: their indices.
-    fn change_some_workers(&mut self) -> BTreeSet<usize> {
+    pub(super) fn change_some_workers(&mut self) -> BTreeSet<usize> {
         let mut changed = BTreeSet::new();
         for _ in 0..self.endpoint_random.random_range(1..4) {
             let worker = match self.endpoint_random.random_range(0..10) {
--- a/crates/pipithub-policy/tests/simulated_fleet/mod.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/mod.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod clients;
 pub(super) mod cost;
+mod discovery;
 mod draws;
 mod endpoint_updates;
 mod load;
@@ -17,7 +18,7 @@
 mod schedule;
 mod workers;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pipithub_policy::api::{Action, Event, Request, RequestId, Time};
 use rand::rngs::SmallRng;
@@ -48,6 +49,8 @@
     workers: Workers,
     clients: Clients,
     endpoint_random: SmallRng,
+    /// Changed workers that the list could not tell so far.
+    held_back: BTreeSet<usize>,
 }
 
 impl SimulatedFleet {
@@ -61,6 +64,7 @@
             workers: Workers::default(),
             clients: Clients::new(&scenario),
             endpoint_random: SmallRng::seed_from_u64(mix(scenario.seed ^ ENDPOINT_SEED_MASK)),
+            held_back: BTreeSet::new(),
             scenario,
         };
         for _ in 0..fleet.scenario.workers.count {
@@ -71,6 +75,7 @@
     }
 
     fn schedule_first_events(&mut self) {
+        self.schedule_discovery();
         let changes = &self.scenario.endpoint_changes;
         self.schedule.push(self.now, ScheduledEvent::RequestArrives);
         if changes.mean_gap > 0 {
@@ -157,7 +162,7 @@
             } => self.load_function(worker, *function, *replicas),
             Action::EvictFunction { worker, function } => self.evict_function(worker, *function),
             Action::PollLoad { worker } => self.poll_load(worker),
-            Action::CheckHealth { .. } => self.count("health check"),
+            Action::CheckHealth { worker } => self.check_health(worker),
             Action::SetTimer { after, token } => {
                 let mut random = self.draws(Purpose::Timer, *token, self.now);
                 let delay = random.random_range(0..4) * MS / 2;
@@ -192,8 +197,22 @@
                 let next_change = self.now + gap;
                 self.schedule
                     .push(next_change, ScheduledEvent::EndpointsChange);
+                if self.is_out_of_reach() {
+                    let changed = self.change_some_workers();
+                    self.hold_back(changed);
+                    return None;
+                }
                 self.change_endpoints()
             }
+            ScheduledEvent::DiscoveryContact(contact) => self.discovery_contact(contact)?,
+            ScheduledEvent::DiscoveryReturns => self.discovery_returns(),
+            ScheduledEvent::WorkerDisconnects(worker) => self.worker_disconnects(worker),
+            ScheduledEvent::HealthCheckEnds {
+                worker,
+                outcome,
+                sent_at,
+                connected_at,
+            } => self.health_check_ends(worker, outcome, sent_at, connected_at),
             ScheduledEvent::MassRemoval => {
                 self.count("mass removal");
                 self.remove_many_workers()
--- a/crates/pipithub-policy/tests/simulated_fleet/random_scenario.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/random_scenario.rs
@@ -106,6 +106,7 @@
             faults,
             reporting,
             endpoint_changes,
+            discovery_outages: Vec::new(),
         }
     }
 
--- a/crates/pipithub-policy/tests/simulated_fleet/scenario.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/scenario.rs
@@ -29,6 +29,8 @@
     pub faults: Faults,
     pub reporting: Reporting,
     pub endpoint_changes: EndpointChanges,
+    /// When discovery is out of reach, each from and until; empty: the front end does not follow it.
+    pub discovery_outages: Vec<(Time, Time)>,
 }
 
 /// The workers at the beginning.
@@ -185,6 +187,7 @@
                 silent_zone: None,
                 mass_removal_at: None,
             },
+            discovery_outages: Vec::new(),
         }
     }
 
--- a/crates/pipithub-policy/tests/simulated_fleet/schedule.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/schedule.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use pipithub_policy::api::{AttemptFinished, LoadFinished, Request, RequestId, Time};
+use pipithub_policy::api::{
+    AttemptFinished, EndpointListContact, HealthCheckOutcome, LoadFinished, Request, RequestId,
+    Time,
+};
 
 /// An attempt at a request, by its number from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,6 +31,15 @@
     LoadCommandEnds(LoadFinished),
     /// Some workers change; the next change is scheduled then.
     EndpointsChange,
+    DiscoveryContact(EndpointListContact),
+    DiscoveryReturns,
+    WorkerDisconnects(usize),
+    HealthCheckEnds {
+        worker: usize,
+        outcome: HealthCheckOutcome,
+        sent_at: Time,
+        connected_at: Time,
+    },
     MassRemoval,
     MassReturn,
 }
--- a/crates/pipithub/src/outage.rs
+++ b/crates/pipithub/src/outage.rs
@@ -97,9 +97,19 @@
             breach.what
         );
     }
+    if !is_kept {
+        print_steps(&plan);
+    }
     Ok(is_kept)
 }
 
+fn print_steps(plan: &Plan) {
+    println!("     {:?}", plan.settings);
+    for timed in &plan.steps {
+        println!("     at {:.3} s: {:?}", timed.at.as_secs_f64(), timed.step);
+    }
+}
+
 async fn play_plan(plan: &Plan, binary: &Path, folder: &Path, slack: Duration) -> Result<Verdict> {
     let history = run(plan, binary, folder).await.into_diagnostic()?;
     Ok(check(plan, &history, slack))
