Node: a log line for each change of a worker's health checks, not for each check

Need: three hundred front ends and a hundred workers must not flood the log of an outage.

Change: a worker that fails its checks is logged once for each kind of failure, and once when it passes them again.

Result: discovery_log passes, with a worker that fails twice and passes once.

--- a/crates/pipithub-node/src/core/discovery_log.rs
+++ b/crates/pipithub-node/src/core/discovery_log.rs
@@ -1,10 +1,15 @@
-//! What is logged of discovery: since when the endpoint list is out of reach, how old it is, and what was missed.
+//! What is logged of discovery: since when the endpoint list is out of reach, how old it is, which workers fail their health
+//! checks meanwhile, and what was missed.
 
+use std::collections::BTreeMap;
+
+use pipithub_engine::policy::{HealthCheckOutcome, HealthChecked, WorkerId};
 use pipithub_engine::{Stats, Time};
 use tracing::{info, warn};
 
 use super::NANOSECONDS_PER_MILLISECOND;
 
+const NANOSECONDS_PER_MICROSECOND: Time = 1_000;
 /// The list is logged as out of reach once nothing has confirmed it for this long: two comments of the coordinator are
 /// overdue then.
 const OUT_OF_REACH_AFTER: Time = 2_000_000_000;
@@ -28,6 +33,8 @@
     current_at: Option<Time>,
     last_event: u64,
     outage: Option<Outage>,
+    /// The workers whose last health check failed, and how: a line is logged for each change alone.
+    failing: BTreeMap<WorkerId, HealthCheckOutcome>,
 }
 
 impl DiscoveryLog {
@@ -37,6 +44,7 @@
             current_at: None,
             last_event,
             outage: None,
+            failing: BTreeMap::new(),
         }
     }
 
@@ -53,6 +61,7 @@
     /// Records that the list was confirmed to be current; logs the end of an outage.
     pub(super) fn record_current(&mut self, now: Time, front_end: &str) {
         self.current_at = Some(now);
+        self.failing.clear();
         if let Some(outage) = self.outage.take() {
             info!(
                 front_end,
@@ -64,6 +73,32 @@
         }
     }
 
+    /// Records the end of a health check; logs that a worker fails its checks, or does not any more.
+    pub(super) fn record_check(&mut self, checked: &HealthChecked, front_end: &str) {
+        let HealthChecked {
+            worker, outcome, ..
+        } = checked;
+        let took_us = checked.elapsed / NANOSECONDS_PER_MICROSECOND;
+        if *outcome == HealthCheckOutcome::Healthy {
+            if self.failing.remove(worker).is_some() {
+                info!(
+                    front_end,
+                    worker = &*worker.0,
+                    took_us,
+                    "worker passes its health checks again"
+                );
+            }
+        } else if self.failing.insert(worker.clone(), *outcome) != Some(*outcome) {
+            info!(
+                front_end,
+                worker = &*worker.0,
+                ?outcome,
+                took_us,
+                "worker fails its health checks while the endpoint list is out of reach"
+            );
+        }
+    }
+
     /// The age of the list, in nanoseconds: the time since it was last known to be current; `None` as long as no
     /// coordinator is followed.
     pub(super) fn age(&self, now: Time) -> Option<Time> {
--- a/crates/pipithub-node/src/core/workers.rs
+++ b/crates/pipithub-node/src/core/workers.rs
@@ -128,15 +128,7 @@
 
     /// Reports the end of a health check to the engine.
     fn health_checked(&mut self, now: Time, checked: HealthChecked) {
-        if checked.outcome != HealthCheckOutcome::Healthy {
-            info!(
-                front_end = self.name,
-                worker = &*checked.worker.0,
-                outcome = ?checked.outcome,
-                took_us = checked.elapsed / 1000,
-                "health check failed while the endpoint list is out of reach"
-            );
-        }
+        self.discovery_log.record_check(&checked, &self.name);
         self.run(now, Input::HealthChecked(checked));
     }
 
@@ -194,6 +186,7 @@
                         elapsed,
                         connected_at: 0,
                     };
+                    self.discovery_log.record_check(&checked, &self.name);
                     self.inputs.push_back(Input::HealthChecked(checked));
                 }
                 RequestKind::EvictFunction => {}
--- a/crates/pipithub-node/tests/discovery_log.rs
+++ b/crates/pipithub-node/tests/discovery_log.rs
@@ -95,3 +95,47 @@
         assert!(logged[0].contains(part), "{part}: {}", logged[0]);
     }
 }
+
+#[test]
+fn log_tells_once_that_a_worker_fails_its_health_checks_and_once_that_it_passes_them_again() {
+    let lines = Lines::default();
+    let _guard = tracing::subscriber::set_default(lines.clone());
+    let mut harness = CoreHarness::new();
+    harness.core.follow_coordinator(harness.now);
+    let client = harness.connect_client();
+    harness.advance(1_000 * MS);
+    let mut logged = Vec::new();
+    for (round, status) in [(0, "AILING"), (1, "AILING"), (2, "READY")] {
+        harness.call(client, 1 + round, "view");
+        let written = harness.written();
+        let checks: Vec<_> = written
+            .iter()
+            .filter(|(_, line)| line.contains("ECHO"))
+            .cloned()
+            .collect();
+        for (connection, line) in checks {
+            let reference = line.split('"').nth(7).expect("a reference").to_string();
+            let answer = format!("{{\"cmd\":\"{status}\",\"ref\":\"{reference}\"}}\n");
+            harness
+                .core
+                .worker_bytes(harness.now, connection, answer.as_bytes());
+        }
+        harness.advance(2_000 * MS);
+        logged.extend(lines.take());
+    }
+    // The first worker that was checked; the other one's checks are not answered.
+    let of_first = |line: &&String| line.contains(r#"worker="w2""#);
+    let count = |message: &str| {
+        logged
+            .iter()
+            .filter(of_first)
+            .filter(|line| line.contains(message))
+            .count()
+    };
+    assert_eq!(count("worker fails its health checks"), 1, "{logged:?}");
+    assert_eq!(
+        count("worker passes its health checks again"),
+        1,
+        "{logged:?}"
+    );
+}
