--- a/crates/pipithub-adapter/src/wire.rs
+++ b/crates/pipithub-adapter/src/wire.rs
@@ -375,7 +375,7 @@
         Action::EvictFunction { worker, function } => {
             writeln!(reply, "shelve {end} {:016x} {}", function.0, worker.0)
         }
-        // Changes of the list are told as they come here, so no lease on it ends and no health check is sent.
+        // The simulator's list has no signs of life, so its lease never ends and no health check is sent.
         Action::PollLoad { worker } | Action::CheckHealth { worker } => {
             writeln!(reply, "touch {end} {}", worker.0)
         }
--- a/crates/pipithub-engine/src/engine/decision_queue.rs
+++ b/crates/pipithub-engine/src/engine/decision_queue.rs
@@ -53,7 +53,7 @@
         })
     }
 
-    /// See [`Decide::lease_end`].
+    /// Until when new work may be written to a worker; see [`Decide::lease_end`].
     pub(super) fn lease_end(&self, worker: &WorkerId) -> Time {
         self.decider.lease_end(worker)
     }
--- a/crates/pipithub-node/src/core/discovery_log.rs
+++ b/crates/pipithub-node/src/core/discovery_log.rs
@@ -12,7 +12,7 @@
 const NANOSECONDS_PER_MICROSECOND: Time = 1_000;
 /// The list is logged as out of reach once nothing has confirmed it for this long: two comments of the coordinator are
 /// overdue then.
-const OUT_OF_REACH_AFTER: Time = 2_000_000_000;
+const OUTAGE_AFTER: Time = 2_000_000_000;
 /// How often the log repeats that the list is out of reach, with the counters of that time.
 const REPORT_INTERVAL: Time = 5_000_000_000;
 
@@ -105,12 +105,12 @@
         Some(now.saturating_sub(self.current_at?))
     }
 
-    /// Logs the begin of an outage, and in intervals that it goes on.
+    /// Logs the begin of an outage, and its age in intervals until it ends.
     pub(super) fn report(&mut self, now: Time, front_end: &str, stats: &Stats) {
         let Some(current_at) = self.current_at else {
             return;
         };
-        if now < current_at + OUT_OF_REACH_AFTER {
+        if now < current_at + OUTAGE_AFTER {
             return;
         }
         let message = match self.outage {
--- a/crates/pipithub-policy/src/endpoint_list_lease.rs
+++ b/crates/pipithub-policy/src/endpoint_list_lease.rs
@@ -2,7 +2,7 @@
 //! after it was last confirmed.
 //!
 //! A change of the list counts as notified some time after its source gets out of reach, whether or not
-//! it was received. From then on a front end that goes on as before breaks the rule on drains at the
+//! it was received. From then on a front end that keeps its list breaks the rule on drains at the
 //! first worker that drains, so the list must not be relied on any longer. While its source is in reach
 //! each sign of life renews the lease, and nothing else is needed. `docs/design.md`, "Leases on workers
 //! while discovery is out of reach", tells where the figures come from.
@@ -11,8 +11,8 @@
 use crate::service_lease::lease_time;
 use crate::time::MILLISECOND;
 
-/// What the source of the list would have told counts as notified this long after it broke off, the
-/// shortest of the platform's clocks (4 s after it fell silent). Counted from the last sign of
+/// A change that the source of the list could not send counts as notified this long after it broke off,
+/// the shortest of the platform's clocks (4 s after it fell silent). Counted from the last sign of
 /// life, as nothing tells when it broke off.
 const NOTIFICATION_DELAY: Time = 2_000 * MILLISECOND;
 /// A source that answers gives its first sign of life within 1 s, mostly just before the grace after
--- a/crates/pipithub-policy/src/front_end.rs
+++ b/crates/pipithub-policy/src/front_end.rs
@@ -55,7 +55,7 @@
     estimates: Estimates,
     load_limiter: LoadLimiter,
     load_polls: LoadPolls,
-    list_lease: EndpointListLease,
+    endpoint_list_lease: EndpointListLease,
     /// Requests that wait for a worker's health check.
     awaiting_check: WaitingRequests,
     rebalancer: Rebalancer,
@@ -106,7 +106,7 @@
                 answered,
                 report,
             } => self.record_load_report(&worker, answered.then_some(report), actions),
-            Event::EndpointListContact(contact) => self.record_list_contact(contact),
+            Event::EndpointListContact(contact) => self.record_endpoint_list_contact(contact),
             Event::HealthChecked(checked) => self.finish_check(&checked, actions),
             Event::WorkerDisconnected { worker } => self.record_connection_lost(&worker),
             Event::Timer { token } => self.handle_timer(token, actions),
--- a/crates/pipithub-policy/src/front_end/routing.rs
+++ b/crates/pipithub-policy/src/front_end/routing.rs
@@ -53,7 +53,7 @@
     /// Zones that get no attempt.
     closed_zones: BTreeSet<&'a str>,
     /// The endpoint list vouches for every worker.
-    relies_on_list: bool,
+    relies_on_endpoint_list: bool,
     /// A replica of the function is believed somewhere.
     located: bool,
     /// A load may begin.
@@ -98,7 +98,7 @@
         let Some(target_deadline) = self.target_deadline(pending) else {
             return self.reject_or_fail(id, actions);
         };
-        let may_await_check = pending.checks.may_wait();
+        let may_await_check = pending.checks.may_begin();
         let mut found = self.search(pending, target_deadline);
         if let Some(suspect) = &found.suspect {
             self.check_health(suspect, actions);
@@ -229,7 +229,7 @@
             pending,
             target_deadline,
             closed_zones: self.zones.closed_zones(&self.workers, self.now),
-            relies_on_list: self.relies_on_list(),
+            relies_on_endpoint_list: self.relies_on_endpoint_list(),
             located: self.is_located(function),
             // One load of a function is awaited before the next.
             may_load: may_add_replica && !loads.of_function,
@@ -251,14 +251,14 @@
         if !self.may_attempt(search, worker) {
             return Verdict::Unsuitable;
         }
-        let service = if search.relies_on_list {
+        let service = if search.relies_on_endpoint_list {
             ServiceStatus::InService
         } else {
             worker.service.status(now)
         };
         match service {
             ServiceStatus::InService => {}
-            ServiceStatus::Unknown if search.pending.checks.may_wait() => {}
+            ServiceStatus::Unknown if search.pending.checks.may_begin() => {}
             ServiceStatus::Suspect => return Verdict::Suspect,
             ServiceStatus::Unknown | ServiceStatus::OutOfService => return Verdict::Unsuitable,
         }
--- a/crates/pipithub-policy/src/front_end/service_checks.rs
+++ b/crates/pipithub-policy/src/front_end/service_checks.rs
@@ -14,9 +14,9 @@
 /// requests that waited.
 impl FrontEnd {
     /// Records a contact with the source of the endpoint list.
-    pub(super) fn record_list_contact(&mut self, contact: EndpointListContact) {
+    pub(super) fn record_endpoint_list_contact(&mut self, contact: EndpointListContact) {
         let drain_grace = self.drain_grace();
-        self.list_lease
+        self.endpoint_list_lease
             .record_contact(contact, drain_grace, self.now);
     }
 
@@ -36,7 +36,9 @@
             return Time::MAX;
         }
         match self.workers.get(worker) {
-            Some(worker) if worker.is_ready() => self.list_lease.end().max(worker.service.end()),
+            Some(worker) if worker.is_ready() => {
+                self.endpoint_list_lease.end().max(worker.service.end())
+            }
             Some(worker) => worker.service.closed_at() + self.lease_time(),
             None => 0,
         }
@@ -45,19 +47,19 @@
     /// Whether leases are kept: without health checks nothing could renew them, and the last list
     /// is all there is.
     fn checks_service(&self) -> bool {
-        self.settings.limits.health_checks && self.list_lease.is_followed()
+        self.settings.limits.health_checks && self.endpoint_list_lease.is_followed()
     }
 
     /// Whether the endpoint list vouches for all workers that it names as ready.
-    pub(super) fn relies_on_list(&self) -> bool {
-        self.list_lease.stands(self.now) || !self.checks_service()
+    pub(super) fn relies_on_endpoint_list(&self) -> bool {
+        self.endpoint_list_lease.stands(self.now) || !self.checks_service()
     }
 
     /// Whether a worker may be sent work now, as far as its being in service is concerned.
     pub(super) fn is_in_service(&self, worker: &WorkerId) -> bool {
         let by_check =
             |worker: &WorkerState| worker.service.status(self.now) == ServiceStatus::InService;
-        self.relies_on_list() || self.workers.get(worker).is_some_and(by_check)
+        self.relies_on_endpoint_list() || self.workers.get(worker).is_some_and(by_check)
     }
 
     /// Sends a health check, unless one is awaited already.
@@ -94,7 +96,7 @@
     pub(super) fn finish_check(&mut self, checked: &HealthChecked, actions: &mut Vec<Action>) {
         let now = self.now;
         let lease = self.lease_time();
-        let confirmed_at = self.list_lease.confirmed_at();
+        let confirmed_at = self.endpoint_list_lease.confirmed_at();
         let Some(mut worker) = self.workers.get_mut(&checked.worker) else {
             return;
         };
@@ -104,7 +106,7 @@
             .finish_check(sent_at, checked.outcome, lease, now);
         match checked.outcome {
             HealthCheckOutcome::Healthy => {
-                // The list would have told of a restart, were it in reach.
+                // The endpoint list cannot report a restart while it is out of reach.
                 if worker
                     .service
                     .take_restart(confirmed_at, checked.connected_at)
--- a/crates/pipithub-policy/src/service_lease.rs
+++ b/crates/pipithub-policy/src/service_lease.rs
@@ -3,7 +3,7 @@
 //! It counts only while the lease of the endpoint list has ended. A check that the worker answered well
 //! proves that the worker was in service at some time after the check was *sent*, so the lease counts
 //! from then, for as long as work may be sent after the notification of a drain. Answers to calls prove
-//! nothing: a worker that drains goes on to serve for a while. `docs/design.md`, "Leases on workers
+//! nothing: a draining worker still serves calls for a while. `docs/design.md`, "Leases on workers
 //! while discovery is out of reach", tells why.
 
 use crate::api::{HealthCheckOutcome, Time, WorkerId};
@@ -56,7 +56,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServiceLease {
     end: Time,
-    /// When the check was sent that told the most recent state.
+    /// When the check was sent that showed the most recent state.
     evidence_at: Time,
     check: Option<Check>,
     /// Failed checks since the last one that was answered well.
@@ -65,7 +65,7 @@
     next_check_at: Time,
     /// When a connection to it last failed or was closed by it; 0 if none was.
     connection_lost_at: Time,
-    /// When the endpoint list told that it drains or has left.
+    /// When the endpoint list began to name it as draining or removed.
     closed_at: Time,
 }
 
@@ -75,13 +75,12 @@
         self.end
     }
 
-    /// When the endpoint list told that the worker drains or has left; 0 if it is ready.
+    /// When the endpoint list began to name the worker as draining or removed; 0 if it is ready.
     pub(crate) fn closed_at(&self) -> Time {
         self.closed_at
     }
 
-    /// Takes over what the endpoint list tells of the worker: that counts from now on, whatever
-    /// checks have told.
+    /// Records an entry of the endpoint list, which replaces the state known from checks.
     pub(crate) fn record_listed(&mut self, is_ready: bool, now: Time) {
         if is_ready {
             *self = ServiceLease {
@@ -142,7 +141,8 @@
         lease: Time,
         now: Time,
     ) {
-        // A former check was sent at least its timeout before; its sender's clock may be read a little apart.
+        // A former check was sent at least its timeout before; its sender's clock may be read a little
+        // apart.
         let is_awaited = |check: &Check| check.sent_at < sent_at + CHECK_TIMEOUT / 2;
         let finished = self.check.filter(is_awaited);
         if finished.is_some() {
@@ -151,7 +151,7 @@
         let was_counted = finished.is_none_or(|check| check.is_overdue);
         match outcome {
             HealthCheckOutcome::Healthy => self.renew(sent_at, lease),
-            HealthCheckOutcome::Unhealthy => self.refuse(sent_at, now),
+            HealthCheckOutcome::Unhealthy => self.reject(sent_at, now),
             HealthCheckOutcome::Unanswered | HealthCheckOutcome::Disconnected if was_counted => {}
             HealthCheckOutcome::Unanswered | HealthCheckOutcome::Disconnected => {
                 self.record_failure(now, self.failures);
@@ -168,9 +168,8 @@
         }
     }
 
-    /// The worker has told that it is not in service: its lease ends now, whatever was known
-    /// before.
-    fn refuse(&mut self, sent_at: Time, now: Time) {
+    /// Ends the lease at once, as the worker has answered that it is not in service.
+    fn reject(&mut self, sent_at: Time, now: Time) {
         if sent_at >= self.evidence_at {
             self.evidence_at = sent_at;
             self.end = 0;
@@ -221,17 +220,17 @@
     }
 
     /// Whether it may wait for a further one.
-    pub(crate) fn may_wait(&self) -> bool {
+    pub(crate) fn may_begin(&self) -> bool {
         self.count < MAX_CHECKS_PER_REQUEST
     }
 
-    /// Begins to wait.
+    /// Begins to wait for the health check of a worker.
     pub(crate) fn begin(&mut self, worker: WorkerId) {
         self.worker = Some(worker);
         self.count += 1;
     }
 
-    /// Ends the wait.
+    /// Ends the wait for a health check.
     pub(crate) fn end(&mut self) {
         self.worker = None;
     }
--- a/crates/pipithub-policy/tests/reference/front_end.rs
+++ b/crates/pipithub-policy/tests/reference/front_end.rs
@@ -46,11 +46,11 @@
     /// Zones that do not respond.
     pub(crate) silent_zones: BTreeMap<String, Health>,
     /// Until when the endpoint list vouches for the workers in it; `None`: for ever.
-    pub(crate) list_lease_end: Option<Time>,
+    pub(crate) endpoint_list_lease_end: Option<Time>,
     /// When it was last known to be current.
-    pub(crate) list_confirmed_at: Time,
+    pub(crate) endpoint_list_confirmed_at: Time,
     /// Its source has given a sign of life since the start.
-    pub(crate) list_was_followed: bool,
+    pub(crate) endpoint_list_was_followed: bool,
     /// Mean share of their value that attempts lost: answered late, in error or not at all.
     pub(crate) mean_lost_value: f64,
 }
@@ -93,7 +93,7 @@
                 report,
             } => self.record_load_report(&worker, answered.then_some(report), actions),
             Event::Timer { token } => self.expire_timer(token, actions),
-            Event::EndpointListContact(contact) => self.record_list_contact(contact),
+            Event::EndpointListContact(contact) => self.record_endpoint_list_contact(contact),
             Event::HealthChecked(checked) => self.finish_check(&checked, actions),
             Event::WorkerDisconnected { worker } => self.record_connection_lost(&worker),
             Event::Peer { .. } => {}
--- a/crates/pipithub-policy/tests/reference/service.rs
+++ b/crates/pipithub-policy/tests/reference/service.rs
@@ -59,23 +59,23 @@
 
 impl FrontEnd {
     /// Takes in a contact with the source of the list.
-    pub(crate) fn record_list_contact(&mut self, contact: EndpointListContact) {
+    pub(crate) fn record_endpoint_list_contact(&mut self, contact: EndpointListContact) {
         let lease = match contact {
             EndpointListContact::Sought => self.lease(),
             EndpointListContact::Answered => {
-                if !self.list_was_followed {
-                    let end = self.list_confirmed_at + self.grace() + ALLOWED_DELAY;
-                    self.list_lease_end = self.list_lease_end.max(Some(end));
+                if !self.endpoint_list_was_followed {
+                    let end = self.endpoint_list_confirmed_at + self.grace() + ALLOWED_DELAY;
+                    self.endpoint_list_lease_end = self.endpoint_list_lease_end.max(Some(end));
                 }
                 return;
             }
             EndpointListContact::Current => {
-                self.list_was_followed = true;
+                self.endpoint_list_was_followed = true;
                 NOTIFICATION_DELAY + self.lease()
             }
         };
-        self.list_confirmed_at = self.now;
-        self.list_lease_end = Some(self.now + lease);
+        self.endpoint_list_confirmed_at = self.now;
+        self.endpoint_list_lease_end = Some(self.now + lease);
     }
 
     /// How long a worker that was in service may be sent work.
@@ -87,9 +87,9 @@
         self.settings.drain_grace.unwrap_or(DEFAULT_GRACE)
     }
 
-    fn list_vouches(&self) -> bool {
+    fn endpoint_list_vouches(&self) -> bool {
         let is_followed = self.settings.limits.health_checks;
-        self.list_lease_end
+        self.endpoint_list_lease_end
             .is_none_or(|end| !is_followed || self.now < end)
     }
 
@@ -98,7 +98,7 @@
         let service = &worker.service;
         let is_awaited = service.check_sent_at.is_some() && !service.check_is_overdue;
         let failed_often = service.failures > 1;
-        if self.list_vouches() || self.now < service.lease_end {
+        if self.endpoint_list_vouches() || self.now < service.lease_end {
             ServiceStatus::InService
         } else if !failed_often && (is_awaited || self.now >= service.next_check_at) {
             ServiceStatus::Unchecked
@@ -111,7 +111,7 @@
 
     /// Whether work may be sent to a worker without a check.
     pub(crate) fn is_in_service(&self, worker: &WorkerId) -> bool {
-        self.list_vouches()
+        self.endpoint_list_vouches()
             || self
                 .workers
                 .get(worker)
@@ -153,7 +153,7 @@
 
     /// Takes in the end of a check, and routes the requests that waited for it.
     pub(crate) fn finish_check(&mut self, checked: &HealthChecked, actions: &mut Vec<Action>) {
-        let (now, lease, confirmed_at) = (self.now, self.lease(), self.list_confirmed_at);
+        let (now, lease, confirmed_at) = (self.now, self.lease(), self.endpoint_list_confirmed_at);
         let sent_at = now.saturating_sub(checked.elapsed);
         let Some(worker) = self.workers.get_mut(&checked.worker) else {
             return;
--- a/crates/pipithub-policy/tests/same.rs
+++ b/crates/pipithub-policy/tests/same.rs
@@ -163,7 +163,7 @@
     ("request arrived", 6000),
     ("attempt", 3000),
     ("discovery contact", 300),
-    ("change held back", 250),
+    ("change delayed", 250),
     ("worker disconnected", 50),
     ("health check", 1000),
     ("health check answered well", 700),
--- a/crates/pipithub-policy/tests/service_leases.rs
+++ b/crates/pipithub-policy/tests/service_leases.rs
@@ -13,7 +13,7 @@
 /// The grace less its margin.
 const LEASE: Time = 850 * MS;
 /// From the last sign of life of the list's source on.
-const LIST_LEASE: Time = 2_000 * MS + LEASE;
+const ENDPOINT_LIST_LEASE: Time = 2_000 * MS + LEASE;
 const WORKERS: [&str; 4] = ["w1", "w2", "w3", "w4"];
 const FUNCTION: u64 = 7;
 
@@ -37,7 +37,7 @@
 /// The same, once the lease of the list has ended.
 fn front_end_in_outage() -> (FrontEndHarness, WorkerId) {
     let (mut front_end, preferred) = confirmed_front_end();
-    front_end.advance(LIST_LEASE);
+    front_end.advance(ENDPOINT_LIST_LEASE);
     (front_end, preferred)
 }
 
@@ -128,9 +128,9 @@
     let (mut front_end, preferred) = confirmed_front_end();
     assert_eq!(
         front_end.module.lease_end(&preferred),
-        front_end.now + LIST_LEASE
+        front_end.now + ENDPOINT_LIST_LEASE
     );
-    front_end.advance(LIST_LEASE - MS);
+    front_end.advance(ENDPOINT_LIST_LEASE - MS);
     let (_, actions) = front_end.request(FUNCTION);
     assert_eq!(forwarded_to(&actions), Some(preferred.clone()));
     front_end.advance(MS);
@@ -295,7 +295,7 @@
         assert_eq!(front_end.module.lease_end(&worker), end);
     }
     contact(&mut front_end, EndpointListContact::Current);
-    let end = front_end.now + LIST_LEASE;
+    let end = front_end.now + ENDPOINT_LIST_LEASE;
     front_end.advance(500 * MS);
     contact(&mut front_end, EndpointListContact::Answered);
     assert_eq!(front_end.module.lease_end(&worker), end);
--- a/crates/pipithub-policy/tests/simulated_fleet/discovery.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/discovery.rs
@@ -80,8 +80,8 @@
     }
 
     /// Keeps back the change of workers that the list cannot tell now. The connections of those that have started anew end.
-    pub(super) fn hold_back(&mut self, changed: BTreeSet<usize>) {
-        self.count("change held back");
+    pub(super) fn delay_change(&mut self, changed: BTreeSet<usize>) {
+        self.count("change delayed");
         for &worker in &changed {
             let is_known = self.endpoint_random.random_bool(CONNECTION_KNOWN);
             if self.workers.get(worker).endpoint.started_at == Some(self.now) && is_known {
@@ -89,12 +89,12 @@
                     .push(self.now + MS, ScheduledEvent::WorkerDisconnects(worker));
             }
         }
-        self.held_back.extend(changed);
+        self.delayed_changes.extend(changed);
     }
 
     /// Discovery is in reach again: first it tells what was missed.
     pub(super) fn discovery_returns(&mut self) -> Event {
-        let missed = std::mem::take(&mut self.held_back);
+        let missed = std::mem::take(&mut self.delayed_changes);
         Event::Endpoints {
             update: EndpointUpdate::Delta,
             endpoints: self.workers.endpoints(missed),
--- a/crates/pipithub-policy/tests/simulated_fleet/mod.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/mod.rs
@@ -50,7 +50,7 @@
     clients: Clients,
     endpoint_random: SmallRng,
     /// Changed workers that the list could not tell so far.
-    held_back: BTreeSet<usize>,
+    delayed_changes: BTreeSet<usize>,
 }
 
 impl SimulatedFleet {
@@ -64,7 +64,7 @@
             workers: Workers::default(),
             clients: Clients::new(&scenario),
             endpoint_random: SmallRng::seed_from_u64(mix(scenario.seed ^ ENDPOINT_SEED_MASK)),
-            held_back: BTreeSet::new(),
+            delayed_changes: BTreeSet::new(),
             scenario,
         };
         for _ in 0..fleet.scenario.workers.count {
@@ -199,7 +199,7 @@
                     .push(next_change, ScheduledEvent::EndpointsChange);
                 if self.is_out_of_reach() {
                     let changed = self.change_some_workers();
-                    self.hold_back(changed);
+                    self.delay_change(changed);
                     return None;
                 }
                 self.change_endpoints()
--- a/crates/pipithub-scenario/src/outage.rs
+++ b/crates/pipithub-scenario/src/outage.rs
@@ -16,8 +16,8 @@
 
 pub use checks::{Breach, Rule, Verdict, check};
 pub use history::{
-    AnswerKind, CallRecord, ClientEnd, Execution, History, Instant, ListChange, NodeEvent,
+    AnswerKind, CallRecord, ClientEnd, EndpointChange, Execution, History, Instant, NodeEvent,
     NodeRecord, OutageRecord, ReceivedWork, WorkKind, WorkerStart,
 };
-pub use plan::{ListState, OutageKind, Plan, Rates, Settings, Step, TimedStep};
+pub use plan::{EndpointState, OutageKind, Plan, Rates, Settings, Step, TimedStep};
 pub use run::run;
--- a/crates/pipithub-scenario/src/outage/checks.rs
+++ b/crates/pipithub-scenario/src/outage/checks.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use super::history::{
-    AnswerKind, CallRecord, ClientEnd, History, Instant, ListChange, NodeEvent, WorkKind,
+    AnswerKind, CallRecord, ClientEnd, EndpointChange, History, Instant, NodeEvent, WorkKind,
 };
-use super::node::{COLD_SHARE, OVERLOAD_FACTOR, OVERLOAD_WINDOW};
-use super::plan::{ListState, Plan};
+use super::node::{INITIAL_WEIGHT, OVERLOAD_FACTOR, OVERLOAD_WINDOW};
+use super::plan::{EndpointState, Plan};
 
 /// A front end that lost its stream may take this long to connect again once discovery is back; the clock of the outage runs on.
 const RECONNECT_TIME: Duration = Duration::from_millis(1_500);
@@ -32,18 +32,18 @@
     DrainedCall,
     /// The same for commands to load.
     DrainedLoadCommand,
-    /// A worker that warms up is not overloaded by front ends that were told of its start.
+    /// A worker that warms up is not overloaded by front ends that were notified of its start.
     SlowStart,
 }
 
 /// A violation of a rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Breach {
-    /// The rule.
+    /// The rule that was broken.
     pub rule: Rule,
-    /// When.
+    /// The time at which it was broken.
     pub at: Instant,
-    /// What was seen.
+    /// A description of what was seen, for reports.
     pub what: String,
 }
 
@@ -62,7 +62,7 @@
 
 impl Verdict {
     /// The share of calls that were served in time.
-    pub fn served_share(&self) -> f64 {
+    pub fn served_ratio(&self) -> f64 {
         self.served as f64 / self.calls.max(1) as f64
     }
 
@@ -98,7 +98,7 @@
 
 /// When a front end counts as notified of a change. That is when discovery had it, or its own start if that was later; and
 /// where discovery was out of reach, at the latest a fixed time after that began.
-fn notified_at(history: &History, node: usize, change: &ListChange) -> Instant {
+fn notified_at(history: &History, node: usize, change: &EndpointChange) -> Instant {
     let started = history
         .nodes
         .iter()
@@ -137,25 +137,25 @@
     slack: Duration,
 ) -> Vec<ClosedTime> {
     let mut closed = Vec::new();
-    let mut open_from: Option<Instant> = None;
+    let mut closed_from: Option<Instant> = None;
     for change in history
         .changes
         .iter()
         .filter(|change| change.worker == worker)
     {
-        if change.state == ListState::Serving {
-            if let Some(from) = open_from.take() {
+        if change.state == EndpointState::Serving {
+            if let Some(from) = closed_from.take() {
                 closed.push(ClosedTime {
                     from,
                     until: change.at,
                 });
             }
-        } else if open_from.is_none() {
+        } else if closed_from.is_none() {
             let notified = notified_at(history, node, change);
-            open_from = Some(notified + plan.settings.drain_grace + slack);
+            closed_from = Some(notified + plan.settings.drain_grace + slack);
         }
     }
-    closed.extend(open_from.map(|from| ClosedTime {
+    closed.extend(closed_from.map(|from| ClosedTime {
         from,
         until: Instant::MAX,
     }));
@@ -213,7 +213,7 @@
             ClientEnd::Answered { .. } => continue,
             ClientEnd::Closed { at } if !is_lost_at_close(history, call, at, slack) => continue,
             ClientEnd::Closed { .. } => "was closed without an answer",
-            ClientEnd::Open => "got no answer",
+            ClientEnd::Pending => "got no answer",
         };
         breaches.push(Breach {
             rule: Rule::FinalAnswer,
@@ -259,9 +259,9 @@
 
 /// The most calls that a warming worker may be sent within the overload window, `age` after its start. `served` is what a warm
 /// worker gets within such a window: its capacity is taken to be as much again.
-fn warming_budget(served: f64, age: Duration, ramp: Duration) -> f64 {
-    let warmth = (age.as_secs_f64() / ramp.as_secs_f64()).min(1.0);
-    let capacity = 2.0 * served * (COLD_SHARE + (1.0 - COLD_SHARE) * warmth);
+fn warming_budget(served: f64, age: Duration, slow_start: Duration) -> f64 {
+    let warmth = (age.as_secs_f64() / slow_start.as_secs_f64()).min(1.0);
+    let capacity = 2.0 * served * (INITIAL_WEIGHT + (1.0 - INITIAL_WEIGHT) * warmth);
     let mean = OVERLOAD_FACTOR * capacity;
     if mean < 30.0 {
         mean + 3.0 * mean.sqrt() + 3.0
@@ -280,21 +280,24 @@
     let windows = (plan.duration.as_secs_f64() / window).max(1.0);
     let served = calls.len() as f64 / plan.workers as f64 / windows;
     for start in &history.worker_starts {
-        let change = ListChange {
+        let change = EndpointChange {
             at: start.at,
             worker: start.worker,
-            state: ListState::Serving,
+            state: EndpointState::Serving,
         };
         let arrivals: Vec<_> = calls
             .iter()
             .filter(|work| work.worker == start.worker)
-            .filter(|work| work.at >= start.at && work.at < start.at + plan.settings.ramp)
+            .filter(|work| work.at >= start.at && work.at < start.at + plan.settings.slow_start)
             .collect();
         for (end, last) in arrivals.iter().enumerate() {
             let first = arrivals.partition_point(|work| work.at + OVERLOAD_WINDOW <= last.at);
             let within = &arrivals[first..=end];
-            let budget =
-                warming_budget(served, last.at.saturating_sub(start.at), plan.settings.ramp);
+            let budget = warming_budget(
+                served,
+                last.at.saturating_sub(start.at),
+                plan.settings.slow_start,
+            );
             if within.len() as f64 <= budget {
                 continue;
             }
--- a/crates/pipithub-scenario/src/outage/client.rs
+++ b/crates/pipithub-scenario/src/outage/client.rs
@@ -20,9 +20,9 @@
 
 const CONNECTIONS: u64 = 4;
 /// The platform's bound of open requests on one connection.
-const MAX_OPEN_CALLS: usize = 32;
+const MAX_PENDING_CALLS: usize = 32;
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(20);
-const REFUSED_CODE: i64 = -32050;
+const REJECTED_CODE: i64 = -32050;
 const BODY: &str = "aGVsbG8=";
 /// One call of this many is of the class that must not run twice.
 const UNSAFE_EVERY: usize = 4;
@@ -63,7 +63,7 @@
             random: Mutex::new(SplitMix64::new(seed ^ (node as u64) << 32)),
         });
         for _ in 0..CONNECTIONS {
-            tokio::spawn(clients.clone().keep_connected());
+            tokio::spawn(clients.clone().reconnect_until_end());
         }
     }
 
@@ -71,7 +71,7 @@
         self.random.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn keep_connected(self: Arc<Self>) {
+    async fn reconnect_until_end(self: Arc<Self>) {
         while !self.load.ended.load(Relaxed) {
             if let Ok(stream) = TcpStream::connect(self.address).await {
                 self.use_connection(stream).await;
@@ -90,9 +90,9 @@
             () = self.read_answers(read, &connection) => {}
         }
         let at = self.recorder.now();
-        let open = std::mem::take(&mut *connection.open_calls());
+        let open = std::mem::take(&mut *connection.pending_calls());
         for mut call in open.into_values() {
-            if call.end == ClientEnd::Open {
+            if call.end == ClientEnd::Pending {
                 call.end = ClientEnd::Closed { at };
             }
             self.recorder.record(|history| history.calls.push(call));
@@ -103,13 +103,13 @@
         let mut id = 0u64;
         loop {
             tokio::time::sleep(self.next_gap()).await;
-            let is_at_bound = connection.unanswered() >= MAX_OPEN_CALLS;
+            let is_at_bound = connection.unanswered() >= MAX_PENDING_CALLS;
             if is_at_bound || self.load.ended.load(Relaxed) {
                 continue;
             }
             id += 1;
             let (call, line) = self.next_call(id);
-            connection.open_calls().insert(id, call);
+            connection.pending_calls().insert(id, call);
             if write.write_all(line.as_bytes()).await.is_err() {
                 return;
             }
@@ -143,7 +143,7 @@
             sent: self.recorder.now(),
             timeout: self.load.timeout,
             further_answers: 0,
-            end: ClientEnd::Open,
+            end: ClientEnd::Pending,
         };
         (record, format!("{line}\n"))
     }
@@ -155,12 +155,12 @@
             let Ok(answer) = serde_json::from_str::<Value>(&line) else {
                 return;
             };
-            let mut open_calls = connection.open_calls();
+            let mut pending_calls = connection.pending_calls();
             let id = answer["id"].as_u64().unwrap_or(0);
-            let Some(call) = open_calls.get_mut(&id) else {
+            let Some(call) = pending_calls.get_mut(&id) else {
                 continue;
             };
-            if call.end == ClientEnd::Open {
+            if call.end == ClientEnd::Pending {
                 let kind = kind_of(&answer);
                 call.end = ClientEnd::Answered { at, kind };
             } else {
@@ -173,27 +173,27 @@
 /// The calls of one connection, by their ids.
 #[derive(Debug, Default)]
 struct Connection {
-    open_calls: Mutex<BTreeMap<u64, CallRecord>>,
+    pending_calls: Mutex<BTreeMap<u64, CallRecord>>,
 }
 
 impl Connection {
-    fn open_calls(&self) -> MutexGuard<'_, BTreeMap<u64, CallRecord>> {
-        self.open_calls
+    fn pending_calls(&self) -> MutexGuard<'_, BTreeMap<u64, CallRecord>> {
+        self.pending_calls
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn unanswered(&self) -> usize {
-        let is_open = |call: &&CallRecord| call.end == ClientEnd::Open;
-        self.open_calls().values().filter(is_open).count()
+        let is_open = |call: &&CallRecord| call.end == ClientEnd::Pending;
+        self.pending_calls().values().filter(is_open).count()
     }
 }
 
 fn kind_of(answer: &Value) -> AnswerKind {
     if answer["result"]["body"] == BODY {
         AnswerKind::Served
-    } else if answer["error"]["code"].as_i64() == Some(REFUSED_CODE) {
-        AnswerKind::Refused
+    } else if answer["error"]["code"].as_i64() == Some(REJECTED_CODE) {
+        AnswerKind::Rejected
     } else {
         AnswerKind::Failed
     }
--- a/crates/pipithub-scenario/src/outage/discovery.rs
+++ b/crates/pipithub-scenario/src/outage/discovery.rs
@@ -16,7 +16,7 @@
 const COMMENT: &[u8] = b":\n\n";
 const COMMENT_INTERVAL: Duration = Duration::from_secs(1);
 /// How long an address that front ends have moved from keeps its open streams.
-const CLOSE_AFTER_MOVE: Duration = Duration::from_millis(1_500);
+const CLOSE_AFTER_MIGRATION: Duration = Duration::from_millis(1_500);
 const REBIND_INTERVAL: Duration = Duration::from_millis(2);
 
 /// How an address of discovery behaves.
@@ -24,8 +24,8 @@
 enum Mode {
     InReach,
     Out(OutageKind),
-    /// The front end was moved to another address: nothing new is told, and streams end soon.
-    Left,
+    /// The front end was given another address: this one sends nothing new, and its streams end soon.
+    Retired,
 }
 
 /// The list of workers, as a growing sequence of events.
@@ -61,7 +61,8 @@
         });
     }
 
-    /// What a front end that starts now is told: one event with all workers, under the index of the last change.
+    /// The part of a configuration that holds the list at a start: one event with all workers, under the index of the last
+    /// change.
     pub(super) fn known(&self) -> Value {
         let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         let present: Vec<Value> = hosts
@@ -97,24 +98,24 @@
         Ok(DiscoveryAddress { address, mode })
     }
 
-    /// Gets out of reach.
+    /// Makes the address unreachable or silent.
     pub(super) fn begin_outage(&self, kind: OutageKind) {
         self.mode.send_replace(Mode::Out(kind));
     }
 
-    /// Is in reach again.
+    /// Makes the address serve the list again.
     pub(super) fn end_outage(&self) {
         self.mode.send_replace(Mode::InReach);
     }
 
-    /// Is left by its front end, which was given another address.
-    pub(super) fn leave(&self) {
-        self.mode.send_replace(Mode::Left);
+    /// Sends nothing more to its front end, which was given another address.
+    pub(super) fn retire(&self) {
+        self.mode.send_replace(Mode::Retired);
     }
 }
 
 fn is_closed(mode: Mode) -> bool {
-    matches!(mode, Mode::Out(OutageKind::Refused) | Mode::Left)
+    matches!(mode, Mode::Out(OutageKind::Refused) | Mode::Retired)
 }
 
 /// Accepts connections as long as the mode allows it.
@@ -169,7 +170,7 @@
             let _ = stream.write_all(HEAD).await;
             return stay_silent(stream, mode).await;
         }
-        Mode::Left => return,
+        Mode::Retired => return,
     }
     if stream.write_all(HEAD).await.is_err() {
         return;
@@ -235,7 +236,7 @@
             stay_silent(stream, mode).await;
         }
         Mode::Out(_) => stay_silent(stream, mode).await,
-        Mode::Left => tokio::time::sleep(CLOSE_AFTER_MOVE).await,
+        Mode::Retired => tokio::time::sleep(CLOSE_AFTER_MIGRATION).await,
     }
 }
 
--- a/crates/pipithub-scenario/src/outage/draw.rs
+++ b/crates/pipithub-scenario/src/outage/draw.rs
@@ -63,7 +63,7 @@
         let settings = Settings {
             drain_grace: milliseconds(self.pick(&GRACES_MS)),
             client_timeout: milliseconds(self.pick(&CLIENT_TIMEOUTS_MS)),
-            ramp: milliseconds(4_000 + self.between(0, 4_000)),
+            slow_start: milliseconds(4_000 + self.between(0, 4_000)),
         };
         let begin = self.between(1_500, 3_000);
         let end = self.duration_ms - self.between(1_500, 3_000);
@@ -86,7 +86,7 @@
             self.add_restart(begin);
         }
         if self.one_in(4) {
-            self.add_moves(begin, end);
+            self.add_migrations(begin, end);
         }
         if self.one_in(3) {
             let at = self.between(begin, end - 2_000);
@@ -223,20 +223,20 @@
         }
     }
 
-    /// SIGHUPs in series: to an address where nobody listens, and back.
-    fn add_moves(&mut self, begin: u64, end: u64) {
+    /// SIGHUPs in series: to an address that refuses connections, and back.
+    fn add_migrations(&mut self, begin: u64, end: u64) {
         let nodes = self.take_nodes();
         let mut at = self.between(begin.saturating_sub(500), begin + 1_000);
         let mut reachable = false;
         while at + 2_000 < end {
             let nodes = nodes.clone();
-            self.add(at, Step::MoveDiscovery { nodes, reachable });
+            self.add(at, Step::MigrateDiscovery { nodes, reachable });
             at += self.between(300, 2_000);
             reachable = !reachable;
         }
         if reachable {
             // It ends at an address that can be reached.
-            self.add(at, Step::MoveDiscovery { nodes, reachable });
+            self.add(at, Step::MigrateDiscovery { nodes, reachable });
         }
     }
 }
--- a/crates/pipithub-scenario/src/outage/history.rs
+++ b/crates/pipithub-scenario/src/outage/history.rs
@@ -3,28 +3,28 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use super::plan::{ListState, OutageKind};
+use super::plan::{EndpointState, OutageKind};
 
 /// A point in time, counted from the begin of the run.
 pub type Instant = Duration;
 
 /// A change of the endpoint list.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ListChange {
+pub struct EndpointChange {
     /// When discovery had it.
     pub at: Instant,
-    /// The worker.
+    /// The index of the worker that changed.
     pub worker: usize,
-    /// Its new state.
-    pub state: ListState,
+    /// The state that the endpoint list gives it from then on.
+    pub state: EndpointState,
 }
 
 /// A time in which discovery was out of reach of a front end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OutageRecord {
-    /// The front end.
+    /// The index of the front end that could not reach discovery.
     pub node: usize,
-    /// When it began.
+    /// The time of the last moment at which discovery could be reached.
     pub begin: Instant,
     /// When discovery could be reached again; `None` if that never was.
     pub end: Option<Instant>,
@@ -35,7 +35,7 @@
 /// What a worker was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkKind {
-    /// A call.
+    /// A request to run a call.
     Call,
     /// A command to load replicas of a function.
     LoadCommand,
@@ -50,18 +50,18 @@
     pub at: Instant,
     /// The front end that sent it.
     pub node: usize,
-    /// The worker.
+    /// The index of the worker that received it.
     pub worker: usize,
-    /// What it was.
+    /// The kind of request that the line was.
     pub kind: WorkKind,
 }
 
-/// A call that a worker has begun to run.
+/// The execution of a call by a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Execution {
-    /// When.
+    /// The time at which the worker began to run it.
     pub at: Instant,
-    /// The worker.
+    /// The index of the worker that ran it.
     pub worker: usize,
     /// The name of the call.
     pub call: String,
@@ -72,9 +72,9 @@
 /// The start of a worker process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerStart {
-    /// When.
+    /// The time from which the new process accepts connections.
     pub at: Instant,
-    /// The worker.
+    /// The index of the worker whose place it takes.
     pub worker: usize,
 }
 
@@ -83,7 +83,7 @@
 pub enum NodeEvent {
     /// The process was started, with the list of that time in its configuration.
     Started,
-    /// SIGTERM was sent.
+    /// SIGTERM was sent to its process.
     Terminated,
     /// It was killed, or had ended by then.
     Killed,
@@ -92,22 +92,22 @@
 /// An event of a front end, with its time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeRecord {
-    /// When.
+    /// The time of the event.
     pub at: Instant,
-    /// The front end.
+    /// The index of the front end.
     pub node: usize,
-    /// What happened.
+    /// The event itself.
     pub event: NodeEvent,
 }
 
 /// The answer to a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerKind {
-    /// Served.
+    /// The call was served with the body that its worker gave.
     Served,
-    /// Refused: a retry is harmless.
-    Refused,
-    /// Failed.
+    /// The call was rejected: a retry is harmless.
+    Rejected,
+    /// The call failed and may have run.
     Failed,
 }
 
@@ -116,18 +116,18 @@
 pub enum ClientEnd {
     /// It got an answer.
     Answered {
-        /// When.
+        /// The time at which the answer was read.
         at: Instant,
-        /// Which.
+        /// The kind of answer.
         kind: AnswerKind,
     },
     /// Its connection ended without an answer.
     Closed {
-        /// When.
+        /// The time at which the end of the connection was read.
         at: Instant,
     },
     /// Nothing came until the end of the run.
-    Open,
+    Pending,
 }
 
 /// A call of a client.
@@ -135,7 +135,7 @@
 pub struct CallRecord {
     /// The front end that it was sent to.
     pub node: usize,
-    /// Its name.
+    /// The name of the call, which no other call has.
     pub call: String,
     /// When its last byte was written.
     pub sent: Instant,
@@ -143,7 +143,7 @@
     pub timeout: Duration,
     /// Answers beyond the first one.
     pub further_answers: u32,
-    /// How it ended.
+    /// How the call ended for its client.
     pub end: ClientEnd,
 }
 
@@ -151,8 +151,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct History {
     /// Changes of the list, by time.
-    pub changes: Vec<ListChange>,
-    /// Outages.
+    pub changes: Vec<EndpointChange>,
+    /// The times in which front ends could not reach discovery.
     pub outages: Vec<OutageRecord>,
     /// Work that arrived at workers, by time for each worker.
     pub work: Vec<ReceivedWork>,
@@ -162,7 +162,7 @@
     pub worker_starts: Vec<WorkerStart>,
     /// Starts and ends of front ends.
     pub nodes: Vec<NodeRecord>,
-    /// Calls.
+    /// All calls of all clients.
     pub calls: Vec<CallRecord>,
 }
 
@@ -181,17 +181,17 @@
         }
     }
 
-    /// The present time.
+    /// The time since the begin of the run.
     pub(super) fn now(&self) -> Instant {
         self.start.elapsed()
     }
 
-    /// Writes to the history.
+    /// Lets `write` add to the history.
     pub(super) fn record(&self, write: impl FnOnce(&mut History)) {
         write(&mut self.history.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// Takes the whole history.
+    /// Takes out all that was recorded so far.
     pub(super) fn take(&self) -> History {
         let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
         std::mem::take(&mut history)
--- a/crates/pipithub-scenario/src/outage/node.rs
+++ b/crates/pipithub-scenario/src/outage/node.rs
@@ -17,12 +17,13 @@
 use super::worker::UNSAFE_CLASS;
 
 /// After SIGHUP, changes count as notified after this time at the latest.
-const MOVE_NOTIFICATION_DELAY: Duration = Duration::from_secs(4);
+const MIGRATION_NOTIFICATION_DELAY: Duration = Duration::from_secs(4);
 /// A kill follows SIGTERM after the longest client timeout, counted as this if it is shorter, and [`KILL_MARGIN`].
 const MIN_KILL_DELAY: Duration = Duration::from_secs(3);
 const KILL_MARGIN: Duration = Duration::from_millis(700);
-/// The cold capacity of workers, and how far beyond it they may be sent work, as the front ends are told.
-pub(super) const COLD_SHARE: f64 = 0.2;
+/// The figures of slow start in the front ends' settings: the capacity of a worker at its start as a part of that of a warm one,
+/// and by which factor and for how long it must be overloaded to fail.
+pub(super) const INITIAL_WEIGHT: f64 = 0.2;
 pub(super) const OVERLOAD_FACTOR: f64 = 3.0;
 pub(super) const OVERLOAD_WINDOW: Duration = Duration::from_secs(2);
 
@@ -40,7 +41,7 @@
 /// One front end, over all its processes.
 pub(super) struct Node {
     setup: NodeSetup,
-    /// The addresses at which it may be told to reach discovery. Nobody listens at the last one.
+    /// The addresses of discovery that its configuration may name. `unreachable` refuses connections.
     discovery: Vec<DiscoveryAddress>,
     unreachable: SocketAddr,
     /// The index of the address in its configuration; `None` for the unreachable one.
@@ -85,7 +86,7 @@
             .join(format!("node-{}.log", self.setup.index))
     }
 
-    /// Writes the configuration with the list of now, as a whole: a reader never sees a part of it.
+    /// Writes the configuration with the present list. The file is replaced atomically, so no reader sees a part of it.
     fn write_config(&self) -> std::io::Result<()> {
         let coordinator = match self.current {
             Some(current) => self.discovery[current].address,
@@ -97,7 +98,7 @@
         std::fs::rename(&written, self.config_path())
     }
 
-    /// Starts the process.
+    /// Starts its process with the present endpoint list in its configuration.
     pub(super) fn start(&mut self) -> std::io::Result<()> {
         self.starts += 1;
         self.recorder
@@ -132,7 +133,7 @@
     }
 
     /// Gives it a configuration with another address of discovery, and SIGHUP.
-    pub(super) fn move_discovery(&mut self, reachable: bool) -> std::io::Result<()> {
+    pub(super) fn migrate_discovery(&mut self, reachable: bool) -> std::io::Result<()> {
         let left = self.current;
         self.current = reachable.then(|| left.map_or(0, |left| (left + 1) % self.discovery.len()));
         if let Some(current) = self.current {
@@ -141,11 +142,11 @@
         let index = self.setup.index;
         // The time within which it has to follow the new address.
         self.recorder
-            .begin_outage_for(index, MOVE_NOTIFICATION_DELAY);
+            .begin_outage_for(index, MIGRATION_NOTIFICATION_DELAY);
         self.write_config()?;
         self.signal(Signal::SIGHUP);
         if let Some(left) = left {
-            self.discovery[left].leave();
+            self.discovery[left].retire();
         }
         if reachable && self.outage.is_none() {
             self.recorder.end_outage(index);
@@ -228,7 +229,7 @@
                 "MaxRetryAfter": 500_000_000, "ConnectTimeout": 250_000_000, "IdleClose": 4_000_000_000u64,
                 "StreamsPerConn": 32, "OpenCap": 20_000},
             "Report": {"How": "answers"},
-            "Rules": {"ColdFrom": COLD_SHARE, "RampTime": nanoseconds(settings.ramp),
+            "Rules": {"ColdFrom": INITIAL_WEIGHT, "RampTime": nanoseconds(settings.slow_start),
                 "FallMultiple": OVERLOAD_FACTOR, "OverloadFor": nanoseconds(OVERLOAD_WINDOW),
                 "DrainGrace": nanoseconds(settings.drain_grace), "AnswerSlack": 8_000_000}
         }
--- a/crates/pipithub-scenario/src/outage/plan.rs
+++ b/crates/pipithub-scenario/src/outage/plan.rs
@@ -38,12 +38,12 @@
 
 /// The state of a worker in the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListState {
+pub enum EndpointState {
     /// It may be sent work.
     Serving,
     /// It finishes its work and must get no new one.
     Draining,
-    /// It has left.
+    /// It was removed and must get no new work.
     Deleted,
 }
 
@@ -52,14 +52,14 @@
 pub enum Step {
     /// Discovery gets out of reach for these front ends.
     BeginOutage {
-        /// The front ends.
+        /// The indexes of the front ends that lose it.
         nodes: Vec<usize>,
-        /// How.
+        /// How it gets out of reach.
         kind: OutageKind,
     },
     /// Discovery is in reach again for these front ends.
     EndOutage {
-        /// The front ends.
+        /// The indexes of the front ends that reach it.
         nodes: Vec<usize>,
     },
     /// Workers begin to drain: they finish what they have and go on to serve for a moment, then turn calls away.
@@ -77,8 +77,8 @@
     /// All connections to these workers are reset.
     Reset(Vec<usize>),
     /// Front ends get a configuration that names another address of discovery, and SIGHUP.
-    MoveDiscovery {
-        /// The front ends.
+    MigrateDiscovery {
+        /// The indexes of the front ends that get it.
         nodes: Vec<usize>,
         /// Whether discovery can be reached at the new address.
         reachable: bool,
@@ -94,33 +94,33 @@
 /// A step and its time from the begin of the load.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TimedStep {
-    /// When it is carried out.
+    /// The time at which it is executed.
     pub at: Duration,
-    /// What is done.
+    /// The step itself.
     pub step: Step,
 }
 
 /// The load of each front end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rates {
-    /// Calls each second.
+    /// How many calls its clients send each second.
     pub calls: u32,
     /// How many functions the calls are spread over.
     pub functions: usize,
 }
 
-/// What the front ends are told of the rules.
+/// The figures of the rules, which the front ends' settings hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// How long after the notification of a drain new work may still be sent.
     pub drain_grace: Duration,
     /// How long clients wait.
     pub client_timeout: Duration,
-    /// How long a worker warms up.
-    pub ramp: Duration,
+    /// How long a worker warms up after its start.
+    pub slow_start: Duration,
 }
 
-/// A complete plan.
+/// All that determines a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
     /// The seed of the load and of all random choices.
@@ -131,7 +131,7 @@
     pub workers: usize,
     /// The load of each front end.
     pub rates: Rates,
-    /// The rules' figures.
+    /// The figures of the rules in this run.
     pub settings: Settings,
     /// How long the load lasts.
     pub duration: Duration,
@@ -147,7 +147,7 @@
         plan.steps.retain(|timed| {
             !matches!(
                 timed.step,
-                Step::BeginOutage { .. } | Step::EndOutage { .. } | Step::MoveDiscovery { .. }
+                Step::BeginOutage { .. } | Step::EndOutage { .. } | Step::MigrateDiscovery { .. }
             )
         });
         plan
--- a/crates/pipithub-scenario/src/outage/run.rs
+++ b/crates/pipithub-scenario/src/outage/run.rs
@@ -12,9 +12,9 @@
 
 use super::client::{Clients, Load, function_name};
 use super::discovery::{DiscoveryAddress, EndpointList};
-use super::history::{History, ListChange, Recorder};
+use super::history::{EndpointChange, History, Recorder};
 use super::node::{Node, NodeSetup};
-use super::plan::{ListState, OutageKind, Plan, Step};
+use super::plan::{EndpointState, OutageKind, Plan, Step};
 use super::worker::Worker;
 use crate::error::RunError;
 use crate::units::MILLISECOND;
@@ -45,12 +45,12 @@
     tokio::time::sleep(START_TIME).await;
     let begin = Instant::now();
     for timed in &plan.steps {
-        cluster.wait_until(begin + timed.at).await?;
-        cluster.carry_out(&timed.step)?;
+        cluster.sleep_until_time(begin + timed.at).await?;
+        cluster.execute(&timed.step)?;
     }
-    cluster.wait_until(begin + plan.duration).await?;
+    cluster.sleep_until_time(begin + plan.duration).await?;
     cluster.load.ended.store(true, Relaxed);
-    cluster.wait_until(Instant::now() + END_TIME).await?;
+    cluster.sleep_until_time(Instant::now() + END_TIME).await?;
     cluster.finish().await
 }
 
@@ -156,7 +156,7 @@
     }
 
     /// Waits, and carries out the second half of restarts meanwhile.
-    async fn wait_until(&mut self, time: Instant) -> Result<(), RunError> {
+    async fn sleep_until_time(&mut self, time: Instant) -> Result<(), RunError> {
         loop {
             self.restarts.sort_by_key(|restart| restart.kill_at);
             let next = self.restarts.first().map(|restart| restart.kill_at);
@@ -166,43 +166,43 @@
             };
             tokio::time::sleep_until(kill_at).await;
             let restart = self.restarts.remove(0);
-            self.start_again(restart.node).await?;
+            self.restart(restart.node).await?;
         }
     }
 
-    async fn start_again(&mut self, node: usize) -> Result<(), RunError> {
+    async fn restart(&mut self, node: usize) -> Result<(), RunError> {
         let node = &mut self.nodes[node];
         node.kill().await;
         node.start()?;
         Ok(())
     }
 
-    fn carry_out(&mut self, step: &Step) -> Result<(), RunError> {
+    fn execute(&mut self, step: &Step) -> Result<(), RunError> {
         match step {
             Step::BeginOutage { nodes, kind } => self.set_outage(nodes, Some(*kind)),
             Step::EndOutage { nodes } => self.set_outage(nodes, None),
             Step::Drain(workers) => {
                 self.each_worker(workers, |worker| worker.set_draining(true));
-                self.publish(workers, ListState::Draining);
+                self.publish(workers, EndpointState::Draining);
             }
             Step::Undrain(workers) => {
                 self.each_worker(workers, |worker| worker.set_draining(false));
-                self.publish(workers, ListState::Serving);
+                self.publish(workers, EndpointState::Serving);
             }
             Step::End(workers) => {
                 self.each_worker(workers, Worker::end);
-                self.publish(workers, ListState::Deleted);
+                self.publish(workers, EndpointState::Deleted);
             }
             Step::Start(workers) => {
-                self.each_worker(workers, Worker::start_again);
+                self.each_worker(workers, Worker::restart);
                 self.publish_start(workers);
             }
             Step::Hang(workers) => self.each_worker(workers, |worker| worker.set_hung(true)),
             Step::Resume(workers) => self.each_worker(workers, |worker| worker.set_hung(false)),
             Step::Reset(workers) => self.each_worker(workers, Worker::reset),
-            Step::MoveDiscovery { nodes, reachable } => {
+            Step::MigrateDiscovery { nodes, reachable } => {
                 for node in nodes {
-                    self.nodes[*node].move_discovery(*reachable)?;
+                    self.nodes[*node].migrate_discovery(*reachable)?;
                 }
             }
             Step::Restart(nodes) => self.begin_restarts(nodes),
@@ -241,21 +241,21 @@
             .for_each(|worker| change(&self.workers[*worker]));
     }
 
-    fn publish(&self, workers: &[usize], state: ListState) {
+    fn publish(&self, workers: &[usize], state: EndpointState) {
         self.change_lists(workers, state, |host| host["health"] = health(state).into());
     }
 
     fn publish_start(&self, workers: &[usize]) {
         let born = wall_ns() / MILLISECOND;
-        self.change_lists(workers, ListState::Serving, |host| {
-            host["health"] = health(ListState::Serving).into();
+        self.change_lists(workers, EndpointState::Serving, |host| {
+            host["health"] = health(EndpointState::Serving).into();
             host["born_ms"] = born.into();
         });
     }
 
-    fn change_lists(&self, workers: &[usize], state: ListState, change: impl Fn(&mut Value)) {
+    fn change_lists(&self, workers: &[usize], state: EndpointState, change: impl Fn(&mut Value)) {
         let at = self.recorder.now();
-        let changes = workers.iter().map(|worker| ListChange {
+        let changes = workers.iter().map(|worker| EndpointChange {
             at,
             worker: *worker,
             state,
@@ -283,11 +283,11 @@
     }
 }
 
-fn health(state: ListState) -> &'static str {
+fn health(state: EndpointState) -> &'static str {
     match state {
-        ListState::Serving => "SERVING",
-        ListState::Draining => "DRAINING",
-        ListState::Deleted => "DELETED",
+        EndpointState::Serving => "SERVING",
+        EndpointState::Draining => "DRAINING",
+        EndpointState::Deleted => "DELETED",
     }
 }
 
--- a/crates/pipithub-scenario/src/outage/worker.rs
+++ b/crates/pipithub-scenario/src/outage/worker.rs
@@ -1,7 +1,7 @@
 //! Workers that speak the platform's protocol.
 //!
-//! A worker that drains goes on to serve for a moment and then turns calls away, while its health checks fail from the begin of
-//! the drain on. A worker process that has started holds no function. When a process ends, its connections are reset and new
+//! A draining worker still serves calls for a moment and then rejects them, while its health checks fail from the begin of the
+//! drain on. A worker process that has started holds no function. When a process ends, its connections are reset and new
 //! ones refused; when it hangs, they stay open and silent.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,9 +18,9 @@
 
 use super::history::{Execution, ReceivedWork, Recorder, WorkKind, WorkerStart};
 
-/// How many calls a worker runs or holds at most; more are turned away.
+/// How many calls a worker has in flight at most; it rejects further ones.
 const MAX_IN_FLIGHT: usize = 64;
-/// How long a draining worker goes on to serve calls, at most.
+/// How long a draining worker still serves calls, at most.
 const MAX_SERVED_WHILE_DRAINING: Duration = Duration::from_millis(900);
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
 const RUN_TIME_SPREAD_MS: u64 = 20;
@@ -31,7 +31,7 @@
 /// The class whose calls must not run twice.
 pub(super) const UNSAFE_CLASS: &str = "assign";
 
-/// What a worker process is told to do.
+/// The state of a worker's process, which the plan's steps change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Mode {
     ended: bool,
@@ -91,7 +91,7 @@
         self.state().draining_since = draining.then(|| self.recorder.now());
     }
 
-    /// Ends the process.
+    /// Ends its process: connections are reset, and new ones refused.
     pub(super) fn end(&self) {
         self.mode.send_modify(|mode| {
             *mode = Mode {
@@ -103,7 +103,7 @@
     }
 
     /// Starts a new process, which holds no function.
-    pub(super) fn start_again(&self) {
+    pub(super) fn restart(&self) {
         *self.state() = State::default();
         let (at, worker) = (self.recorder.now(), self.index);
         self.recorder
@@ -111,12 +111,12 @@
         self.mode.send_modify(|mode| mode.ended = false);
     }
 
-    /// Stops to read and answer, or goes on.
+    /// Stops to answer, or answers again.
     pub(super) fn set_hung(&self, hung: bool) {
         self.mode.send_modify(|mode| mode.hung = hung);
     }
 
-    /// Resets all connections.
+    /// Resets all connections of its process, which stays up.
     pub(super) fn reset(&self) {
         self.mode.send_modify(|mode| mode.resets += 1);
     }
@@ -244,8 +244,8 @@
         });
     }
 
-    /// Whether a call is turned away: after a drain has gone on for some time that differs from drain to drain.
-    fn turns_away(&self) -> bool {
+    /// Whether a draining worker rejects a call now: it serves calls for a time that differs from drain to drain.
+    fn rejects_calls(&self) -> bool {
         let Some(since) = self.state().draining_since else {
             return false;
         };
@@ -256,7 +256,7 @@
 
     async fn run_call(&self, request: &Value) -> Answer {
         let is_full = self.in_flight.load(Relaxed) >= MAX_IN_FLIGHT;
-        if is_full || self.turns_away() {
+        if is_full || self.rejects_calls() {
             return Answer::status("AGAIN");
         }
         let execution = Execution {
--- a/crates/pipithub-scenario/tests/outage_checks.rs
+++ b/crates/pipithub-scenario/tests/outage_checks.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use pipithub_scenario::outage::{
-    AnswerKind, CallRecord, ClientEnd, Execution, History, ListChange, ListState, NodeEvent,
-    NodeRecord, OutageKind, OutageRecord, Plan, Rates, ReceivedWork, Rule, Settings, WorkKind,
-    WorkerStart, check,
+    AnswerKind, CallRecord, ClientEnd, EndpointChange, EndpointState, Execution, History,
+    NodeEvent, NodeRecord, OutageKind, OutageRecord, Plan, Rates, ReceivedWork, Rule, Settings,
+    WorkKind, WorkerStart, check,
 };
 
 const SLACK: Duration = Duration::from_millis(50);
@@ -29,7 +29,7 @@
         settings: Settings {
             drain_grace: GRACE,
             client_timeout: TIMEOUT,
-            ramp: at(4_000),
+            slow_start: at(4_000),
         },
         duration: at(20_000),
         steps: Vec::new(),
@@ -38,10 +38,10 @@
 
 /// A front end that started at once; discovery breaks off at 5 s, and worker 1 begins to drain at 5.6 s.
 fn outage(kind: OutageKind) -> History {
-    let change = ListChange {
+    let change = EndpointChange {
         at: at(5_600),
         worker: 1,
-        state: ListState::Draining,
+        state: EndpointState::Draining,
     };
     History {
         changes: vec![change],
@@ -140,10 +140,10 @@
 #[test]
 fn a_worker_that_is_in_service_again_may_get_work() {
     let mut history = outage(OutageKind::Refused);
-    history.changes.push(ListChange {
+    history.changes.push(EndpointChange {
         at: at(10_000),
         worker: 1,
-        state: ListState::Serving,
+        state: EndpointState::Serving,
     });
     history.work.push(work(10_001, WorkKind::Call));
     assert_eq!(broken(&history), []);
@@ -185,7 +185,7 @@
     twice.further_answers = 1;
     let lost = [
         call(1_000, answered(2_551)),
-        call(1_000, ClientEnd::Open),
+        call(1_000, ClientEnd::Pending),
         call(1_000, ClientEnd::Closed { at: at(1_200) }),
         twice,
     ];
--- a/crates/pipithub/src/outage.rs
+++ b/crates/pipithub/src/outage.rs
@@ -12,7 +12,7 @@
 use crate::scenario::RunFolder;
 
 /// The least share served, as a part of that of the same seed without the outage.
-const MIN_RELATIVE_SHARE: f64 = 0.9;
+const MIN_RELATIVE_SERVED_RATIO: f64 = 0.9;
 const RULES: [Rule; 5] = [
     Rule::FinalAnswer,
     Rule::EffectOnce,
@@ -26,7 +26,7 @@
 /// Arguments of `pipithub outage`.
 #[derive(Args)]
 pub(crate) struct OutageArguments {
-    /// The first seed.
+    /// The seed of the first run; each further run has the next one.
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// How many seeds are played, one after the other.
@@ -79,14 +79,14 @@
     let plan = Plan::draw(seed, arguments.short);
     let slack = Duration::from_millis(arguments.slack_ms);
     let verdict = play_plan(&plan, binary, folder, slack).await?;
-    let share = verdict.served_share();
+    let share = verdict.served_ratio();
     let mut without = None;
     if arguments.compare {
         let folder = folder.join("without");
         let compared = play_plan(&plan.without_outage(), binary, &folder, slack).await?;
-        without = Some(compared.served_share());
+        without = Some(compared.served_ratio());
     }
-    let is_enough = without.is_none_or(|without| share >= MIN_RELATIVE_SHARE * without);
+    let is_enough = without.is_none_or(|without| share >= MIN_RELATIVE_SERVED_RATIO * without);
     let is_kept = verdict.breaches.is_empty() && is_enough;
     print_row(&plan, &verdict, without, is_kept);
     for breach in verdict.breaches.iter().take(MAX_SHOWN) {
@@ -124,7 +124,7 @@
         plan.seed,
         plan.nodes,
         plan.workers,
-        verdict.served_share(),
+        verdict.served_ratio(),
         verdict.health_checks,
         verdict.health_checks as f64 / worker_seconds,
         if is_kept { "kept" } else { "BROKEN" },
--- a/crates/pipithub/tests/discovery_outage.rs
+++ b/crates/pipithub/tests/discovery_outage.rs
@@ -42,7 +42,7 @@
         settings: Settings {
             drain_grace: milliseconds(1_000),
             client_timeout: milliseconds(1_000),
-            ramp: milliseconds(5_000),
+            slow_start: milliseconds(5_000),
         },
         duration: milliseconds(10_000),
         steps: steps
@@ -86,7 +86,7 @@
         );
         assert!(verdict.breaches.is_empty(), "{kind:?}: {shown:#?}");
         assert!(
-            verdict.served_share() > 0.9,
+            verdict.served_ratio() > 0.9,
             "{kind:?}: a service can go on serving, {} of {}",
             verdict.served,
             verdict.calls
@@ -117,7 +117,7 @@
         let shown: Vec<_> = verdict.breaches.iter().take(5).collect();
         assert!(shown.is_empty(), "seed {seed}: {shown:#?}");
         assert!(
-            verdict.calls > 0 && verdict.served_share() > 0.5,
+            verdict.calls > 0 && verdict.served_ratio() > 0.5,
             "seed {seed}"
         );
         assert!(
