--- a/crates/pipithub-scenario/src/outage/run.rs
+++ b/crates/pipithub-scenario/src/outage/run.rs
@@ -35,7 +35,13 @@
 ///
 /// # Errors
 /// Fails if an address, a file or a process cannot be had, or a front end has ended by itself.
-pub async fn run(plan: &Plan, binary: &Path, folder: &Path) -> Result<History, RunError> {
+pub fn run(plan: &Plan, binary: &Path, folder: &Path) -> Result<History, RunError> {
+    // A runtime of its own: with it end all tasks of the run, and the addresses that they listen at are free again.
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(play(plan, binary, folder))
+}
+
+async fn play(plan: &Plan, binary: &Path, folder: &Path) -> Result<History, RunError> {
     std::fs::create_dir_all(folder)?;
     // The port is free on every loopback address as long as this listener holds it.
     let port_holder = StdListener::bind((Ipv4Addr::LOCALHOST, 0))?;
--- a/crates/pipithub/src/outage.rs
+++ b/crates/pipithub/src/outage.rs
@@ -53,6 +53,13 @@
 ///
 /// Fails if a run could not be played to its end.
 pub(crate) async fn play(arguments: OutageArguments) -> Result<ExitCode> {
+    // Each run blocks its thread: it has a runtime of its own.
+    tokio::task::spawn_blocking(move || play_seeds(&arguments))
+        .await
+        .into_diagnostic()?
+}
+
+fn play_seeds(arguments: &OutageArguments) -> Result<ExitCode> {
     logging::init(false, "warn");
     let binary = match &arguments.binary {
         Some(binary) => binary.clone(),
@@ -65,25 +72,20 @@
     let mut are_rules_kept = true;
     for seed in arguments.seed..arguments.seed + arguments.count {
         let seed_folder = folder.path().join(seed.to_string());
-        are_rules_kept &= play_seed(&arguments, seed, &binary, &seed_folder).await?;
+        are_rules_kept &= play_seed(arguments, seed, &binary, &seed_folder)?;
     }
     Ok(folder.finish(are_rules_kept))
 }
 
-async fn play_seed(
-    arguments: &OutageArguments,
-    seed: u64,
-    binary: &Path,
-    folder: &Path,
-) -> Result<bool> {
+fn play_seed(arguments: &OutageArguments, seed: u64, binary: &Path, folder: &Path) -> Result<bool> {
     let plan = Plan::draw(seed, arguments.short);
     let slack = Duration::from_millis(arguments.slack_ms);
-    let verdict = play_plan(&plan, binary, folder, slack).await?;
+    let verdict = play_plan(&plan, binary, folder, slack)?;
     let share = verdict.served_ratio();
     let mut without = None;
     if arguments.compare {
         let folder = folder.join("without");
-        let compared = play_plan(&plan.without_outage(), binary, &folder, slack).await?;
+        let compared = play_plan(&plan.without_outage(), binary, &folder, slack)?;
         without = Some(compared.served_ratio());
     }
     let is_enough = without.is_none_or(|without| share >= MIN_RELATIVE_SERVED_RATIO * without);
@@ -110,8 +112,8 @@
     }
 }
 
-async fn play_plan(plan: &Plan, binary: &Path, folder: &Path, slack: Duration) -> Result<Verdict> {
-    let history = run(plan, binary, folder).await.into_diagnostic()?;
+fn play_plan(plan: &Plan, binary: &Path, folder: &Path, slack: Duration) -> Result<Verdict> {
+    let history = run(plan, binary, folder).into_diagnostic()?;
     Ok(check(plan, &history, slack))
 }
 
--- a/crates/pipithub/tests/discovery_outage.rs
+++ b/crates/pipithub/tests/discovery_outage.rs
@@ -62,10 +62,7 @@
 fn play(plan: &Plan) -> Verdict {
     let folder = tempfile::tempdir().expect("a folder");
     let binary = Path::new(env!("CARGO_BIN_EXE_pipithub"));
-    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-    let history = runtime
-        .block_on(run(plan, binary, folder.path()))
-        .expect("played to its end");
+    let history = run(plan, binary, folder.path()).expect("played to its end");
     check(plan, &history, SLACK)
 }
 
