Outages: one listener that closes and opens again; missed events count from the begin

Need: read once more: the accept loops of emulated discovery and workers were the same code twice, and a report during an outage moved the event from which missed ones are counted.

Change: ReopenableListener serves both; DiscoveryLog keeps the begin of the outage over its reports.

--- a/crates/pipithub-node/src/core/discovery_log.rs
+++ b/crates/pipithub-node/src/core/discovery_log.rs
@@ -120,6 +120,12 @@
             }
             Some(_) => return,
         };
+        let begin = Outage {
+            since: current_at,
+            last_report: now,
+            last_event: self.last_event,
+        };
+        self.outage.get_or_insert(begin).last_report = now;
         let age_ms = milliseconds(now.saturating_sub(current_at));
         warn!(
             front_end,
@@ -128,11 +134,6 @@
             ?stats,
             "{message}"
         );
-        self.outage = Some(Outage {
-            since: current_at,
-            last_report: now,
-            last_event: self.last_event,
-        });
     }
 }
 
--- a/crates/pipithub-scenario/src/outage.rs
+++ b/crates/pipithub-scenario/src/outage.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod draw;
 mod history;
+mod listener;
 mod node;
 mod plan;
 mod run;
--- a/crates/pipithub-scenario/src/outage/discovery.rs
+++ b/crates/pipithub-scenario/src/outage/discovery.rs
@@ -6,9 +6,10 @@
 
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::listener::ReopenableListener;
 use super::plan::OutageKind;
 
 const HEAD: &[u8] =
@@ -17,7 +18,6 @@
 const COMMENT_INTERVAL: Duration = Duration::from_secs(1);
 /// How long an address that front ends have moved from keeps its open streams.
 const CLOSE_AFTER_MIGRATION: Duration = Duration::from_millis(1_500);
-const REBIND_INTERVAL: Duration = Duration::from_millis(2);
 
 /// How an address of discovery behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,10 +91,10 @@
         address: SocketAddr,
         list: Arc<EndpointList>,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
+        let listener = ReopenableListener::bind(address).await?;
+        let address = listener.address();
         let mode = watch::Sender::new(Mode::InReach);
-        tokio::spawn(serve_address(listener, address, mode.subscribe(), list));
+        tokio::spawn(serve_address(listener, mode.subscribe(), list));
         Ok(DiscoveryAddress { address, mode })
     }
 
@@ -120,32 +120,16 @@
 
 /// Accepts connections as long as the mode allows it.
 async fn serve_address(
-    listener: TcpListener,
-    address: SocketAddr,
+    mut listener: ReopenableListener,
     mut mode: watch::Receiver<Mode>,
     list: Arc<EndpointList>,
 ) {
-    let mut listener = Some(listener);
     loop {
         let present = *mode.borrow_and_update();
-        if is_closed(present) {
-            listener = None;
-        } else if listener.is_none() {
-            listener = TcpListener::bind(address).await.ok();
-            if listener.is_none() {
-                tokio::time::sleep(REBIND_INTERVAL).await;
-                continue;
-            }
-        }
-        let accepted = async {
-            match &listener {
-                Some(listener) => listener.accept().await.ok(),
-                None => std::future::pending().await,
-            }
-        };
+        listener.set_open(!is_closed(present)).await;
         tokio::select! {
             changed = mode.changed() => if changed.is_err() { return },
-            stream = accepted => if let Some((stream, _)) = stream {
+            stream = listener.accept() => if let Some(stream) = stream {
                 tokio::spawn(serve_stream(stream, mode.clone(), list.clone()));
             },
         }
--- /dev/null
+++ b/crates/pipithub-scenario/src/outage/listener.rs
@@ -0,0 +1,52 @@
+//! A listener that refuses connections for a while and then has its address again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+
+/// How long it takes until an address that is not free yet is tried again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(2);
+
+/// A listener at a fixed address, which can be closed and opened.
+pub(super) struct ReopenableListener {
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+}
+
+impl ReopenableListener {
+    /// Listens at an address.
+    pub(super) async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(ReopenableListener {
+            address: listener.local_addr()?,
+            listener: Some(listener),
+        })
+    }
+
+    /// The address that it listens at.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener, so that connections are refused, or opens it again.
+    pub(super) async fn set_open(&mut self, open: bool) {
+        if !open {
+            self.listener = None;
+        }
+        while open && self.listener.is_none() {
+            self.listener = TcpListener::bind(self.address).await.ok();
+            if self.listener.is_none() {
+                tokio::time::sleep(REBIND_INTERVAL).await;
+            }
+        }
+    }
+
+    /// The next connection; none comes as long as it is closed.
+    pub(super) async fn accept(&self) -> Option<TcpStream> {
+        match &self.listener {
+            Some(listener) => listener.accept().await.ok().map(|(stream, _)| stream),
+            None => std::future::pending().await,
+        }
+    }
+}
--- a/crates/pipithub-scenario/src/outage/worker.rs
+++ b/crates/pipithub-scenario/src/outage/worker.rs
@@ -12,11 +12,12 @@
 
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
 use super::history::{Execution, ReceivedWork, Recorder, WorkKind, WorkerStart};
+use super::listener::ReopenableListener;
 
 /// How many calls a worker has in flight at most; it rejects further ones.
 const MAX_IN_FLIGHT: usize = 64;
@@ -25,7 +26,6 @@
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
 const RUN_TIME_SPREAD_MS: u64 = 20;
 const LOAD_TIME: Duration = Duration::from_millis(120);
-const REBIND_INTERVAL: Duration = Duration::from_millis(2);
 /// Answers that wait to be written on one connection.
 const MAX_UNWRITTEN: usize = 1024;
 /// The class whose calls must not run twice.
@@ -76,8 +76,8 @@
             recorder,
         });
         for (node, address) in addresses.iter().enumerate() {
-            let listener = TcpListener::bind(address).await?;
-            tokio::spawn(worker.clone().serve_address(node, *address, listener));
+            let listener = ReopenableListener::bind(*address).await?;
+            tokio::spawn(worker.clone().serve_address(node, listener));
         }
         Ok(worker)
     }
@@ -122,29 +122,14 @@
     }
 
     /// Accepts the connections of one front end while the process runs.
-    async fn serve_address(self: Arc<Self>, node: usize, address: SocketAddr, first: TcpListener) {
+    async fn serve_address(self: Arc<Self>, node: usize, mut listener: ReopenableListener) {
         let mut mode = self.mode.subscribe();
-        let mut listener = Some(first);
         loop {
             let ended = mode.borrow_and_update().ended;
-            if ended {
-                listener = None;
-            } else if listener.is_none() {
-                listener = TcpListener::bind(address).await.ok();
-                if listener.is_none() {
-                    tokio::time::sleep(REBIND_INTERVAL).await;
-                    continue;
-                }
-            }
-            let accepted = async {
-                match &listener {
-                    Some(listener) => listener.accept().await.ok(),
-                    None => std::future::pending().await,
-                }
-            };
+            listener.set_open(!ended).await;
             tokio::select! {
                 changed = mode.changed() => if changed.is_err() { return },
-                stream = accepted => if let Some((stream, _)) = stream {
+                stream = listener.accept() => if let Some(stream) = stream {
                     tokio::spawn(self.clone().serve_connection(node, stream));
                 },
             }
