Leases: work decided before a drain is not written past its lease when the list returns

When the list came back and named a worker as draining, FrontEnd::lease_end gave work that still waited for a connection the grace less the margin from then on, even if its lease ended sooner and the drain counted as notified long since.

Change: the end is the sooner of both (CloseBounds). One assertion of the_list_rules_again_once_it_is_back expected the fault and is replaced by one that forbids it; a new test holds both cases.

--- a/crates/pipithub-policy/src/front_end/endpoints.rs
+++ b/crates/pipithub-policy/src/front_end/endpoints.rs
@@ -40,18 +40,19 @@
 
     fn remove_all_but(&mut self, endpoints: &[Endpoint]) {
         let named: BTreeSet<&WorkerId> = endpoints.iter().map(|e| &e.worker).collect();
-        let now = self.now;
+        let bounds = self.close_bounds();
         self.workers.change_where(
             |worker| !named.contains(&worker.endpoint().worker),
-            |worker| worker.mark_removed(now),
+            |worker| worker.mark_removed(bounds),
         );
     }
 
     fn update_endpoint(&mut self, mut endpoint: Endpoint) {
         let classes = self.settings.classes.len();
+        let bounds = self.close_bounds();
         endpoint.started_at = endpoint.started_at.map(|time| time.min(MAX_TIME));
         self.workers
             .get_or_add(&endpoint, classes)
-            .update_endpoint(endpoint, self.now);
+            .update_endpoint(endpoint, bounds);
     }
 }
--- a/crates/pipithub-policy/src/front_end/service_checks.rs
+++ b/crates/pipithub-policy/src/front_end/service_checks.rs
@@ -6,7 +6,9 @@
 use crate::api::{
     Action, EndpointListContact, HealthCheckOutcome, HealthChecked, RequestId, Time, WorkerId,
 };
-use crate::service_lease::{CHECK_TIMEOUT, DEFAULT_DRAIN_GRACE, ServiceStatus, lease_time};
+use crate::service_lease::{
+    CHECK_TIMEOUT, CloseBounds, DEFAULT_DRAIN_GRACE, ServiceStatus, lease_time,
+};
 use crate::timer::TimerToken;
 use crate::worker::WorkerState;
 
@@ -39,11 +41,19 @@
             Some(worker) if worker.is_ready() => {
                 self.endpoint_list_lease.end().max(worker.service.end())
             }
-            Some(worker) => worker.service.closed_at() + self.lease_time(),
+            Some(worker) => worker.service.closes_at(),
             None => 0,
         }
     }
 
+    /// What bounds the writing of work for workers that the endpoint list closes now.
+    pub(super) fn close_bounds(&self) -> CloseBounds {
+        CloseBounds {
+            endpoint_list_lease_end: self.endpoint_list_lease.end(),
+            grace_end: self.now + self.lease_time(),
+        }
+    }
+
     /// Whether leases are kept: without health checks nothing could renew them, and the last list
     /// is all there is.
     fn checks_service(&self) -> bool {
--- a/crates/pipithub-policy/src/service_lease.rs
+++ b/crates/pipithub-policy/src/service_lease.rs
@@ -65,8 +65,18 @@
     next_check_at: Time,
     /// When a connection to it last failed or was closed by it; 0 if none was.
     connection_lost_at: Time,
-    /// When the endpoint list began to name it as draining or removed.
-    closed_at: Time,
+    /// Until when work that was decided before may be written, once the endpoint list names the worker
+    /// as draining or removed.
+    closes_at: Option<Time>,
+}
+
+/// What bounds the writing of work for a worker that the endpoint list names as draining or removed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CloseBounds {
+    /// The end of the endpoint list's lease before this entry of it.
+    pub(crate) endpoint_list_lease_end: Time,
+    /// The end of the grace from now on, less the margin.
+    pub(crate) grace_end: Time,
 }
 
 impl ServiceLease {
@@ -75,20 +85,25 @@
         self.end
     }
 
-    /// When the endpoint list began to name the worker as draining or removed; 0 if it is ready.
-    pub(crate) fn closed_at(&self) -> Time {
-        self.closed_at
+    /// Until when work that was decided before may be written to a worker that is not ready; 0 if it is
+    /// ready.
+    pub(crate) fn closes_at(&self) -> Time {
+        self.closes_at.unwrap_or(0)
     }
 
     /// Records an entry of the endpoint list, which replaces the state known from checks.
-    pub(crate) fn record_listed(&mut self, is_ready: bool, now: Time) {
+    pub(crate) fn record_listed(&mut self, is_ready: bool, bounds: CloseBounds) {
         if is_ready {
             *self = ServiceLease {
                 connection_lost_at: self.connection_lost_at,
                 ..ServiceLease::default()
             };
-        } else if self.closed_at == 0 {
-            self.closed_at = now;
+        } else {
+            // The list may come back with a drain that counts as notified long since: the grace from
+            // now on must not lengthen a lease that ends sooner.
+            let lease_end = bounds.endpoint_list_lease_end.max(self.end);
+            self.closes_at
+                .get_or_insert(lease_end.min(bounds.grace_end));
         }
     }
 
--- a/crates/pipithub-policy/src/worker.rs
+++ b/crates/pipithub-policy/src/worker.rs
@@ -8,7 +8,7 @@
 use crate::outlier::{OutlierDetection, RecalledAttempt};
 use crate::replicas::ReplicaTable;
 use crate::responses::Responses;
-use crate::service_lease::ServiceLease;
+use crate::service_lease::{CloseBounds, ServiceLease};
 use crate::slow_start::RecentForwards;
 use crate::slowdown::Slowdown;
 use crate::worker_table::IndexedState;
@@ -78,12 +78,12 @@
 
     /// Takes over a new entry of the endpoint list. A worker that has restarted is as good as a new
     /// one, whatever was learnt of the process before.
-    pub(crate) fn update_endpoint(&mut self, endpoint: Endpoint, now: Time) {
+    pub(crate) fn update_endpoint(&mut self, endpoint: Endpoint, bounds: CloseBounds) {
         if self.endpoint.started_at != endpoint.started_at {
             self.forget_former_process();
         }
         self.endpoint = endpoint;
-        self.service.record_listed(self.is_ready(), now);
+        self.service.record_listed(self.is_ready(), bounds);
     }
 
     /// Takes the worker for one that has just started, as it may have been restarted while the
@@ -94,9 +94,9 @@
     }
 
     /// Records that the endpoint list does not name it any more.
-    pub(crate) fn mark_removed(&mut self, now: Time) {
+    pub(crate) fn mark_removed(&mut self, bounds: CloseBounds) {
         self.endpoint.state = EndpointState::Removed;
-        self.service.record_listed(false, now);
+        self.service.record_listed(false, bounds);
     }
 
     /// A process that has restarted holds no replica and has no history.
--- a/crates/pipithub-policy/src/worker_table/tests.rs
+++ b/crates/pipithub-policy/src/worker_table/tests.rs
@@ -14,6 +14,7 @@
 use crate::api::{Endpoint, EndpointState, FunctionId, LoadReport, Time, WorkerId};
 use crate::attempt::Attempt;
 use crate::load_reports::ReportedLoad;
+use crate::service_lease::CloseBounds;
 use crate::worker::WorkerState;
 
 fn ids<'a>(workers: impl Iterator<Item = &'a WorkerState>) -> Vec<WorkerId> {
@@ -94,13 +95,12 @@
 
     /// The worker is listed with a later start time.
     fn restart(&mut self, worker: u8) {
-        let now = self.now;
         self.change(worker, |worker, naive| {
             let restarted = Endpoint {
                 started_at: Some(worker.endpoint().started_at.map_or(0, |time| time + 1)),
                 ..worker.endpoint().clone()
             };
-            worker.update_endpoint(restarted.clone(), now);
+            worker.update_endpoint(restarted.clone(), CloseBounds::default());
             naive.update_endpoint(restarted);
         });
     }
@@ -124,7 +124,7 @@
         let is_new = !self.model.contains_key(&endpoint.worker);
         self.table
             .get_or_add(&endpoint, CLASSES)
-            .update_endpoint(endpoint.clone(), self.now);
+            .update_endpoint(endpoint.clone(), CloseBounds::default());
         let naive = self.model.entry(name(worker)).or_default();
         if is_new {
             naive.endpoint = endpoint;
@@ -134,11 +134,10 @@
     }
 
     fn lose_all_but(&mut self, but: u8) {
-        let now = self.now;
         let lost = |w: &WorkerId| *w != name(but);
         self.table.change_where(
             |worker| lost(&worker.endpoint().worker),
-            |worker| worker.mark_removed(now),
+            |worker| worker.mark_removed(CloseBounds::default()),
         );
         self.model
             .iter_mut()
--- a/crates/pipithub-policy/tests/service_leases.rs
+++ b/crates/pipithub-policy/tests/service_leases.rs
@@ -271,15 +271,32 @@
     // A check is under way when the list comes back and says otherwise.
     front_end.update_endpoints(vec![listed(&preferred.0, EndpointState::Draining)]);
     contact(&mut front_end, EndpointListContact::Current);
-    assert_eq!(
-        front_end.module.lease_end(&preferred),
-        front_end.now + LEASE,
-        "what was decided before may still be written for the grace"
+    assert!(
+        front_end.module.lease_end(&preferred) <= front_end.now,
+        "its lease had ended before, so nothing may be written any more"
     );
     let actions = finish_check(&mut front_end, &preferred, HealthCheckOutcome::Healthy, MS);
     assert!(forwarded_to(&actions).is_some_and(|worker| worker != preferred));
 }
 
+#[test]
+fn what_was_decided_before_a_drain_may_be_written_for_the_grace_and_not_past_its_lease() {
+    let (mut front_end, preferred) = confirmed_front_end();
+    front_end.update_endpoints(vec![listed(&preferred.0, EndpointState::Draining)]);
+    let end = front_end.now + LEASE;
+    assert_eq!(front_end.module.lease_end(&preferred), end, "in reach");
+
+    let (mut front_end, preferred) = front_end_in_outage();
+    front_end.request(FUNCTION);
+    let sent_at = front_end.now;
+    finish_check(&mut front_end, &preferred, HealthCheckOutcome::Healthy, 0);
+    front_end.advance(500 * MS);
+    front_end.update_endpoints(vec![listed(&preferred.0, EndpointState::Draining)]);
+    contact(&mut front_end, EndpointListContact::Current);
+    let end = sent_at + LEASE;
+    assert_eq!(front_end.module.lease_end(&preferred), end, "by its check");
+}
+
 #[test]
 fn the_head_of_a_response_counts_at_the_start_alone_and_from_then() {
     let mut front_end = FrontEndHarness::new(lease_settings(), &WORKERS);
