--- a/review/standins.py
+++ b/review/standins.py
@@ -52,10 +52,22 @@
                 file.write(f"{at:9.4f} {who:<12} {what:<10} {text}\n".rstrip() + "\n")
 
 
+TAKEN = set()
+
+
 def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections, each at most once."""
+    while True:
+        port = random.randint(12_000, 32_000)
+        if port in TAKEN:
+            continue
+        TAKEN.add(port)
+        with socket.socket() as listener:
+            try:
+                listener.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def hex_name():
@@ -226,6 +238,9 @@
             self.record.add(self.name, "UNPIN", asset=reference)
             self.loaded.pop(reference, None)
 
+    def ended(self, connection, call, by):
+        """Called when an attempt has ended."""
+
     async def pin(self, connection, reference, options):
         if self.draining:
             return connection.send(cmd="AGAIN", ref=reference, opts={"n": 0})
@@ -260,6 +275,7 @@
             return await asyncio.sleep(3600)
         connection.calls.pop(reference, None)
         self.record.add(self.name, "answered", call=reference)
+        self.ended(connection, reference, "answer")
         connection.send(cmd="ACK", ref=reference, payload=message.get("payload", ""))
 
 
@@ -447,6 +463,8 @@
     async def play():
         lag = Lag()
         watch = asyncio.ensure_future(lag.watch())
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         breaks = await asyncio.wait_for(case(record, trouble), 110)
         watch.cancel()
         record.add("test", "lag", most_ms=round(lag.most * 1000))
@@ -460,7 +478,7 @@
         if lag > max_lag:
             record.add("test", "not run", why="the stand-ins were late")
             result = NOT_RUN
-    except Exception as error:  # A fault of the test itself must not count as a broken rule.
+    except (Exception, asyncio.CancelledError) as error:  # A fault of the test itself must not count as a broken rule.
         record.add("test", "not run", why=repr(error))
         result = NOT_RUN
     record.add("test", ["held", "broken", "not run"][result], trouble=int(trouble))
