--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,2 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")" && exec python3 test.py
+exec sh "$(dirname "$0")/../run.sh" "$(dirname "$0")"
--- a/review/2/test.py
+++ b/review/2/test.py
@@ -98,6 +98,7 @@
                     await asyncio.sleep(0.1)
 
         watch = asyncio.ensure_future(platform())
+        tasks.append(watch)
         tasks.append(asyncio.ensure_future(usual()))
         await asyncio.sleep(8)
         if trouble:
