--- a/review/1/test.py
+++ b/review/1/test.py
@@ -130,4 +130,4 @@
 
 
 if __name__ == "__main__":
-    standins.main(case, FOLDER)
+    standins.main(case, FOLDER, max_lag=0.2)
--- a/review/2/test.py
+++ b/review/2/test.py
@@ -25,7 +25,7 @@
 HALF_REQUEST, SEGMENT, PAUSE = 32_600, 1460, 0.02
 #: How far over the limit a measurement has to be, so that its inaccuracy does not matter.
 TOLERANCE = 1.05
-LASTS = 20
+LASTS = 40
 
 
 def memory(pid):
--- a/review/3/test.py
+++ b/review/3/test.py
@@ -164,4 +164,4 @@
 
 
 if __name__ == "__main__":
-    standins.main(case, FOLDER)
+    standins.main(case, FOLDER, max_lag=0.1)
