--- a/review/1/test.py
+++ b/review/1/test.py
@@ -17,14 +17,17 @@
 WORKERS = 14
 #: How many calls the front end may have open at one worker: it has six connections of four streams each to it.
 FILL = 30
+#: A worker has the memory for all copies that the calls need at a time.
+SMALL = "memory_mb:1200;lanes:4"
+#: How exact the times of the stand-ins are, in seconds; a send that is later by no more is not counted.
+ACCURACY = 0.2
 #: When the burst begins and when the first worker dies, in seconds after the call.
 BURST, DEATH = 6.75, 7.75
 
 
 async def case(record, trouble):
     settings = sites.ba_na_archive()
-    quiet = standins.Record()
-    workers = [Worker(quiet, f"s-{index:08x}", "hill", work=0.06, load=1.7) for index in range(WORKERS)]
+    workers = [Worker(record, f"s-{index:08x}", "hill", work=0.06, load=1.7) for index in range(WORKERS)]
     for worker in workers:
         await worker.start()
     # Which worker each function goes to first, with all workers and without the first one's worker.
@@ -47,7 +50,7 @@
 
     effects = {}
     for worker in workers:
-        worker.record, worker.load = record, 1.7
+        worker.load = 1.7
         worker.loaded.clear()
         worker.arrived.clear()
         worker.on_run = lambda worker, call, sort, key: run(record, effects, worker, call, key)
@@ -60,10 +63,10 @@
 
         def call(function, name=None):
             name = name or hex_name()
-            return asyncio.ensure_future(client.call(SORT, function, ttl=TTL, key="k" + name, name=name))
+            return asyncio.ensure_future(client.call(SORT, function, ttl=TTL, key="k" + name, name=name, props=SMALL))
 
         def call_unkeyed(function):
-            return asyncio.ensure_future(client.call(UNKEYED_SORT, function, ttl=UNKEYED_TTL))
+            return asyncio.ensure_future(client.call(UNKEYED_SORT, function, ttl=UNKEYED_TTL, props=SMALL))
 
         # Usual calls: the second worker has the functions loaded and runs several calls at a time.
         await asyncio.wait([call(function) for function in [main, *warm]])
@@ -92,7 +95,7 @@
         await asyncio.wait(kept, timeout=12)
     finally:
         await front_end.stop()
-    return check(record, workers, name)
+    return check(workers, name)
 
 
 def run(record, effects, worker, call, key):
@@ -109,7 +112,7 @@
     record.add(worker.name, "took effect", call=call, key=key, **({"again": True} if again else {}))
 
 
-def check(record, workers, name):
+def check(workers, name):
     """A keyed call may be sent again only while the workers remember it: 8 s from the first time that it was sent."""
     breaks = []
     arrivals = {}
@@ -119,15 +122,14 @@
     seen = arrivals.get(name, [])
     if not seen:
         raise NotRun("the call did not arrive at a worker")
-    for call, times in arrivals.items():
-        times.sort()
+    for call, times in [(name, sorted(seen))]:
         for at, worker in times[1:]:
             late = at - times[0][0]
-            if late > WINDOW + SLACK:
+            if late > WINDOW + SLACK + ACCURACY:
                 breaks.append(f"call {call} arrived at {times[0][1]} at {times[0][0]:.3f} s and got no answer there; "
                               f"it was sent again to {worker} {late:.3f} s later")
     return breaks
 
 
 if __name__ == "__main__":
-    standins.main(case, FOLDER, max_lag=0.2)
+    standins.main(case, FOLDER, max_lag=ACCURACY)
--- a/review/run.sh
+++ b/review/run.sh
@@ -3,7 +3,7 @@
 # run. TROUBLE=0 leaves the disruption out.
 cd "$1" || exit 2
 rm -f record.txt
-python3 test.py &
+python3 -B test.py &
 test=$!
 trap 'kill "$test" 2>/dev/null' TERM INT HUP
 wait "$test"
--- a/review/standins.py
+++ b/review/standins.py
@@ -427,11 +427,11 @@
 
 async def first_workers(record, settings, workers, functions, sort, ttl):
     """Finds, with a front end started for that alone, to which worker the first call of each function goes."""
-    quiet = Record()
-    coordinator = Coordinator(quiet)
+    record.add("test", "learns", workers=len(workers), functions=len(functions))
+    coordinator = Coordinator(record)
     coordinator.publish([worker.host() for worker in workers], whole=True)
     await coordinator.start()
-    front_end = FrontEnd(quiet, coordinator, settings, name="n0")
+    front_end = FrontEnd(record, coordinator, settings, name="n0")
     found = {}
     calls = {}
     before = [len(worker.arrived) for worker in workers]
