A keyed call is not written after its deduplication window, however long it waited

Cause: the window was checked when the attempt was decided (may_retry_at).

Change: the module states with each attempt and load command until when it may be written (send_by of Action and Output). The pool keeps that on each way, free stream, new connection, second write after a broken one, bytes that the system has not accepted, and hands the request back as never sent; the module routes it again or answers. serve does the same before an exchange. The window still counts from the decision of the first attempt that may have run, which no worker can have seen earlier.

--- a/crates/pipithub-adapter/src/wire.rs
+++ b/crates/pipithub-adapter/src/wire.rs
@@ -343,6 +343,7 @@
             request,
             worker,
             timeout: Some(t),
+            ..
         } => {
             writeln!(reply, "hand_off {end} {request} {} {t}", worker.0)
         }
@@ -350,6 +351,7 @@
             request,
             worker,
             timeout: None,
+            ..
         } => {
             writeln!(reply, "hand_off {end} {request} {} -", worker.0)
         }
@@ -367,6 +369,7 @@
             worker,
             function,
             replicas: copies,
+            ..
         } => {
             writeln!(
                 reply,
--- a/crates/pipithub-baselines/src/lib.rs
+++ b/crates/pipithub-baselines/src/lib.rs
@@ -145,6 +145,7 @@
             request: id,
             worker,
             timeout: None,
+            send_by: None,
         });
     }
 
--- a/crates/pipithub-baselines/tests/policies.rs
+++ b/crates/pipithub-baselines/tests/policies.rs
@@ -104,6 +104,7 @@
         request: RequestId(id),
         worker: worker(name),
         timeout: None,
+        send_by: None,
     }
 }
 
--- a/crates/pipithub-engine/src/engine/actions.rs
+++ b/crates/pipithub-engine/src/engine/actions.rs
@@ -5,6 +5,7 @@
 };
 
 use super::Engine;
+use super::attempts::AttemptLimits;
 use crate::call::AttemptId;
 use crate::output::Output;
 use crate::reply::{Cause, FinalAnswer};
@@ -34,7 +35,11 @@
                 request,
                 worker,
                 timeout,
-            } => self.forward(now, request, worker, timeout),
+                send_by,
+            } => {
+                let limits = AttemptLimits { timeout, send_by };
+                self.forward(now, request, worker, limits);
+            }
             Action::Cancel { request, attempt } => self.outputs.push(Output::Cancel(AttemptId {
                 request,
                 number: attempt,
@@ -55,7 +60,8 @@
                 worker,
                 function,
                 replicas,
-            } => self.load_function(worker, function, replicas),
+                send_by,
+            } => self.load_function(worker, function, replicas, send_by),
             Action::EvictFunction { worker, function } => self.evict_function(worker, function),
             Action::PollLoad { worker } => self.outputs.push(Output::PollLoad(worker)),
             Action::CheckHealth { worker } => self.outputs.push(Output::CheckHealth(worker)),
@@ -72,7 +78,13 @@
         }
     }
 
-    fn load_function(&mut self, worker: WorkerId, function: FunctionId, replicas: u32) {
+    fn load_function(
+        &mut self,
+        worker: WorkerId,
+        function: FunctionId,
+        replicas: u32,
+        send_by: Option<Time>,
+    ) {
         let Some(name) = self.function_names.get(function) else {
             // The name was evicted, so the command cannot be sent. The decision module still expects its result.
             self.decisions.push(Event::LoadFinished(LoadFinished {
@@ -89,6 +101,7 @@
             function,
             name: name.clone(),
             replicas,
+            send_by,
         });
     }
 
--- a/crates/pipithub-engine/src/engine/attempts.rs
+++ b/crates/pipithub-engine/src/engine/attempts.rs
@@ -11,6 +11,15 @@
 use crate::pending::EndedAttempt;
 use crate::reply::{Cause, FinalAnswer};
 
+/// The limits on the time of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptLimits {
+    /// The time after which to give up the attempt, in nanoseconds; `None` means when the client gives up.
+    pub(super) timeout: Option<Time>,
+    /// The time from which the call must not be written to the worker any more; `None` if there is no limit.
+    pub(super) send_by: Option<Time>,
+}
+
 impl Engine {
     /// Starts an attempt, unless the request has its answer, has lost its source or may not run its function.
     pub(super) fn forward(
@@ -18,7 +27,7 @@
         now: Time,
         request: RequestId,
         worker: WorkerId,
-        timeout: Option<Time>,
+        limits: AttemptLimits,
     ) {
         let Some(pending) = self.pending.get_unanswered_mut(request) else {
             return;
@@ -43,7 +52,7 @@
             return;
         }
         let id = pending.begin_attempt(request);
-        let deadline = timeout.map_or(pending.deadline(), |timeout| {
+        let deadline = limits.timeout.map_or(pending.deadline(), |timeout| {
             pending.deadline().min(now + timeout)
         });
         let call = pending.call().clone();
@@ -53,6 +62,7 @@
             worker,
             call,
             deadline,
+            send_by: limits.send_by,
         });
     }
 
--- a/crates/pipithub-engine/src/output.rs
+++ b/crates/pipithub-engine/src/output.rs
@@ -20,6 +20,9 @@
         call: Arc<Call>,
         /// The time at which the attempt must end as timed out, on the clock of [`handle`](crate::Engine::handle).
         deadline: Time,
+        /// The time from which the call must not be written to the worker any more; `None` if there is no limit. An
+        /// attempt that is not written completely before then ends as not sent.
+        send_by: Option<Time>,
     },
     /// Cancel an attempt. Its result must still be reported, as [`AttemptFinished`](crate::Input::AttemptFinished).
     Cancel(AttemptId),
@@ -34,6 +37,8 @@
         name: Arc<str>,
         /// The number of replicas wanted; 0 only asks how many are loaded.
         replicas: u32,
+        /// The time from which the command must not be written to the worker any more; `None` if there is no limit.
+        send_by: Option<Time>,
     },
     /// Have a worker unload its idle replicas of a function.
     EvictFunction {
--- a/crates/pipithub-gateway/src/front_end/outputs.rs
+++ b/crates/pipithub-gateway/src/front_end/outputs.rs
@@ -3,13 +3,14 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use pipithub_engine::policy::{FunctionId, HealthCheckOutcome, HealthChecked, WorkerId};
-use pipithub_engine::{AttemptId, Call, Input, Output, Reply, SourceId, Ticket, Time, Verdict};
+use pipithub_engine::policy::{HealthCheckOutcome, HealthChecked, WorkerId};
+use pipithub_engine::{AttemptId, Call, Input, Output, Reply, SourceId, Ticket, Verdict};
 use tokio::sync::oneshot;
 use tracing::{debug, info};
 
 use super::{FrontEndTask, SourceCommand};
 use crate::tenancy::CallerNames;
+use crate::workers::{LoadCommand, TimeLimits};
 
 impl FrontEndTask {
     /// Executes outputs until neither the engine nor admission produces more of them.
@@ -37,14 +38,30 @@
                 worker,
                 call,
                 deadline,
-            } => self.forward(id, worker, call, deadline),
+                send_by,
+            } => {
+                let limits = TimeLimits {
+                    deadline: Some(deadline),
+                    send_by,
+                };
+                self.forward(id, worker, call, limits);
+            }
             Output::Cancel(id) => self.cancel(id),
             Output::LoadFunction {
                 worker,
                 function,
                 name,
                 replicas,
-            } => self.load_function(worker, function, name, replicas),
+                send_by,
+            } => {
+                let command = LoadCommand {
+                    function,
+                    name,
+                    replicas,
+                    send_by,
+                };
+                self.load_function(worker, command);
+            }
             Output::EvictFunction { worker, name } => self.evict_function(worker, name),
             Output::PollLoad(worker) => self.poll_load(worker),
             Output::CheckHealth(worker) => self.check_health(worker),
@@ -55,7 +72,7 @@
         }
     }
 
-    fn forward(&mut self, id: AttemptId, worker: WorkerId, call: Arc<Call>, deadline: Time) {
+    fn forward(&mut self, id: AttemptId, worker: WorkerId, call: Arc<Call>, limits: TimeLimits) {
         let tenancy = self.tenancy.as_ref();
         debug!(
             front_end = self.name,
@@ -76,9 +93,7 @@
         self.cancellations.insert(id, cancel);
         let workers = self.workers.clone();
         self.spawn_for_input(async move {
-            let result = workers
-                .attempt(id, &worker, &call, deadline, cancelled)
-                .await;
+            let result = workers.attempt(id, &worker, &call, limits, cancelled).await;
             Input::AttemptFinished(result)
         });
     }
@@ -90,20 +105,17 @@
         }
     }
 
-    fn load_function(&self, worker: WorkerId, function: FunctionId, name: Arc<str>, replicas: u32) {
+    fn load_function(&self, worker: WorkerId, command: LoadCommand) {
         debug!(
             front_end = self.name,
             worker = &*worker.0,
-            function = &*name,
-            replicas,
+            function = &*command.name,
+            replicas = command.replicas,
             "sending load command"
         );
         let workers = self.workers.clone();
         self.spawn_for_input(async move {
-            let result = workers
-                .load_function(worker, function, &name, replicas)
-                .await;
-            Input::LoadCommandFinished(result)
+            Input::LoadCommandFinished(workers.load_function(worker, command).await)
         });
     }
 
--- a/crates/pipithub-gateway/src/workers.rs
+++ b/crates/pipithub-gateway/src/workers.rs
@@ -15,11 +15,24 @@
 use pipithub_settings::HttpConfig;
 use tokio::sync::oneshot;
 
+pub(crate) use self::connections::TimeLimits;
 use self::connections::{ConnectionPool, ExchangeError, WorkerResponse};
 
 /// The HTTP status code of a successful response.
 const STATUS_OK: u16 = 200;
 
+/// A command to a worker to load replicas of a function.
+pub(crate) struct LoadCommand {
+    /// The id of the function, for the result.
+    pub(crate) function: FunctionId,
+    /// The name under which the worker knows the function.
+    pub(crate) name: Arc<str>,
+    /// The number of replicas wanted.
+    pub(crate) replicas: u32,
+    /// The time from which the command must not be sent any more; `None` if there is no limit.
+    pub(crate) send_by: Option<Time>,
+}
+
 /// Sends requests to the workers of a front end, over pooled connections.
 pub(crate) struct WorkerClient {
     front_end: String,
@@ -45,18 +58,18 @@
         id: AttemptId,
         worker: &WorkerId,
         call: &Call,
-        deadline: Time,
+        limits: TimeLimits,
         cancelled: oneshot::Receiver<()>,
     ) -> AttemptResult {
         let started = self.clock.now();
         let request = pipithub_inference::infer(call, id, &self.front_end);
-        let exchange =
-            self.connections
-                .exchange(worker, request, call.body.clone(), Some(deadline));
+        let exchange = self
+            .connections
+            .exchange(worker, request, call.body.clone(), limits);
         let ended = tokio::select! {
             biased;
             response = exchange => response.map_err(Outcome::from),
-            () = self.clock.sleep_until(Some(deadline)) => Err(Outcome::TimedOut),
+            () = self.clock.sleep_until(limits.deadline) => Err(Outcome::TimedOut),
             _ = cancelled => Err(Outcome::Cancelled),
         };
         let elapsed = self.clock.now() - started;
@@ -71,12 +84,17 @@
     pub(crate) async fn load_function(
         &self,
         worker: WorkerId,
-        function: FunctionId,
-        name: &str,
-        replicas: u32,
+        command: LoadCommand,
     ) -> LoadCommandResult {
+        let LoadCommand {
+            function,
+            name,
+            replicas,
+            send_by,
+        } = command;
         let started = self.clock.now();
-        let reply = match self.send_load_command(&worker, name, replicas).await {
+        let sent = self.send_load_command(&worker, &name, replicas, send_by);
+        let reply = match sent.await {
             Ok(response) => pipithub_inference::load_command_reply(response.status, |name| {
                 response.header(name)
             }),
@@ -97,7 +115,7 @@
     /// Commands a worker to evict idle replicas of a function. The reply and all errors are ignored: the worker's next
     /// load report shows what it holds.
     pub(crate) async fn evict_function(&self, worker: WorkerId, name: &str) {
-        let _ = self.send_load_command(&worker, name, 0).await;
+        let _ = self.send_load_command(&worker, name, 0, None).await;
     }
 
     async fn send_load_command(
@@ -105,9 +123,10 @@
         worker: &WorkerId,
         name: &str,
         replicas: u32,
+        send_by: Option<Time>,
     ) -> Result<WorkerResponse, ExchangeError> {
         let request = pipithub_inference::load_command(name, replicas, &self.front_end);
-        self.exchange_within(self.config.load_command_timeout, worker, request)
+        self.exchange_within(self.config.load_command_timeout, worker, request, send_by)
             .await
     }
 
@@ -115,7 +134,7 @@
     pub(crate) async fn poll_load(&self, worker: WorkerId) -> LoadPollResult {
         let request = pipithub_inference::load_poll(&self.front_end);
         let polled = self
-            .exchange_within(self.config.load_poll_timeout, &worker, request)
+            .exchange_within(self.config.load_poll_timeout, &worker, request, None)
             .await;
         let response = polled.ok().filter(|response| response.status == STATUS_OK);
         let load_report = response
@@ -136,10 +155,15 @@
         time: Time,
         worker: &WorkerId,
         request: WorkerRequest,
+        send_by: Option<Time>,
     ) -> Result<WorkerResponse, ExchangeError> {
+        let limits = TimeLimits {
+            deadline: None,
+            send_by,
+        };
         let exchange = self
             .connections
-            .exchange(worker, request, Bytes::new(), None);
+            .exchange(worker, request, Bytes::new(), limits);
         tokio::time::timeout(Duration::from_nanos(time), exchange)
             .await
             .unwrap_or(Err(ExchangeError::TimedOut))
--- a/crates/pipithub-gateway/src/workers/connections.rs
+++ b/crates/pipithub-gateway/src/workers/connections.rs
@@ -1,5 +1,8 @@
 //! The pool of HTTP/1.1 connections to workers, and the exchanges on them.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -25,8 +28,8 @@
 pub(super) enum ExchangeError {
     /// The worker accepted no connection, or closed a new one at once. No part of the request was sent.
     Unreachable,
-    /// This machine could not make a connection, or the deadline passed first. No part of the request was sent, and the
-    /// error says nothing about the worker.
+    /// This machine could not make a connection, or the deadline or the time until which the request might be sent
+    /// passed first. No part of the request was sent, and the error says nothing about the worker.
     NotSent,
     /// The connection broke after at least a part of the request was sent.
     Broken,
@@ -54,6 +57,15 @@
     }
 }
 
+/// The limits on the time of an exchange.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TimeLimits {
+    /// When the response must be there; `None` if the request does not state how much time remains.
+    pub(crate) deadline: Option<Time>,
+    /// The time from which the request must not be sent any more; `None` if there is no limit.
+    pub(crate) send_by: Option<Time>,
+}
+
 /// The response of a worker.
 pub(super) struct WorkerResponse {
     pub(super) status: u16,
@@ -116,17 +128,20 @@
         worker: &WorkerId,
         mut request: WorkerRequest,
         body: Bytes,
-        deadline: Option<Time>,
+        limits: TimeLimits,
     ) -> Result<WorkerResponse, ExchangeError> {
         loop {
-            let mut connection = self.take(worker).await?;
-            if connection.sender.ready().await.is_err() {
-                if connection.fresh {
-                    return Err(ExchangeError::Unreachable);
-                }
-                continue;
+            let ready = tokio::select! {
+                biased;
+                () = self.clock.sleep_until(limits.send_by) => Err(ExchangeError::NotSent),
+                ready = self.take_ready(worker) => ready,
+            };
+            let mut connection = ready?;
+            // The timer may be late by its resolution.
+            if limits.send_by.is_some_and(|end| self.clock.now() >= end) {
+                return Err(ExchangeError::NotSent);
             }
-            if let Some(deadline) = deadline {
+            if let Some(deadline) = limits.deadline {
                 let remaining = deadline.saturating_sub(self.clock.now());
                 request
                     .set_timeout(remaining)
@@ -144,6 +159,19 @@
         }
     }
 
+    /// Takes a connection on which a request can be sent now.
+    async fn take_ready(&self, worker: &WorkerId) -> Result<Connection, ExchangeError> {
+        loop {
+            let mut connection = self.take(worker).await?;
+            if connection.sender.ready().await.is_ok() {
+                return Ok(connection);
+            }
+            if connection.fresh {
+                return Err(ExchangeError::Unreachable);
+            }
+        }
+    }
+
     /// Takes an idle connection that is still open, or opens a new one.
     async fn take(&self, worker: &WorkerId) -> Result<Connection, ExchangeError> {
         match self.take_idle(worker) {
--- a/crates/pipithub-node/src/connection_pool.rs
+++ b/crates/pipithub-node/src/connection_pool.rs
@@ -239,7 +239,7 @@
             let Some(request) = entry.waiting.pop_front() else {
                 return;
             };
-            if request.has_lost_lease(lease_end, now) {
+            if request.must_not_be_sent(lease_end, now) {
                 self.fail(worker, request, SendFailure::NeverSent);
                 continue;
             }
--- a/crates/pipithub-node/src/connection_pool/connection.rs
+++ b/crates/pipithub-node/src/connection_pool/connection.rs
@@ -66,7 +66,7 @@
 }
 
 /// A request in flight that must end because its deadline has passed, because it was not written in time, or because it
-/// was not written before the lease on its worker ended.
+/// must not be written any more.
 pub(super) struct OverdueRequest {
     pub(super) connection: ConnectionId,
     pub(super) worker: WorkerId,
@@ -324,20 +324,21 @@
             .map(|(reference, in_flight)| self.overdue(reference, in_flight))
     }
 
-    /// The requests of which nothing was written yet, and that must not be written any more because the lease on the
-    /// worker has ended.
-    pub(super) fn requests_without_lease(
+    /// The requests that must not be written any more: those of which nothing was written when the lease on the worker
+    /// ended, and those that were not written completely before their own time to be written was over.
+    pub(super) fn unsendable_requests(
         &self,
         now: Time,
         lease_end: Option<Time>,
     ) -> impl Iterator<Item = OverdueRequest> {
-        let is_unwritten = |in_flight: &InFlight| {
-            matches!(self.position.progress(in_flight), WriteProgress::Nothing)
+        let is_unsendable = move |in_flight: &InFlight| match self.position.progress(in_flight) {
+            WriteProgress::Nothing => in_flight.request.must_not_be_sent(lease_end, now),
+            WriteProgress::Partial { .. } => in_flight.request.is_past_send_by(now),
+            WriteProgress::Complete => false,
         };
         self.in_flight
             .iter()
-            .filter(move |(_, in_flight)| in_flight.request.has_lost_lease(lease_end, now))
-            .filter(move |(_, in_flight)| is_unwritten(in_flight))
+            .filter(move |(_, in_flight)| is_unsendable(in_flight))
             .map(|(reference, in_flight)| self.overdue(reference, in_flight))
     }
 
--- a/crates/pipithub-node/src/connection_pool/request.rs
+++ b/crates/pipithub-node/src/connection_pool/request.rs
@@ -52,6 +52,8 @@
     pub began: Time,
     /// The request fails if there is no answer by this time.
     pub deadline: Time,
+    /// The time from which the request must not be written any more; `None` if there is no limit but the deadline.
+    send_by: Option<Time>,
     /// How often the request was queued again for another connection because it had not arrived completely.
     pub(super) rewrites: u32,
     /// Whether the answer is no longer awaited: the request must not be written again.
@@ -73,13 +75,31 @@
             payload: payload.into(),
             began,
             deadline,
+            send_by: None,
             rewrites: 0,
             abandoned: false,
         }
     }
 
+    /// Sets the time from which the request must not be written any more; a request that is not written completely
+    /// before then ends as never sent.
+    #[must_use]
+    pub fn send_by(self, send_by: Option<Time>) -> Self {
+        WorkerRequest { send_by, ..self }
+    }
+
+    /// Whether a request of which nothing was written must not be written any more.
+    pub(super) fn must_not_be_sent(&self, lease_end: Option<Time>, now: Time) -> bool {
+        self.has_lost_lease(lease_end, now) || self.is_past_send_by(now)
+    }
+
+    /// Whether the time until which the request may be written is over.
+    pub(super) fn is_past_send_by(&self, now: Time) -> bool {
+        self.send_by.is_some_and(|send_by| now >= send_by)
+    }
+
     /// Whether the request must not be written any more because it is new work and the lease on its worker has ended.
-    pub(super) fn has_lost_lease(&self, lease_end: Option<Time>, now: Time) -> bool {
+    fn has_lost_lease(&self, lease_end: Option<Time>, now: Time) -> bool {
         let is_new_work = matches!(
             self.kind,
             RequestKind::Attempt(_) | RequestKind::LoadFunction(_)
@@ -104,8 +124,9 @@
 pub enum SendFailure {
     /// The worker could not be reached, or the request did not arrive completely: the request did not run.
     Unreachable,
-    /// The request was not sent, because of a fault of this machine, because its answer was no longer awaited, or
-    /// because the lease on its worker had ended: the request did not run, and the worker is not at fault.
+    /// The request was not sent, because of a fault of this machine, because its answer was no longer awaited, because
+    /// the lease on its worker had ended, or because the time until which it might be written was over: the request did
+    /// not run, and the worker is not at fault.
     NeverSent,
     /// The connection ended after the request was sent: the request may have run.
     ConnectionLost,
--- a/crates/pipithub-node/src/connection_pool/sweep.rs
+++ b/crates/pipithub-node/src/connection_pool/sweep.rs
@@ -17,7 +17,7 @@
     /// Ends overdue requests, closes connections that stay idle and forgets workers that have been removed.
     pub fn sweep(&mut self, now: Time) {
         self.expire_waiting(now);
-        self.withdraw_without_lease(now);
+        self.withdraw_unsendable(now);
         self.end_overdue(now);
         self.close_idle(now);
         self.forget_removed_workers();
@@ -36,24 +36,23 @@
         }
     }
 
-    /// Withdraws new work of which nothing was written when the lease on its worker ended. Work whose first byte was
-    /// written counts as sent.
-    fn withdraw_without_lease(&mut self, now: Time) {
-        let mut lost = Vec::new();
+    /// Withdraws requests that must not be written any more; see [`Connection::unsendable_requests`].
+    fn withdraw_unsendable(&mut self, now: Time) {
+        let mut unsendable = Vec::new();
         for connection in self.connections.values().filter(|c| c.is_blocked()) {
             let lease_end = self
                 .workers
                 .get(connection.worker())
                 .and_then(|entry| entry.lease_end);
-            lost.extend(connection.requests_without_lease(now, lease_end));
+            unsendable.extend(connection.unsendable_requests(now, lease_end));
         }
-        lost.sort_unstable_by_key(|request| Reverse(request.start_offset));
+        unsendable.sort_unstable_by_key(|request| Reverse(request.start_offset));
         for OverdueRequest {
             connection,
             worker,
             reference,
             ..
-        } in lost
+        } in unsendable
         {
             let withdrawn = self.withdraw(now, &worker, connection, &reference, false);
             if let Some(CancelledRequest { request, .. }) = withdrawn {
@@ -93,7 +92,7 @@
             entry.waiting.retain(|request| {
                 let has_expired =
                     removed || now >= request.deadline || now >= request.began + max_wait;
-                let failure = if request.has_lost_lease(lease_end, now) {
+                let failure = if request.must_not_be_sent(lease_end, now) {
                     Some(SendFailure::NeverSent)
                 } else {
                     has_expired.then_some(SendFailure::Unreachable)
--- a/crates/pipithub-node/src/core/outputs.rs
+++ b/crates/pipithub-node/src/core/outputs.rs
@@ -25,14 +25,23 @@
                 worker,
                 call,
                 deadline,
-            } => self.forward(now, id, worker, &call, deadline),
+                send_by,
+            } => {
+                let request = self.run_request(now, id, &worker, &call, deadline);
+                self.in_flight.insert(id, worker.clone());
+                self.submit(now, &worker, request.send_by(send_by));
+            }
             Output::Cancel(id) => self.cancel_attempt(now, id),
             Output::LoadFunction {
                 worker,
                 function,
                 name,
                 replicas,
-            } => self.load_function(now, &worker, function, &name, replicas),
+                send_by,
+            } => {
+                let request = self.load_command(now, &worker, function, &name, replicas);
+                self.submit(now, &worker, request.send_by(send_by));
+            }
             Output::EvictFunction { worker, name } => self.evict_function(now, &worker, &name),
             Output::PollLoad(worker) => self.poll_load(now, &worker),
             Output::CheckHealth(worker) => self.check_health(now, &worker),
@@ -65,14 +74,15 @@
         self.attempt_ended(unanswered_attempt(id, outcome, elapsed));
     }
 
-    fn load_function(
+    /// Creates the request that has a worker load replicas of a function.
+    fn load_command(
         &mut self,
         now: Time,
         worker: &WorkerId,
         function: FunctionId,
         name: &str,
         replicas: u32,
-    ) {
+    ) -> WorkerRequest {
         debug!(
             front_end = self.name,
             worker = &*worker.0,
@@ -84,8 +94,7 @@
         let line = worker::load_function_line(&reference, name, replicas);
         let kind = RequestKind::LoadFunction(function);
         let deadline = now + self.site.transport.load_command_timeout;
-        let request = WorkerRequest::new(kind, reference, line, now, deadline);
-        self.submit(now, worker, request);
+        WorkerRequest::new(kind, reference, line, now, deadline)
     }
 
     fn evict_function(&mut self, now: Time, worker: &WorkerId, name: &str) {
@@ -117,7 +126,15 @@
         self.submit(now, worker, request);
     }
 
-    fn forward(&mut self, now: Time, id: AttemptId, worker: WorkerId, call: &Call, deadline: Time) {
+    /// Creates the request that has a worker run a call.
+    fn run_request(
+        &self,
+        now: Time,
+        id: AttemptId,
+        worker: &WorkerId,
+        call: &Call,
+        deadline: Time,
+    ) -> WorkerRequest {
         let name = call.message_id.as_deref().unwrap_or_default();
         let class = self
             .site
@@ -142,15 +159,13 @@
             key: call.idempotency_key.clone(),
             body: call.body.clone(),
         });
-        let request = WorkerRequest::new(
+        WorkerRequest::new(
             RequestKind::Attempt(id),
             name.to_string(),
             payload,
             now,
             deadline,
-        );
-        self.in_flight.insert(id, worker.clone());
-        self.submit(now, &worker, request);
+        )
     }
 
     /// Gives a request to the pool; a failure is queued as an input of the engine.
--- a/crates/pipithub-policy/src/api.rs
+++ b/crates/pipithub-policy/src/api.rs
@@ -329,6 +329,10 @@
         /// The time after which to give up the attempt, in nanoseconds; `None` means when the
         /// client gives up.
         timeout: Option<Time>,
+        /// The time from which the request must not be written to the worker any more, on the clock of
+        /// [`crate::FrontEnd::handle`]; `None` if there is no limit. An attempt that is not written
+        /// completely before then ends with [`Outcome::NotSent`].
+        send_by: Option<Time>,
     },
     /// Stop waiting for an attempt, which then ends with [`Outcome::Cancelled`].
     Cancel {
@@ -358,6 +362,9 @@
         function: FunctionId,
         /// The least number of replicas to have loaded; 0 only queries how many are loaded.
         replicas: u32,
+        /// The time from which the command must not be written to the worker any more, as for
+        /// [`Action::Forward`].
+        send_by: Option<Time>,
     },
     /// Make a worker evict its idle replicas of a function.
     EvictFunction {
--- a/crates/pipithub-policy/src/front_end/function_loading.rs
+++ b/crates/pipithub-policy/src/front_end/function_loading.rs
@@ -156,6 +156,7 @@
             worker: worker_id.clone(),
             function,
             replicas: 1,
+            send_by: None,
         });
         true
     }
--- a/crates/pipithub-policy/src/front_end/requests.rs
+++ b/crates/pipithub-policy/src/front_end/requests.rs
@@ -5,8 +5,8 @@
 use super::replay::{Prediction, RUN_TIME_MARGIN};
 use super::routing::Candidate;
 use crate::api::{
-    Action, AttemptFinished, DeduplicationScope, FunctionId, Idempotency, LoadReport, Request,
-    RequestId, Time,
+    Action, AttemptFinished, Class, DeduplicationScope, FunctionId, Idempotency, LoadReport,
+    Request, RequestId, Time,
 };
 use crate::attempt::{Attempt, AttemptDeadlines, AttemptId, Expectation, OwnConcurrency};
 use crate::pending_request::PendingRequest;
@@ -18,6 +18,9 @@
 
 /// The largest multiple of the expected work by which the latency objective is extended.
 const MAX_OBJECTIVE_PER_WORK: f64 = 1e3;
+/// A request with an idempotency key is not sent again in the last ticks of its deduplication window;
+/// a tick counts as at least a millisecond.
+const RETRY_WINDOW_MARGIN_TICKS: Time = 4;
 
 /// Uses the settings, the workers, the pending requests, the arrivals, the estimates and the
 /// speculation.
@@ -70,6 +73,8 @@
             return;
         };
         let attempt = new_attempt(&worker, pending, &chosen, run_time, self.now);
+        let class = &self.settings.classes[class];
+        let send_by = retry_window_end(pending, class, self.settings.tick);
         let overload_window = self.settings.slow_start.overload_window;
         worker.attempts.push(attempt);
         worker.recent_forwards.record(overload_window, self.now);
@@ -79,6 +84,7 @@
             request: id,
             worker: chosen.worker,
             timeout: None,
+            send_by,
         });
     }
 
@@ -115,9 +121,8 @@
                     DeduplicationScope::Zone => execution.zone == worker.endpoint().zone,
                     DeduplicationScope::Cell => execution.cell == worker.endpoint().cell,
                 };
-                let margin = 4 * self.settings.tick.max(MILLISECOND);
-                let window_end = execution.sent_at + class.deduplication_window;
-                in_scope && self.now + margin < window_end
+                let window_end = retry_window_end(pending, class, self.settings.tick);
+                in_scope && window_end.is_some_and(|end| self.now < end)
             }
         }
     }
@@ -184,6 +189,20 @@
     }
 }
 
+/// When the time ends in which a request with an idempotency key may be sent again, because the
+/// workers drop its repetition; `None` if the request has no key or cannot have run.
+///
+/// The window is counted from the decision to send the first attempt that may have run: no worker can
+/// have received that attempt earlier.
+fn retry_window_end(pending: &PendingRequest, class: &Class, tick: Time) -> Option<Time> {
+    if class.idempotency != Idempotency::WithKey {
+        return None;
+    }
+    let execution = pending.attempts.possible_execution()?;
+    let margin = RETRY_WINDOW_MARGIN_TICKS * tick.max(MILLISECOND);
+    Some((execution.sent_at + class.deduplication_window).saturating_sub(margin))
+}
+
 fn new_attempt(
     worker: &WorkerState,
     pending: &PendingRequest,
--- a/crates/pipithub-policy/tests/reference/requests.rs
+++ b/crates/pipithub-policy/tests/reference/requests.rs
@@ -78,6 +78,16 @@
             return;
         };
         let attempt = new_attempt(worker, pending, &chosen, run_time, self.now);
+        let class = &self.settings.classes[pending.request.class];
+        // The workers drop a repetition only if it is sent within the deduplication window.
+        let send_by = pending
+            .possible_execution
+            .as_ref()
+            .filter(|_| class.idempotency == Idempotency::WithKey)
+            .map(|execution| {
+                let margin = 4 * self.settings.tick.max(MILLISECOND);
+                (execution.sent_at + class.deduplication_window).saturating_sub(margin)
+            });
         worker.in_flight.push(attempt);
         worker.recent_sends.push_back(self.now);
         let replicas = worker.replicas.entry(function).or_default();
@@ -91,6 +101,7 @@
             request: id,
             worker: chosen.worker,
             timeout: None,
+            send_by,
         });
     }
 
--- a/crates/pipithub-policy/tests/rules.rs
+++ b/crates/pipithub-policy/tests/rules.rs
@@ -135,6 +135,44 @@
     }
 }
 
+/// The time from which a forwarded request must not be written any more; `None` if none is forwarded.
+fn send_by(actions: &[Action]) -> Option<Option<Time>> {
+    actions.iter().find_map(|action| match action {
+        Action::Forward { send_by, .. } => Some(*send_by),
+        _ => None,
+    })
+}
+
+/// Guards against a request that is decided within its deduplication window and written after it.
+#[test]
+fn retry_with_idempotency_key_states_until_when_it_may_be_written() {
+    for idempotency in [
+        Idempotency::Idempotent,
+        Idempotency::WithKey,
+        Idempotency::NonIdempotent,
+    ] {
+        for outcome in [Outcome::ConnectionLost, Outcome::Rejected] {
+            let settings = settings(idempotency);
+            let window = settings.classes[0].deduplication_window;
+            let margin = 4 * settings.tick;
+            let mut front_end = FrontEndHarness::new(settings, &["w1", "w2"]);
+            let sent_at = front_end.now;
+            let (id, actions) = front_end.request(1);
+            assert_eq!(send_by(&actions), Some(None), "nothing can have run yet");
+            let first = forwarded_to(&actions).expect("an attempt");
+            front_end.advance(100 * MS);
+            let actions = front_end.finish_attempt(id, 0, &first, outcome);
+            let may_have_run = outcome == Outcome::ConnectionLost;
+            let expected = match idempotency {
+                Idempotency::NonIdempotent if may_have_run => None,
+                Idempotency::WithKey if may_have_run => Some(Some(sent_at + window - margin)),
+                _ => Some(None),
+            };
+            assert_eq!(send_by(&actions), expected, "{idempotency:?} {outcome:?}");
+        }
+    }
+}
+
 #[test]
 fn request_with_idempotency_key_is_rejected_where_all_workers_deduplicate() {
     let mut front_end = FrontEndHarness::new(settings(Idempotency::WithKey), &["w1"]);
--- a/crates/pipithub-policy/tests/simulated_fleet/mod.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/mod.rs
@@ -164,6 +164,7 @@
                 worker,
                 function,
                 replicas,
+                ..
             } => self.load_function(worker, *function, *replicas),
             Action::EvictFunction { worker, function } => self.evict_function(worker, *function),
             Action::PollLoad { worker } => self.poll_load(worker),
