Load commands keep their rate limit however late each of them is written

Cause: as for keyed calls: a load command was counted when it was decided and could wait up to twice the connect timeout before it was written, in a window in which it did not count any more, or in which fewer requests had arrived.

Change: under a rate limit a load command is written within 50 ms of its decision or handed back unsent, and the count covers that time: commands are counted 50 ms longer, requests only those that stay in the window for 50 ms. The reference states the same. Sites without a limit are not concerned.

--- a/crates/pipithub-policy/src/front_end/function_loading.rs
+++ b/crates/pipithub-policy/src/front_end/function_loading.rs
@@ -9,6 +9,7 @@
 use crate::api::{Action, FunctionId, LoadFinished, Outcome, Time, WorkerId};
 use crate::attempt::Attempt;
 use crate::estimates::MAX_SAMPLE;
+use crate::load_limiter::LoadLimiter;
 use crate::time::MAX_DURATION;
 use crate::worker::WorkerState;
 
@@ -156,7 +157,7 @@
             worker: worker_id.clone(),
             function,
             replicas: 1,
-            send_by: None,
+            send_by: LoadLimiter::send_by(&self.settings, now),
         });
         true
     }
--- a/crates/pipithub-policy/src/front_end/maintenance.rs
+++ b/crates/pipithub-policy/src/front_end/maintenance.rs
@@ -3,6 +3,7 @@
 
 use super::FrontEnd;
 use crate::api::{Action, Idempotency, Time};
+use crate::load_limiter::MAX_SEND_DELAY;
 use crate::outlier::StalledAttempt;
 use crate::slow_start::RATE_WINDOW;
 use crate::time::MILLISECOND;
@@ -72,7 +73,7 @@
     fn forget_expired_events(&mut self) {
         let rate_limit = self.settings.loading.rate_limit.as_ref();
         let limit_window = rate_limit.map_or(0, |limit| limit.window);
-        let kept = limit_window.max(RATE_WINDOW) + MAINTENANCE_PERIOD;
+        let kept = limit_window.max(RATE_WINDOW) + MAX_SEND_DELAY + MAINTENANCE_PERIOD;
         let first = self.now.saturating_sub(kept);
         self.load_limiter.forget_before(first);
         self.arrivals.forget_before(first);
--- a/crates/pipithub-policy/src/load_limiter.rs
+++ b/crates/pipithub-policy/src/load_limiter.rs
@@ -10,12 +10,16 @@
 use crate::api::{Settings, Time};
 use crate::ejection::Ejection;
 use crate::statistics::EventTimes;
+use crate::time::MILLISECOND;
 
 /// The number of loads that all front ends together may have in progress for each ready worker. With
 /// one load, the functions of a lost zone were loaded again too slowly.
 const MAX_LOADS_PER_WORKER: usize = 4;
 /// The number of loads that this front end may have in progress however few workers there are.
 const MIN_LOAD_LIMIT: usize = 2;
+/// How long after its decision a load command may be sent if there is a rate limit: enough to
+/// establish a connection.
+pub(crate) const MAX_SEND_DELAY: Time = 50 * MILLISECOND;
 /// Consecutive failed loads after which no load may begin for a while.
 const MAX_CONSECUTIVE_FAILURES: u32 = 2;
 
@@ -54,8 +58,9 @@
             && loads_in_progress as f64 * load_slowdown.max(1.0) < limit as f64
     }
 
-    /// Whether the rate limit allows a further load command. Two ticks of slack allow for differences
-    /// between clocks.
+    /// Whether the rate limit allows a further load command, at whatever time within
+    /// [`MAX_SEND_DELAY`] it is sent: the commands before it may have been sent late, and requests may
+    /// leave the window before it is sent. Two ticks of slack allow for differences between clocks.
     pub(crate) fn rate_allows(
         &self,
         settings: &Settings,
@@ -65,7 +70,7 @@
         let Some(limit) = &settings.loading.rate_limit else {
             return true;
         };
-        let slack = 2 * settings.tick;
+        let slack = 2 * settings.tick + MAX_SEND_DELAY;
         let commands = self
             .commands
             .since(now.saturating_sub(limit.window + slack));
@@ -74,6 +79,13 @@
         !is_exceeded
     }
 
+    /// The time from which a load command that is decided now must not be sent any more; `None` if
+    /// there is no rate limit.
+    pub(crate) fn send_by(settings: &Settings, now: Time) -> Option<Time> {
+        let is_limited = settings.loading.rate_limit.is_some();
+        is_limited.then_some(now + MAX_SEND_DELAY)
+    }
+
     /// Counts a load command.
     pub(crate) fn record_command(&mut self, now: Time) {
         self.commands.push(now);
--- a/crates/pipithub-policy/tests/reference/function_loading.rs
+++ b/crates/pipithub-policy/tests/reference/function_loading.rs
@@ -12,13 +12,15 @@
 use super::front_end::FrontEnd;
 use super::outlier::MAX_CONSECUTIVE_FAILURES;
 use super::state::{Attempt, WorkerState};
-use super::time::MAX_DURATION;
+use super::time::{MAX_DURATION, MILLISECOND};
 
 /// Loads that may be in progress for each worker: with one, the functions of a lost zone came back
 /// too slowly.
 const MAX_LOADS_PER_WORKER: usize = 4;
 /// Loads that this front end may have in progress, however few workers there are.
 const MIN_LOAD_LIMIT: usize = 2;
+/// How long after its decision a load command may be sent if there is a rate limit.
+pub(crate) const MAX_SEND_DELAY: Time = 50 * MILLISECOND;
 /// The share of a worker's memory that assumed replicas may fill before a further one is taken to
 /// evict another, as other front ends have replicas loaded too.
 const MAX_MEMORY_SHARE: f64 = 0.5;
@@ -119,22 +121,24 @@
         }
         replicas.last_used_at = self.now;
         self.load_commands.push_back(self.now);
+        let is_limited = self.settings.loading.rate_limit.is_some();
+        let send_by = is_limited.then_some(self.now + MAX_SEND_DELAY);
         actions.push(Action::LoadFunction {
             worker: worker_id.clone(),
             function,
             replicas: 1,
-            send_by: None,
+            send_by,
         });
         true
     }
 
     /// Whether the rate limit allows a load command. The windows have two ticks of slack, as the
-    /// clocks may differ.
+    /// clocks may differ, and the time for which commands may wait before they are sent.
     fn load_rate_allows(&self) -> bool {
         let Some(limit) = &self.settings.loading.rate_limit else {
             return true;
         };
-        let slack = 2 * self.settings.tick;
+        let slack = 2 * self.settings.tick + MAX_SEND_DELAY;
         let commands = self
             .load_commands
             .iter()
--- a/crates/pipithub-policy/tests/reference/maintenance.rs
+++ b/crates/pipithub-policy/tests/reference/maintenance.rs
@@ -4,6 +4,7 @@
 use pipithub_policy::api::{Action, Time};
 
 use super::front_end::FrontEnd;
+use super::function_loading::MAX_SEND_DELAY;
 use super::slow_start::RATE_WINDOW;
 use super::state::WorkerState;
 use super::time::MILLISECOND;
@@ -53,7 +54,7 @@
             Some(limit) => limit.window,
             None => 0,
         };
-        let kept = limit_window.max(RATE_WINDOW) + MAINTENANCE_PERIOD;
+        let kept = limit_window.max(RATE_WINDOW) + MAX_SEND_DELAY + MAINTENANCE_PERIOD;
         self.load_commands.retain(|at| at + kept >= now);
         self.arrivals.retain(|at| at + kept >= now);
     }
--- a/crates/pipithub-policy/tests/rules.rs
+++ b/crates/pipithub-policy/tests/rules.rs
@@ -135,12 +135,13 @@
     }
 }
 
-/// The time from which a forwarded request must not be written any more; `None` if none is forwarded.
-fn send_by(actions: &[Action]) -> Option<Option<Time>> {
-    actions.iter().find_map(|action| match action {
+/// The times from which the forwarded requests must not be written any more.
+fn send_limits(actions: &[Action]) -> Vec<Option<Time>> {
+    let limit = |action: &Action| match action {
         Action::Forward { send_by, .. } => Some(*send_by),
         _ => None,
-    })
+    };
+    actions.iter().filter_map(limit).collect()
 }
 
 /// Guards against a request that is decided within its deduplication window and written after it.
@@ -158,17 +159,21 @@
             let mut front_end = FrontEndHarness::new(settings, &["w1", "w2"]);
             let sent_at = front_end.now;
             let (id, actions) = front_end.request(1);
-            assert_eq!(send_by(&actions), Some(None), "nothing can have run yet");
+            assert_eq!(send_limits(&actions), [None], "nothing can have run yet");
             let first = forwarded_to(&actions).expect("an attempt");
             front_end.advance(100 * MS);
             let actions = front_end.finish_attempt(id, 0, &first, outcome);
             let may_have_run = outcome == Outcome::ConnectionLost;
             let expected = match idempotency {
-                Idempotency::NonIdempotent if may_have_run => None,
-                Idempotency::WithKey if may_have_run => Some(Some(sent_at + window - margin)),
-                _ => Some(None),
+                Idempotency::NonIdempotent if may_have_run => vec![],
+                Idempotency::WithKey if may_have_run => vec![Some(sent_at + window - margin)],
+                _ => vec![None],
             };
-            assert_eq!(send_by(&actions), expected, "{idempotency:?} {outcome:?}");
+            assert_eq!(
+                send_limits(&actions),
+                expected,
+                "{idempotency:?} {outcome:?}"
+            );
         }
     }
 }
@@ -238,6 +243,64 @@
     arrivals
 }
 
+/// A limit on load commands that [`request_unloaded_functions`] reaches.
+const RATE_LIMIT: LoadRateLimit = LoadRateLimit {
+    window: 5_000 * MS,
+    burst: 3.0,
+    per_request: 0.15,
+};
+
+/// A front end whose load commands have this limit, at workers that load functions by command only.
+fn front_end_with_rate_limit(limit: Option<LoadRateLimit>) -> FrontEndHarness {
+    let mut settings = settings(Idempotency::Idempotent);
+    settings.loading.loads_on_request = false;
+    settings.loading.rate_limit = limit;
+    FrontEndHarness::new(settings, &["w1", "w2", "w3", "w4"])
+}
+
+/// Guards against load commands that are counted when they are decided and sent in a later window.
+#[test]
+fn load_commands_stay_within_rate_limit_however_late_each_is_sent() {
+    let mut front_end = front_end_with_rate_limit(Some(RATE_LIMIT));
+    let arrivals = request_unloaded_functions(&mut front_end);
+    let sent: Vec<std::ops::Range<Time>> = front_end
+        .actions_taken
+        .iter()
+        .filter_map(|taken| match taken.action {
+            Action::LoadFunction { send_by, .. } => Some(taken.at..send_by.expect("a limit")),
+            _ => None,
+        })
+        .collect();
+    assert!(sent.len() > 20, "too few to reach the limit");
+    for end in sent.iter().flat_map(|times| [times.start, times.end - 1]) {
+        let begin = end - RATE_LIMIT.window;
+        let may_be_in_window =
+            |times: &&std::ops::Range<Time>| times.start <= end && times.end - 1 > begin;
+        let commands = sent.iter().filter(may_be_in_window).count() as f64;
+        let requests = arrivals
+            .iter()
+            .filter(|at| (begin + 1..=end).contains(at))
+            .count() as f64;
+        let allowed = RATE_LIMIT.burst + RATE_LIMIT.per_request * requests;
+        assert!(
+            commands <= allowed,
+            "{commands} commands, {allowed} allowed"
+        );
+    }
+}
+
+#[test]
+fn load_commands_without_rate_limit_may_be_sent_at_any_time() {
+    let mut front_end = front_end_with_rate_limit(None);
+    request_unloaded_functions(&mut front_end);
+    let limits = |taken: &TimedAction| match taken.action {
+        Action::LoadFunction { send_by, .. } => Some(send_by),
+        _ => None,
+    };
+    let limits: Vec<_> = front_end.actions_taken.iter().filter_map(limits).collect();
+    assert!(!limits.is_empty() && limits.iter().all(Option::is_none));
+}
+
 #[test]
 fn load_commands_stay_within_rate_limit_in_any_window() {
     let limit = LoadRateLimit {
