An attempt counts as cancelled only once its worker was told to give it up

Cause: nothing can follow a line that was written in part (a sealed connection), and the connection must stay open for a call that may not be repeated. Connection::end_sent wrote no cancel message there, yet the attempt was reported as cancelled, and the module sent the call elsewhere.

Change: ConnectionPool::cancel says whether the attempt has ended. On a sealed connection it stays in flight until it is answered, or until no other request needs the connection, which is then closed; behind unaccepted bytes until the system has accepted the cancel message. The call waits or fails in time. Where the settings forbid cancelling the module never asks for it, and the pool does not report it either.

--- a/crates/pipithub-node/src/connection_pool.rs
+++ b/crates/pipithub-node/src/connection_pool.rs
@@ -12,8 +12,8 @@
 mod sweep;
 
 pub use self::request::{
-    AnsweredRequest, CancelledRequest, FailedRequest, Payload, RequestKind, SendFailure,
-    WorkerRequest,
+    AnsweredRequest, CancelResult, CancelledRequest, FailedRequest, Payload, RequestKind,
+    SendFailure, WorkerRequest,
 };
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -274,8 +274,13 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        if connection.set_blocked(accepted) {
-            let worker = connection.worker().clone();
+        let was_unblocked = connection.set_blocked(accepted);
+        let cancelled = connection.take_cancelled();
+        let worker = connection.worker().clone();
+        for request in cancelled {
+            self.fail(&worker, request, SendFailure::Cancelled);
+        }
+        if was_unblocked {
             self.dispatch(now, &worker);
         }
     }
--- a/crates/pipithub-node/src/connection_pool/connection.rs
+++ b/crates/pipithub-node/src/connection_pool/connection.rs
@@ -15,10 +15,25 @@
 /// How many used references a connection remembers. Duplicate answers come shortly after the first, so a few suffice.
 const MAX_RECENT_REFERENCES: usize = 16;
 
+/// Whether the answer to a request in flight is awaited, or how the worker is to give the request up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cancellation {
+    /// The answer is awaited.
+    None,
+    /// The cancel message is queued behind bytes that the operating system has not accepted.
+    Queued {
+        /// Where the message ends, in bytes from the first one written on the connection.
+        end_offset: u64,
+    },
+    /// No cancel message can be written on the connection: only its end gives the request up.
+    AtClose,
+}
+
 /// A request that was written on a connection and is not answered yet.
 #[derive(Debug)]
 pub(super) struct InFlight {
     request: WorkerRequest,
+    cancellation: Cancellation,
     /// Where the request's line begins and ends, in bytes from the first one written on the connection.
     start_offset: u64,
     end_offset: u64,
@@ -42,6 +57,15 @@
     pub(super) fn into_request(self) -> WorkerRequest {
         self.request
     }
+
+    /// Whether the worker was sent the complete cancel message, given that the operating system has accepted `written`
+    /// bytes, or all with `None`.
+    fn is_cancelled(&self, written: Option<u64>) -> bool {
+        match self.cancellation {
+            Cancellation::Queued { end_offset } => written.is_none_or(|bytes| end_offset <= bytes),
+            Cancellation::None | Cancellation::AtClose => false,
+        }
+    }
 }
 
 /// How much of a request's line the operating system has accepted.
@@ -65,6 +89,15 @@
     pub(super) effect: Option<Effect>,
 }
 
+/// What became of the order to cancel a request in flight.
+pub(super) enum CancelStep {
+    /// The request has ended.
+    Withdrawn(Withdrawn),
+    /// The request ends once the worker has been sent the cancel message, or when the connection ends; the effect
+    /// queues the message.
+    Pending(Option<Effect>),
+}
+
 /// A request in flight that must end because its deadline has passed, because it was not written in time, or because it
 /// must not be written any more.
 pub(super) struct OverdueRequest {
@@ -194,8 +227,10 @@
     }
 
     /// Whether the connection must be closed now: nothing more may be written on it, and no request awaits an answer.
+    /// The end of the connection gives up the requests that are to be cancelled.
     pub(super) fn is_finished(&self) -> bool {
-        self.position.sealed && self.in_flight.is_empty()
+        let is_given_up = |in_flight: &InFlight| in_flight.cancellation == Cancellation::AtClose;
+        self.position.sealed && self.in_flight.values().all(is_given_up)
     }
 
     pub(super) fn queued_bytes(&self) -> u64 {
@@ -249,6 +284,7 @@
             let reference = request.reference.clone();
             let in_flight = InFlight {
                 request,
+                cancellation: Cancellation::None,
                 start_offset,
                 end_offset: self.position.queued,
                 queued_at: now,
@@ -371,7 +407,7 @@
                 request: in_flight.request,
             },
             WriteProgress::Complete => Withdrawn {
-                effect: self.end_sent(&in_flight.request, cancel),
+                effect: self.end_sent(&in_flight, cancel),
                 not_sent: false,
                 displaced: Vec::new(),
                 request: in_flight.request,
@@ -380,6 +416,52 @@
         Some(withdrawn)
     }
 
+    /// Cancels a request at the worker; `None` if it is not in flight.
+    ///
+    /// A request of which the worker may have a complete line ends only once the worker has been sent the cancel message:
+    /// until then it may run beside a retry. Where no message can follow a partially written line, the request stays in
+    /// flight until it is answered or the connection ends; so it does if `may_cancel` is not set, as no message may be
+    /// written then.
+    pub(super) fn cancel(&mut self, reference: &str, may_cancel: bool) -> Option<CancelStep> {
+        let in_flight = self.in_flight.get(reference)?;
+        let is_written = matches!(self.position.progress(in_flight), WriteProgress::Complete);
+        let can_end_now = may_cancel && !self.position.sealed && !self.is_blocked();
+        if !is_written || can_end_now {
+            return self.withdraw(reference, true).map(CancelStep::Withdrawn);
+        }
+        if !may_cancel || in_flight.cancellation != Cancellation::None {
+            return Some(CancelStep::Pending(None));
+        }
+        let (cancellation, effect) = if self.position.sealed {
+            (Cancellation::AtClose, None)
+        } else {
+            let effect = self.queue(cancel_line(reference));
+            let end_offset = self.position.queued;
+            (Cancellation::Queued { end_offset }, Some(effect))
+        };
+        if let Some(in_flight) = self.in_flight.get_mut(reference) {
+            in_flight.cancellation = cancellation;
+        }
+        Some(CancelStep::Pending(effect))
+    }
+
+    /// Removes and returns the requests whose cancel message the operating system has accepted.
+    pub(super) fn take_cancelled(&mut self) -> Vec<WorkerRequest> {
+        let accepted = self.position.accepted;
+        let (cancelled, kept): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            std::mem::take(&mut self.in_flight)
+                .into_iter()
+                .partition(|(_, in_flight)| in_flight.is_cancelled(accepted));
+        self.in_flight = kept;
+        for reference in cancelled.keys() {
+            self.recent_references.remember(reference);
+        }
+        cancelled
+            .into_values()
+            .map(InFlight::into_request)
+            .collect()
+    }
+
     /// Withdraws a line of which the operating system has accepted nothing; the lines behind it move up.
     fn withdraw_line(&mut self, withdrawn: &InFlight) -> Effect {
         let length = withdrawn.end_offset - withdrawn.start_offset;
@@ -392,6 +474,13 @@
             other.start_offset -= length;
             other.end_offset -= length;
         }
+        for other in self.in_flight.values_mut() {
+            if let Cancellation::Queued { end_offset } = &mut other.cancellation
+                && *end_offset > withdrawn.end_offset
+            {
+                *end_offset -= length;
+            }
+        }
         Effect::CancelWrite {
             connection: self.id,
             offset: withdrawn.start_offset,
@@ -400,8 +489,14 @@
     }
 
     /// Withdraws all bytes that the operating system has not accepted, which begin in the middle of a line: nothing may
-    /// be written on the connection after that.
+    /// be written on the connection after that. Requests whose cancel messages are among these bytes are given up by the
+    /// end of the connection.
     fn seal(&mut self, written: u64) -> Effect {
+        for in_flight in self.in_flight.values_mut() {
+            if let Cancellation::Queued { .. } = in_flight.cancellation {
+                in_flight.cancellation = Cancellation::AtClose;
+            }
+        }
         let length = self.position.queued - written;
         self.position.sealed = true;
         self.position.queued = written;
@@ -423,12 +518,14 @@
 
     /// Ends a request that was sent. The answer to an attempt may still come, so its reference is remembered as used.
     /// Returns the cancel message for an attempt if the worker may be asked to cancel it.
-    fn end_sent(&mut self, request: &WorkerRequest, cancel: bool) -> Option<Effect> {
+    fn end_sent(&mut self, in_flight: &InFlight, cancel: bool) -> Option<Effect> {
+        let request = &in_flight.request;
         if !matches!(request.kind, RequestKind::Attempt(_)) {
             return None;
         }
         self.recent_references.remember(&request.reference);
-        let may_cancel = cancel && !self.position.sealed;
+        let may_cancel =
+            cancel && !self.position.sealed && in_flight.cancellation == Cancellation::None;
         may_cancel.then(|| self.queue(cancel_line(&request.reference)))
     }
 
--- a/crates/pipithub-node/src/connection_pool/endings.rs
+++ b/crates/pipithub-node/src/connection_pool/endings.rs
@@ -3,8 +3,10 @@
 use pipithub_engine::policy::WorkerId;
 use pipithub_engine::{AttemptId, Time};
 
-use super::connection::{Connection, Withdrawn};
-use super::request::{AnsweredRequest, CancelledRequest, RequestKind, SendFailure, WorkerRequest};
+use super::connection::{CancelStep, Connection, Withdrawn};
+use super::request::{
+    AnsweredRequest, CancelResult, CancelledRequest, RequestKind, SendFailure, WorkerRequest,
+};
 use super::{ConnectionPool, MAX_WAITING};
 use crate::effect::{ConnectionId, Effect};
 
@@ -145,28 +147,41 @@
         cancel: bool,
     ) -> Option<CancelledRequest> {
         let connection = self.connections.get_mut(&id)?;
+        let withdrawn = connection.withdraw(reference, cancel)?;
+        Some(self.end_withdrawn(now, worker, id, withdrawn))
+    }
+
+    /// Ends a request that was removed from its connection.
+    fn end_withdrawn(
+        &mut self,
+        now: Time,
+        worker: &WorkerId,
+        id: ConnectionId,
+        withdrawn: Withdrawn,
+    ) -> CancelledRequest {
         let Withdrawn {
             request,
             not_sent,
             displaced,
             effect,
-        } = connection.withdraw(reference, cancel)?;
+        } = withdrawn;
         self.effects.extend(effect);
         if !displaced.is_empty() {
             self.resend(now, worker, displaced);
         }
         self.close_if_finished(now, id);
-        Some(CancelledRequest { request, not_sent })
+        CancelledRequest { request, not_sent }
     }
 
-    /// Closes a sealed connection that carries no request any more.
+    /// Closes a sealed connection on which no request awaits an answer any more.
     fn close_if_finished(&mut self, now: Time, id: ConnectionId) {
         if self
             .connections
             .get(&id)
             .is_some_and(Connection::is_finished)
         {
-            self.close(now, id);
+            self.effects.push(Effect::Close { connection: id });
+            self.closed(now, id, u64::MAX, SendFailure::Cancelled);
         }
     }
 
@@ -197,21 +212,32 @@
         self.closed(now, id, handed_over, SendFailure::Malformed);
     }
 
-    /// Cancels an attempt; `None` if it is neither waiting nor in flight.
-    pub fn cancel(
-        &mut self,
-        now: Time,
-        worker: &WorkerId,
-        attempt: AttemptId,
-    ) -> Option<CancelledRequest> {
+    /// Cancels an attempt. If it remains in flight, its end follows as an answer or among the failures.
+    pub fn cancel(&mut self, now: Time, worker: &WorkerId, attempt: AttemptId) -> CancelResult {
         if let Some(request) = self.take_waiting(worker, attempt) {
-            return Some(CancelledRequest {
+            return CancelResult::Ended(CancelledRequest {
                 request,
                 not_sent: true,
             });
         }
-        let sent = self.find_attempt(worker, attempt)?;
-        self.withdraw(now, worker, sent.connection, &sent.reference, self.cancel)
+        let Some(sent) = self.find_attempt(worker, attempt) else {
+            return CancelResult::Unknown;
+        };
+        let id = sent.connection;
+        let may_cancel = self.cancel;
+        let connection = self.connections.get_mut(&id);
+        let step = connection.and_then(|connection| connection.cancel(&sent.reference, may_cancel));
+        match step {
+            Some(CancelStep::Withdrawn(withdrawn)) => {
+                CancelResult::Ended(self.end_withdrawn(now, worker, id, withdrawn))
+            }
+            Some(CancelStep::Pending(effect)) => {
+                self.effects.extend(effect);
+                self.close_if_finished(now, id);
+                CancelResult::Pending
+            }
+            None => CancelResult::Unknown,
+        }
     }
 
     /// Records that the answer to an attempt is no longer awaited; the worker is not asked to cancel it. Returns the
--- a/crates/pipithub-node/src/connection_pool/request.rs
+++ b/crates/pipithub-node/src/connection_pool/request.rs
@@ -134,6 +134,20 @@
     Malformed,
     /// There was no answer before the deadline: the request may have run.
     TimedOut,
+    /// The worker was told to give the request up, or its connection was closed for that: the request may have run.
+    Cancelled,
+}
+
+/// What became of the order to cancel an attempt.
+#[derive(Clone, Debug)]
+pub enum CancelResult {
+    /// The attempt has ended: it was not sent, or the worker is told to give it up.
+    Ended(CancelledRequest),
+    /// The attempt is still out, as the worker has not been told to give it up. It ends when the worker has, with its
+    /// answer, or with its connection.
+    Pending,
+    /// The attempt is neither waiting nor in flight.
+    Unknown,
 }
 
 /// A request that ended without an answer.
--- a/crates/pipithub-node/src/core/outputs.rs
+++ b/crates/pipithub-node/src/core/outputs.rs
@@ -8,7 +8,7 @@
 
 use super::Core;
 use super::workers::unanswered_attempt;
-use crate::connection_pool::{CancelledRequest, Payload, RequestKind, WorkerRequest};
+use crate::connection_pool::{CancelResult, CancelledRequest, Payload, RequestKind, WorkerRequest};
 
 /// A load poll without an answer within this time, in nanoseconds, has failed.
 const LOAD_POLL_TIMEOUT: Time = 250_000_000;
@@ -60,18 +60,27 @@
         let Some(worker) = self.in_flight.get(&id).cloned() else {
             return;
         };
-        let (elapsed, outcome) = match self.connection_pool.cancel(now, &worker, id) {
-            Some(CancelledRequest { request, not_sent }) => {
+        match self.connection_pool.cancel(now, &worker, id) {
+            CancelResult::Ended(CancelledRequest { request, not_sent }) => {
                 let outcome = if not_sent {
                     Outcome::NotSent
                 } else {
                     Outcome::Cancelled
                 };
-                (now.saturating_sub(request.began), outcome)
+                let elapsed = now.saturating_sub(request.began);
+                self.attempt_ended(unanswered_attempt(id, outcome, elapsed));
             }
-            None => (0, Outcome::Cancelled),
-        };
-        self.attempt_ended(unanswered_attempt(id, outcome, elapsed));
+            CancelResult::Pending => debug!(
+                front_end = self.name,
+                request = id.request.0,
+                attempt = id.number,
+                worker = &*worker.0,
+                "attempt stays out until the worker is told to give it up"
+            ),
+            CancelResult::Unknown => {
+                self.attempt_ended(unanswered_attempt(id, Outcome::Cancelled, 0));
+            }
+        }
     }
 
     /// Creates the request that has a worker load replicas of a function.
--- a/crates/pipithub-node/src/core/workers.rs
+++ b/crates/pipithub-node/src/core/workers.rs
@@ -248,9 +248,10 @@
 fn failed_check_outcome(failure: SendFailure) -> HealthCheckOutcome {
     match failure {
         SendFailure::Unreachable | SendFailure::ConnectionLost => HealthCheckOutcome::Disconnected,
-        SendFailure::NeverSent | SendFailure::Malformed | SendFailure::TimedOut => {
-            HealthCheckOutcome::Unanswered
-        }
+        SendFailure::NeverSent
+        | SendFailure::Malformed
+        | SendFailure::TimedOut
+        | SendFailure::Cancelled => HealthCheckOutcome::Unanswered,
     }
 }
 
@@ -297,5 +298,6 @@
         SendFailure::ConnectionLost => Outcome::ConnectionLost,
         SendFailure::Malformed => Outcome::Error,
         SendFailure::TimedOut => Outcome::TimedOut,
+        SendFailure::Cancelled => Outcome::Cancelled,
     }
 }
--- a/crates/pipithub-node/tests/pool_harness/mod.rs
+++ b/crates/pipithub-node/tests/pool_harness/mod.rs
@@ -6,8 +6,8 @@
 use pipithub_engine::policy::{RequestId, WorkerId};
 use pipithub_engine::{AttemptId, Time};
 use pipithub_node::connection_pool::{
-    CancelledRequest, ConnectionPool, ConnectionPoolSettings, RequestKind, SendFailure,
-    WorkerRequest,
+    CancelResult, CancelledRequest, ConnectionPool, ConnectionPoolSettings, RequestKind,
+    SendFailure, WorkerRequest,
 };
 use pipithub_node::effect::{ConnectionId, Effect};
 
@@ -167,11 +167,17 @@
             .closed(now, connection, accepted, SendFailure::ConnectionLost);
     }
 
+    /// Cancels a request that can end at once.
     pub(crate) fn cancel(&mut self, now: Time, request: u64) -> CancelledRequest {
+        match self.try_cancel(now, request) {
+            CancelResult::Ended(cancelled) => cancelled,
+            other => panic!("request {request}: {other:?}"),
+        }
+    }
+
+    pub(crate) fn try_cancel(&mut self, now: Time, request: u64) -> CancelResult {
         let worker = self.worker.clone();
-        self.pool
-            .cancel(now, &worker, attempt(request))
-            .expect("the request is in flight or waits")
+        self.pool.cancel(now, &worker, attempt(request))
     }
 
     /// Abandons a request, as when its client has left; returns whether the request is certain not to run.
--- a/crates/pipithub-policy/src/api.rs
+++ b/crates/pipithub-policy/src/api.rs
@@ -334,7 +334,8 @@
         /// completely before then ends with [`Outcome::NotSent`].
         send_by: Option<Time>,
     },
-    /// Stop waiting for an attempt, which then ends with [`Outcome::Cancelled`].
+    /// Stop waiting for an attempt, which then ends with [`Outcome::Cancelled`]. It ends only once the
+    /// worker has been told to give it up; until then it is in flight, and another outcome may come.
     Cancel {
         /// The request that the attempt is for.
         request: RequestId,
