Without health checks the lease on the endpoint list ends, and nothing is sent after it

Cause: uses_leases was false without health checks, so the list stayed in use whatever its age.

Evidence that could renew a lease there: none.

Change: the lease counts in all settings whose source sends heartbeats. Without health checks it lasts 4 s and the grace from the last sign of life, less the margin, or 2 s and the grace from a break of the connection, which the coordinator's stream reports now; an answer without a heartbeat after it limits it to the grace from the answer, as asking again counts as told. Then calls are rejected unsent and load commands held back until the first sign of life. With health checks nothing changes. The test without_health_checks_the_last_list_stays_in_use asserted the fault; four tests that bound it take its place, and one holds the list of a source without heartbeats.

--- a/crates/pipithub-node/src/connection_pool/connection.rs
+++ b/crates/pipithub-node/src/connection_pool/connection.rs
@@ -92,7 +92,7 @@
 /// What became of the order to cancel a request in flight.
 pub(super) enum CancelStep {
     /// The request has ended.
-    Withdrawn(Withdrawn),
+    Withdrawn(Box<Withdrawn>),
     /// The request ends once the worker has been sent the cancel message, or when the connection ends; the effect
     /// queues the message.
     Pending(Option<Effect>),
@@ -427,7 +427,8 @@
         let is_written = matches!(self.position.progress(in_flight), WriteProgress::Complete);
         let can_end_now = may_cancel && !self.position.sealed && !self.is_blocked();
         if !is_written || can_end_now {
-            return self.withdraw(reference, true).map(CancelStep::Withdrawn);
+            let withdrawn = self.withdraw(reference, true)?;
+            return Some(CancelStep::Withdrawn(Box::new(withdrawn)));
         }
         if !may_cancel || in_flight.cancellation != Cancellation::None {
             return Some(CancelStep::Pending(None));
--- a/crates/pipithub-node/src/connection_pool/endings.rs
+++ b/crates/pipithub-node/src/connection_pool/endings.rs
@@ -215,10 +215,10 @@
     /// Cancels an attempt. If it remains in flight, its end follows as an answer or among the failures.
     pub fn cancel(&mut self, now: Time, worker: &WorkerId, attempt: AttemptId) -> CancelResult {
         if let Some(request) = self.take_waiting(worker, attempt) {
-            return CancelResult::Ended(CancelledRequest {
+            return CancelResult::Ended(Box::new(CancelledRequest {
                 request,
                 not_sent: true,
-            });
+            }));
         }
         let Some(sent) = self.find_attempt(worker, attempt) else {
             return CancelResult::Unknown;
@@ -229,7 +229,8 @@
         let step = connection.and_then(|connection| connection.cancel(&sent.reference, may_cancel));
         match step {
             Some(CancelStep::Withdrawn(withdrawn)) => {
-                CancelResult::Ended(self.end_withdrawn(now, worker, id, withdrawn))
+                let cancelled = self.end_withdrawn(now, worker, id, *withdrawn);
+                CancelResult::Ended(Box::new(cancelled))
             }
             Some(CancelStep::Pending(effect)) => {
                 self.effects.extend(effect);
--- a/crates/pipithub-node/src/connection_pool/request.rs
+++ b/crates/pipithub-node/src/connection_pool/request.rs
@@ -142,7 +142,7 @@
 #[derive(Clone, Debug)]
 pub enum CancelResult {
     /// The attempt has ended: it was not sent, or the worker is told to give it up.
-    Ended(CancelledRequest),
+    Ended(Box<CancelledRequest>),
     /// The attempt is still out, as the worker has not been told to give it up. It ends when the worker has, with its
     /// answer, or with its connection.
     Pending,
--- a/crates/pipithub-node/src/coordinator.rs
+++ b/crates/pipithub-node/src/coordinator.rs
@@ -56,6 +56,9 @@
                 continue;
             }
         };
+        if error.is_disconnect() {
+            on_update(StreamUpdate::Disconnected);
+        }
         if error.is_unusable_event() {
             unusable += 1;
         }
--- a/crates/pipithub-node/src/coordinator/stream.rs
+++ b/crates/pipithub-node/src/coordinator/stream.rs
@@ -36,6 +36,8 @@
     /// A comment or an event was received completely, and all events before it were passed on: the list was current
     /// when the coordinator sent that comment or event.
     Current,
+    /// The connection to the coordinator has ended, or its stream cannot be followed any further.
+    Disconnected,
 }
 
 /// Why a stream ended.
@@ -85,6 +87,25 @@
 }
 
 impl StreamError {
+    /// Whether the connection broke, or was given up because of what came on it. A connection that is given up because
+    /// nothing came on it is not broken: the coordinator fell silent earlier.
+    pub(super) fn is_disconnect(&self) -> bool {
+        match self {
+            StreamError::Closed
+            | StreamError::Broken(_)
+            | StreamError::MissingEvents { .. }
+            | StreamError::EventTooLong(_)
+            | StreamError::InvalidEvent(_) => true,
+            StreamError::Connect(_)
+            | StreamError::Handshake(_)
+            | StreamError::InvalidRequest(_)
+            | StreamError::Request(_)
+            | StreamError::NoAnswer
+            | StreamError::Status(_)
+            | StreamError::Silent => false,
+        }
+    }
+
     /// Whether the stream ended because of an event that cannot be used. No part of such an event is applied.
     pub(super) fn is_unusable_event(&self) -> bool {
         matches!(
--- a/crates/pipithub-node/src/core/endpoint_list.rs
+++ b/crates/pipithub-node/src/core/endpoint_list.rs
@@ -25,6 +25,9 @@
         match update {
             StreamUpdate::Answered => self.report_contact(now, EndpointListContact::Answered),
             StreamUpdate::Event(event) => self.update_endpoints_at(now, wall, event),
+            StreamUpdate::Disconnected => {
+                self.report_contact(now, EndpointListContact::Disconnected);
+            }
             StreamUpdate::Current => {
                 self.discovery_log.record_current(now, &self.name);
                 self.report_contact(now, EndpointListContact::Current);
--- a/crates/pipithub-node/src/core/outputs.rs
+++ b/crates/pipithub-node/src/core/outputs.rs
@@ -61,7 +61,8 @@
             return;
         };
         match self.connection_pool.cancel(now, &worker, id) {
-            CancelResult::Ended(CancelledRequest { request, not_sent }) => {
+            CancelResult::Ended(cancelled) => {
+                let CancelledRequest { request, not_sent } = *cancelled;
                 let outcome = if not_sent {
                     Outcome::NotSent
                 } else {
--- a/crates/pipithub-node/tests/pool_harness/mod.rs
+++ b/crates/pipithub-node/tests/pool_harness/mod.rs
@@ -170,7 +170,7 @@
     /// Cancels a request that can end at once.
     pub(crate) fn cancel(&mut self, now: Time, request: u64) -> CancelledRequest {
         match self.try_cancel(now, request) {
-            CancelResult::Ended(cancelled) => cancelled,
+            CancelResult::Ended(cancelled) => *cancelled,
             other => panic!("request {request}: {other:?}"),
         }
     }
--- a/crates/pipithub-policy/src/api.rs
+++ b/crates/pipithub-policy/src/api.rs
@@ -190,6 +190,8 @@
     /// The source has sent a heartbeat after all changes so far: the list was current when the
     /// heartbeat was sent.
     Current,
+    /// The connection to the source has ended.
+    Disconnected,
 }
 
 /// How a health check ended.
--- a/crates/pipithub-policy/src/endpoint_list_lease.rs
+++ b/crates/pipithub-policy/src/endpoint_list_lease.rs
@@ -13,14 +13,37 @@
 use crate::time::MILLISECOND;
 
 /// A change that the source of the list could not send counts as notified this long after the
-/// connection to the source broke, the shortest time limit of the platform (4 s after the source fell
-/// silent). It is counted from the last heartbeat, as nothing shows when the connection broke.
-const NOTIFICATION_DELAY: Time = 2_000 * MILLISECOND;
+/// connection to the source broke.
+const BREAK_NOTIFICATION_DELAY: Time = 2_000 * MILLISECOND;
+/// Such a change counts as notified this long after the source fell silent on an open connection.
+const SILENCE_NOTIFICATION_DELAY: Time = 4_000 * MILLISECOND;
 /// A source that answers sends its first heartbeat within 1 s, mostly just before the grace after a
 /// start is over. To avoid health checks at each start, the list of the start stays valid for this
 /// time after the grace, which is what the platform allows for the transmission to a worker.
 const ALLOWED_DELAY: Time = 50 * MILLISECOND;
 
+/// What the length of the lease depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaseTerms {
+    /// How long new work may be sent to a worker after the notification of its drain.
+    pub(crate) drain_grace: Time,
+    /// Whether health checks can show that workers are in service once the lease has ended.
+    pub(crate) has_health_checks: bool,
+}
+
+impl LeaseTerms {
+    /// How long after a heartbeat a change counts as notified at the earliest. Where health checks
+    /// take over, the shorter delay holds, so that no break has to be noticed. Where nothing does, no
+    /// worker is used after the lease, so it lasts as long as the rule on drains allows.
+    fn notification_delay(&self) -> Time {
+        if self.has_health_checks {
+            BREAK_NOTIFICATION_DELAY
+        } else {
+            SILENCE_NOTIFICATION_DELAY
+        }
+    }
+}
+
 /// How long the endpoint list is relied on.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointListLease {
@@ -34,14 +57,14 @@
 }
 
 impl EndpointListLease {
-    /// Records a contact with the source of the list. `drain_grace` is how long new work may be sent
-    /// to a worker after the notification of its drain.
+    /// Records a contact with the source of the list, or the end of the connection to it.
     pub(crate) fn record_contact(
         &mut self,
         contact: EndpointListContact,
-        drain_grace: Time,
+        terms: LeaseTerms,
         now: Time,
     ) {
+        let drain_grace = terms.drain_grace;
         let lease = lease_time(drain_grace);
         match contact {
             EndpointListContact::Requested => self.confirm(now, lease),
@@ -51,10 +74,17 @@
                 let end = self.confirmed_at + drain_grace + ALLOWED_DELAY;
                 self.end = self.end.max(Some(end));
             }
+            // A source that has been asked again counts as having sent all changes.
+            EndpointListContact::Answered if !terms.has_health_checks => {
+                self.limit(now + drain_grace + ALLOWED_DELAY);
+            }
             EndpointListContact::Answered => {}
+            EndpointListContact::Disconnected => {
+                self.limit(now + BREAK_NOTIFICATION_DELAY + lease);
+            }
             EndpointListContact::Current => {
                 self.had_heartbeat = true;
-                self.confirm(now, NOTIFICATION_DELAY + lease);
+                self.confirm(now, terms.notification_delay() + lease);
             }
         }
     }
@@ -64,6 +94,11 @@
         self.end = Some(now + lease);
     }
 
+    /// Ends the lease at this time if it would last longer.
+    fn limit(&mut self, end: Time) {
+        self.end = self.end.map(|current| current.min(end));
+    }
+
     /// When the lease ends; [`Time::MAX`] if there was no contact with the source of the list.
     pub(crate) fn end(&self) -> Time {
         self.end.unwrap_or(Time::MAX)
--- a/crates/pipithub-policy/src/front_end/routing.rs
+++ b/crates/pipithub-policy/src/front_end/routing.rs
@@ -101,7 +101,7 @@
         let Some(target_deadline) = self.target_deadline(pending) else {
             return self.reject_or_fail(id, actions);
         };
-        let may_await_check = pending.checks.may_begin();
+        let may_await_check = self.may_await_check(pending);
         let mut found = self.search(pending, target_deadline);
         if let Some(suspect) = &found.suspect {
             self.check_health(suspect, actions);
@@ -265,7 +265,7 @@
         };
         match service {
             ServiceStatus::InService => {}
-            ServiceStatus::Unknown if search.pending.checks.may_begin() => {}
+            ServiceStatus::Unknown if self.may_await_check(search.pending) => {}
             ServiceStatus::Suspect => return Verdict::Suspect,
             ServiceStatus::Unknown | ServiceStatus::OutOfService => return Verdict::Unsuitable,
         }
--- a/crates/pipithub-policy/src/front_end/service_checks.rs
+++ b/crates/pipithub-policy/src/front_end/service_checks.rs
@@ -6,6 +6,8 @@
 use crate::api::{
     Action, EndpointListContact, HealthCheckOutcome, HealthChecked, RequestId, Time, WorkerId,
 };
+use crate::endpoint_list_lease::LeaseTerms;
+use crate::pending_request::PendingRequest;
 use crate::service_lease::{
     CHECK_TIMEOUT, DEFAULT_DRAIN_GRACE, ServiceStatus, WriteBounds, lease_time,
 };
@@ -17,9 +19,12 @@
 impl FrontEnd {
     /// Records a contact with the source of the endpoint list.
     pub(super) fn record_endpoint_list_contact(&mut self, contact: EndpointListContact) {
-        let drain_grace = self.drain_grace();
+        let terms = LeaseTerms {
+            drain_grace: self.drain_grace(),
+            has_health_checks: self.settings.limits.health_checks,
+        };
         self.endpoint_list_lease
-            .record_contact(contact, drain_grace, self.now);
+            .record_contact(contact, terms, self.now);
     }
 
     /// How long work may be sent to a worker after it was last known to be in service.
@@ -54,10 +59,11 @@
         }
     }
 
-    /// Whether work depends on leases. Without health checks nothing could renew a lease, and the
-    /// last endpoint list is the only information.
+    /// Whether work depends on leases. Where health checks are not allowed nothing shows that a worker
+    /// is in service once the lease of the endpoint list has ended: then no worker gets work until the
+    /// source of the list is back.
     fn uses_leases(&self) -> bool {
-        self.settings.limits.health_checks && self.endpoint_list_lease.is_followed()
+        self.endpoint_list_lease.is_followed()
     }
 
     /// Whether all workers that the endpoint list names as ready count as in service.
@@ -72,6 +78,11 @@
         self.relies_on_endpoint_list() || self.workers.get(worker).is_some_and(by_check)
     }
 
+    /// Whether the request may wait for a further health check.
+    pub(super) fn may_await_check(&self, pending: &PendingRequest) -> bool {
+        self.settings.limits.health_checks && pending.checks.may_begin()
+    }
+
     /// Sends a health check, unless the answer to another one is still awaited.
     pub(super) fn check_health(&mut self, worker_id: &WorkerId, actions: &mut Vec<Action>) {
         let Some(mut worker) = self.workers.get_mut(worker_id) else {
--- a/crates/pipithub-policy/tests/reference/service.rs
+++ b/crates/pipithub-policy/tests/reference/service.rs
@@ -13,8 +13,10 @@
 use super::state::{Health, PendingRequest, WorkerState};
 use super::time::MILLISECOND;
 
-/// A change of the list counts as notified this long after the last sign of life of its source.
-const NOTIFICATION_DELAY: Time = 2_000 * MILLISECOND;
+/// A change of the list counts as notified this long after the connection to its source broke.
+const BREAK_NOTIFICATION_DELAY: Time = 2_000 * MILLISECOND;
+/// A change of the list counts as notified this long after its source fell silent.
+const SILENCE_NOTIFICATION_DELAY: Time = 4_000 * MILLISECOND;
 /// Once the source has answered, the list of the start is relied on for the drain grace and this
 /// time.
 const ALLOWED_DELAY: Time = 50 * MILLISECOND;
@@ -71,18 +73,30 @@
 impl FrontEnd {
     /// Records a contact with the source of the endpoint list.
     pub(crate) fn record_endpoint_list_contact(&mut self, contact: EndpointListContact) {
+        let may_check = self.settings.limits.health_checks;
         let lease = match contact {
             EndpointListContact::Requested => self.lease_time(),
             EndpointListContact::Answered => {
                 if !self.endpoint_list_was_current {
                     let end = self.endpoint_list_confirmed_at + self.drain_grace() + ALLOWED_DELAY;
                     self.endpoint_list_lease_end = self.endpoint_list_lease_end.max(Some(end));
+                } else if !may_check {
+                    self.limit_list_lease(self.now + self.drain_grace() + ALLOWED_DELAY);
                 }
                 return;
             }
+            EndpointListContact::Disconnected => {
+                self.limit_list_lease(self.now + BREAK_NOTIFICATION_DELAY + self.lease_time());
+                return;
+            }
             EndpointListContact::Current => {
                 self.endpoint_list_was_current = true;
-                NOTIFICATION_DELAY + self.lease_time()
+                let delay = if may_check {
+                    BREAK_NOTIFICATION_DELAY
+                } else {
+                    SILENCE_NOTIFICATION_DELAY
+                };
+                delay + self.lease_time()
             }
         };
         self.endpoint_list_confirmed_at = self.now;
@@ -99,12 +113,17 @@
         self.settings.drain_grace.unwrap_or(DEFAULT_DRAIN_GRACE)
     }
 
-    /// Whether all workers that the endpoint list names as ready count as in service. Without
-    /// health checks nothing could renew a lease, so that the list is always relied on.
+    /// Ends the lease of the list at this time if it would last longer.
+    fn limit_list_lease(&mut self, end: Time) {
+        if let Some(current) = &mut self.endpoint_list_lease_end {
+            *current = end.min(*current);
+        }
+    }
+
+    /// Whether all workers that the endpoint list names as ready count as in service.
     fn relies_on_endpoint_list(&self) -> bool {
-        let may_check = self.settings.limits.health_checks;
         self.endpoint_list_lease_end
-            .is_none_or(|end| !may_check || self.now < end)
+            .is_none_or(|end| self.now < end)
     }
 
     /// Whether a worker is in service, as far as is known.
@@ -114,6 +133,8 @@
         let failed_often = service.failures > 1;
         if self.relies_on_endpoint_list() || self.now < service.lease_end {
             ServiceStatus::InService
+        } else if !self.settings.limits.health_checks {
+            ServiceStatus::OutOfService
         } else if !failed_often && (is_awaited || self.now >= service.next_check_at) {
             ServiceStatus::Unchecked
         } else if !is_awaited && self.now >= service.next_check_at {
--- a/crates/pipithub-policy/tests/same.rs
+++ b/crates/pipithub-policy/tests/same.rs
@@ -181,6 +181,25 @@
     });
 }
 
+/// How often each kind of event must have happened at least with outages of discovery and without health checks.
+const MIN_UNCHECKED_OUTAGE_COUNTS: [(&str, u64); 5] = [
+    ("request arrived", 6000),
+    ("attempt", 2000),
+    ("discovery contact", 300),
+    ("change delayed", 250),
+    ("request rejected", 2500),
+];
+
+/// Runs the scenarios of one part with outages of discovery and without health checks.
+fn run_unchecked_outage_part(part: u64) {
+    let seeds = part * OUTAGE_SCENARIOS_PER_PART..(part + 1) * OUTAGE_SCENARIOS_PER_PART;
+    run_scenarios(seeds, &MIN_UNCHECKED_OUTAGE_COUNTS, |seed| {
+        Scenario::random(seed, MAX_WORKERS_IN_OUTAGES)
+            .with_outages()
+            .without_health_checks()
+    });
+}
+
 /// Runs the scenarios of these seeds, and checks that enough happened in them.
 fn run_scenarios(
     seeds: std::ops::Range<u64>,
@@ -228,6 +247,11 @@
     module_decides_as_reference_in_outages_part_2 2,
 }
 
+parts! {
+    run_unchecked_outage_part:
+    module_decides_as_reference_in_outages_without_health_checks 3,
+}
+
 parts! {
     run_part:
     module_decides_as_reference_in_part_0 0,
--- a/crates/pipithub-policy/tests/service_leases.rs
+++ b/crates/pipithub-policy/tests/service_leases.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{FrontEndHarness, MS, endpoint, forwarded_to, is_rejected, settings};
+use common::{FrontEndHarness, MS, endpoint, forwarded_to, is_rejected, load_commands, settings};
 use pipithub_policy::api::{
     Action, Endpoint, EndpointListContact, EndpointState, Event, HealthCheckOutcome, HealthChecked,
     Idempotency, Outcome, Settings, Time, WorkerId,
@@ -381,12 +381,77 @@
     }
 }
 
-#[test]
-fn without_health_checks_the_last_list_stays_in_use() {
+/// The same as [`confirmed_front_end`], with settings that forbid health checks.
+fn confirmed_front_end_without_checks() -> (FrontEndHarness, WorkerId) {
     let mut settings = lease_settings();
     settings.limits.health_checks = false;
     let mut front_end = FrontEndHarness::new(settings, &WORKERS);
     report_contact(&mut front_end, EndpointListContact::Requested);
+    let preferred = front_end.warm_up(FUNCTION);
+    report_contact(&mut front_end, EndpointListContact::Current);
+    (front_end, preferred)
+}
+
+/// Whether requests are forwarded until `lease` from now, and rejected unsent and unchecked from then on.
+fn assert_lease_ends_after(front_end: &mut FrontEndHarness, preferred: &WorkerId, lease: Time) {
+    assert_eq!(front_end.module.lease_end(preferred), front_end.now + lease);
+    front_end.advance(lease - MS);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert_eq!(forwarded_to(&actions), Some(preferred.clone()));
+    front_end.advance(MS);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert!(is_rejected(&actions), "{actions:?}");
+    assert_eq!(
+        (forwarded_to(&actions), checked_worker(&actions)),
+        (None, None)
+    );
+}
+
+/// Guards against new work for a worker that drains while discovery is silent, where no check can show that it drains.
+#[test]
+fn without_health_checks_nothing_is_sent_once_a_drain_would_count_as_notified_for_the_grace() {
+    let (mut front_end, preferred) = confirmed_front_end_without_checks();
+    assert_lease_ends_after(&mut front_end, &preferred, 4_000 * MS + LEASE);
+    assert!(load_commands(&front_end.advance(10_000 * MS)).is_empty());
+    // The tier is back with the first sign of life.
+    report_contact(&mut front_end, EndpointListContact::Current);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert!(forwarded_to(&actions).is_some());
+}
+
+/// Guards against the longer delay of a silent source where the connection to the source broke.
+#[test]
+fn without_health_checks_a_broken_connection_ends_the_lease_sooner() {
+    let (mut front_end, preferred) = confirmed_front_end_without_checks();
+    front_end.advance(500 * MS);
+    report_contact(&mut front_end, EndpointListContact::Disconnected);
+    assert_lease_ends_after(&mut front_end, &preferred, 2_000 * MS + LEASE);
+}
+
+/// A change counts as notified when the source is asked again and answers, whether or not it sends the change.
+#[test]
+fn without_health_checks_an_answer_without_a_heartbeat_ends_the_lease_sooner() {
+    let (mut front_end, preferred) = confirmed_front_end_without_checks();
+    front_end.advance(1_600 * MS);
+    report_contact(&mut front_end, EndpointListContact::Answered);
+    assert_lease_ends_after(&mut front_end, &preferred, DRAIN_GRACE + 50 * MS);
+}
+
+/// Where checks take over at the end of the lease, a break that is noticed changes nothing.
+#[test]
+fn with_health_checks_a_broken_connection_does_not_change_the_lease() {
+    let (mut front_end, preferred) = confirmed_front_end();
+    let end = front_end.module.lease_end(&preferred);
+    front_end.advance(500 * MS);
+    report_contact(&mut front_end, EndpointListContact::Disconnected);
+    assert_eq!(front_end.module.lease_end(&preferred), end);
+}
+
+#[test]
+fn without_heartbeats_the_last_list_stays_in_use() {
+    let mut settings = lease_settings();
+    settings.limits.health_checks = false;
+    let mut front_end = FrontEndHarness::new(settings, &WORKERS);
     front_end.advance(60_000 * MS);
     let (_, actions) = front_end.request(FUNCTION);
     let worker = forwarded_to(&actions).expect("the request is forwarded");
--- a/crates/pipithub-policy/tests/simulated_fleet/discovery.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/discovery.rs
@@ -38,6 +38,12 @@
         }
         self
     }
+
+    /// Forbids health checks, so that nothing shows whether workers are in service during an outage.
+    pub(crate) fn without_health_checks(mut self) -> Scenario {
+        self.settings.limits.health_checks = false;
+        self
+    }
 }
 
 impl SimulatedFleet {
@@ -55,8 +61,15 @@
             self.now + CONFIRMATION_INTERVAL,
             contact(EndpointListContact::Current),
         );
-        for (_, until) in self.scenario.discovery_outages.clone() {
-            self.schedule.push(until, ScheduledEvent::DiscoveryReturns);
+        for (number, (from, until)) in self.scenario.discovery_outages.iter().enumerate() {
+            // Every other outage begins with a connection that breaks; in the others it stays open.
+            if number % 2 == 0 {
+                self.schedule
+                    .push(*from, contact(EndpointListContact::Disconnected));
+                self.schedule
+                    .push(*until, contact(EndpointListContact::Answered));
+            }
+            self.schedule.push(*until, ScheduledEvent::DiscoveryReturns);
         }
     }
 
@@ -74,7 +87,11 @@
             self.schedule
                 .push(next, ScheduledEvent::DiscoveryContact(contact));
         }
-        if contact != EndpointListContact::Requested && self.is_discovery_unreachable() {
+        let needs_source = matches!(
+            contact,
+            EndpointListContact::Answered | EndpointListContact::Current
+        );
+        if needs_source && self.is_discovery_unreachable() {
             return None;
         }
         self.count("discovery contact");
