A restart that discovery could not tell is found also if another connection is lost later

Cause: a worker counts as restarted if a connection to it was lost and its check is answered on a younger one.

Change: of several losses since the list was last confirmed the first one counts.

Result: before, the third case of a_worker_that_restarted_during_an_outage_has_slow_start failed, 7 of 30 calls were forwarded at once to a worker that may have just started; now all tests of the module pass.

--- a/crates/pipithub-policy/src/front_end/attempts.rs
+++ b/crates/pipithub-policy/src/front_end/attempts.rs
@@ -63,10 +63,11 @@
         if load_failed || end.replica_status == Some(ReplicaStatus::LoadStarted) {
             self.load_limiter.record_outcome(load_failed, now);
         }
+        let confirmed_at = self.endpoint_list_lease.confirmed_at();
         let mut worker = self.workers.get_mut(&end.worker)?;
         let attempt = worker.attempts.finish(end, now)?;
         if matches!(end.outcome, Outcome::Unreachable | Outcome::ConnectionLost) {
-            worker.service.record_connection_lost(now);
+            worker.service.record_connection_lost(confirmed_at, now);
         }
         let endpoint = worker.endpoint();
         let execution = PossibleExecution {
--- a/crates/pipithub-policy/src/front_end/service_checks.rs
+++ b/crates/pipithub-policy/src/front_end/service_checks.rs
@@ -135,7 +135,9 @@
                     worker.presume_restart(now);
                 }
             }
-            HealthCheckOutcome::Disconnected => worker.service.record_connection_lost(now),
+            HealthCheckOutcome::Disconnected => {
+                worker.service.record_connection_lost(confirmed_at, now);
+            }
             HealthCheckOutcome::Unhealthy | HealthCheckOutcome::Unanswered => {}
         }
         drop(worker);
@@ -171,8 +173,9 @@
     /// Records that a worker has closed or reset an idle connection: the worker may have restarted.
     pub(super) fn record_connection_lost(&mut self, worker: &WorkerId) {
         let now = self.now;
+        let confirmed_at = self.endpoint_list_lease.confirmed_at();
         if let Some(mut worker) = self.workers.get_mut(worker) {
-            worker.service.record_connection_lost(now);
+            worker.service.record_connection_lost(confirmed_at, now);
         }
     }
 
--- a/crates/pipithub-policy/src/service_lease.rs
+++ b/crates/pipithub-policy/src/service_lease.rs
@@ -65,7 +65,8 @@
     failures: u32,
     /// No check is sent before this time.
     next_check_at: Time,
-    /// When a connection to the worker last failed or was closed by it; 0 if there was none.
+    /// When a connection to the worker first failed or was closed by it since the endpoint list was last
+    /// confirmed; 0 if there was none.
     connection_lost_at: Time,
     /// The time until which work that was decided before may be written, once the endpoint list names
     /// the worker as draining or removed; `None` while the worker is ready.
@@ -206,9 +207,13 @@
         };
     }
 
-    /// Records that a connection to the worker has failed or was closed by it.
-    pub(crate) fn record_connection_lost(&mut self, now: Time) {
-        self.connection_lost_at = now;
+    /// Records that a connection to the worker has failed or was closed by it. Of several losses since
+    /// `since` the first counts: a connection that is established after it may lead to a new process,
+    /// also if yet another one is lost later.
+    pub(crate) fn record_connection_lost(&mut self, since: Time, now: Time) {
+        if self.connection_lost_at <= since {
+            self.connection_lost_at = now;
+        }
     }
 
     /// Whether a worker that has just answered a check may have restarted since the time `since`: a
--- a/crates/pipithub-policy/tests/reference/attempts.rs
+++ b/crates/pipithub-policy/tests/reference/attempts.rs
@@ -52,10 +52,11 @@
             Some(ReplicaStatus::LoadStarted) => self.record_load_outcome(false),
             _ => {}
         }
+        let confirmed_at = self.endpoint_list_confirmed_at;
         let worker = self.workers.get_mut(&end.worker)?;
         let attempt = worker.take_attempt(end, self.now)?;
         if is_connection_lost(end.outcome) {
-            worker.service.connection_lost_at = self.now;
+            worker.service.note_connection_lost(confirmed_at, self.now);
         }
         let endpoint = worker.endpoint.clone();
         self.record_lost_value(end, &attempt);
--- a/crates/pipithub-policy/tests/reference/service.rs
+++ b/crates/pipithub-policy/tests/reference/service.rs
@@ -51,8 +51,8 @@
     failures: u32,
     /// No check is sent before this time.
     next_check_at: Time,
-    /// When a connection to the worker was last lost; 0 if none was lost since the last
-    /// healthy check.
+    /// When a connection to the worker was first lost since the list was last confirmed; 0 if none
+    /// was lost since the last healthy check.
     pub(crate) connection_lost_at: Time,
 }
 
@@ -228,7 +228,7 @@
                     service.record_failure(now, service.failures);
                 }
                 if checked.outcome == HealthCheckOutcome::Disconnected {
-                    service.connection_lost_at = now;
+                    service.note_connection_lost(confirmed_at, now);
                 }
             }
         }
@@ -267,13 +267,21 @@
     /// Records that a worker has closed or reset a connection.
     pub(crate) fn record_connection_lost(&mut self, worker: &WorkerId) {
         let now = self.now;
+        let confirmed_at = self.endpoint_list_confirmed_at;
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.service.connection_lost_at = now;
+            worker.service.note_connection_lost(confirmed_at, now);
         }
     }
 }
 
 impl ServiceLease {
+    /// Notes a lost connection, unless an earlier one since `since` is noted already.
+    pub(crate) fn note_connection_lost(&mut self, since: Time, now: Time) {
+        if self.connection_lost_at <= since {
+            self.connection_lost_at = now;
+        }
+    }
+
     /// Counts a failed check. `backoff_steps` is 0 for no backoff and 1 for the shortest one; each
     /// further step doubles it.
     fn record_failure(&mut self, now: Time, backoff_steps: u32) {
--- a/crates/pipithub-policy/tests/service_leases.rs
+++ b/crates/pipithub-policy/tests/service_leases.rs
@@ -338,20 +338,40 @@
     assert_eq!(front_end.module.lease_end(&worker), end);
 }
 
+/// Whether the connection on which a worker answers a check is older than the one that was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnsweredOn {
+    OlderConnection,
+    YoungerConnection,
+    /// A younger one, after which yet another connection was lost.
+    YoungerConnectionBeforeAnotherLoss,
+}
+
+/// Guards against the overload of a worker that restarts while discovery cannot tell it, also if another connection of
+/// its new process is lost before the check.
 #[test]
 fn a_worker_that_restarted_during_an_outage_has_slow_start() {
-    for (connected_after_loss, is_limited) in [(true, true), (false, false)] {
+    for (answered_on, is_limited) in [
+        (AnsweredOn::YoungerConnection, true),
+        (AnsweredOn::YoungerConnectionBeforeAnotherLoss, true),
+        (AnsweredOn::OlderConnection, false),
+    ] {
         let (mut front_end, preferred) = front_end_in_outage();
         let connected_before = front_end.now - 10_000 * MS;
-        front_end.handle(Event::WorkerDisconnected {
+        let disconnected = Event::WorkerDisconnected {
             worker: preferred.clone(),
-        });
+        };
+        front_end.handle(disconnected.clone());
         front_end.advance(100 * MS);
-        let connected_at = if connected_after_loss {
-            front_end.now
-        } else {
+        let connected_at = if answered_on == AnsweredOn::OlderConnection {
             connected_before
+        } else {
+            front_end.now
         };
+        if answered_on == AnsweredOn::YoungerConnectionBeforeAnotherLoss {
+            front_end.advance(100 * MS);
+            front_end.handle(disconnected);
+        }
         front_end.request(FUNCTION);
         finish_check_on(
             &mut front_end,
@@ -376,7 +396,7 @@
         assert_eq!(
             sent < 5,
             is_limited,
-            "{sent} of 30 requests forwarded at once"
+            "{answered_on:?}: {sent} of 30 requests forwarded at once"
         );
     }
 }
