A keyed call is sent again only in the group that its worker had when the attempt was sent

Cause: the zone and the cell of an attempt that may have run were read from the endpoint list when the attempt ended.

Change: an attempt keeps the zone and the cell of its worker from when it was sent. In the node a worker's id is never used again and its group is part of what the id stands for, so the worker that waits for a connection cannot change groups there.

--- a/crates/pipithub-policy/src/attempt.rs
+++ b/crates/pipithub-policy/src/attempt.rs
@@ -50,6 +50,9 @@
     pub(crate) function: FunctionId,
     pub(crate) class: usize,
     pub(crate) sent_at: Time,
+    /// The zone and the cell of the worker when the attempt was sent.
+    pub(crate) zone: String,
+    pub(crate) cell: u64,
     pub(crate) expected: Expectation,
     pub(crate) deadlines: AttemptDeadlines,
     pub(crate) concurrency: OwnConcurrency,
--- a/crates/pipithub-policy/src/front_end/attempts.rs
+++ b/crates/pipithub-policy/src/front_end/attempts.rs
@@ -72,8 +72,8 @@
         let endpoint = worker.endpoint();
         let execution = PossibleExecution {
             sent_at: attempt.sent_at,
-            zone: endpoint.zone.clone(),
-            cell: endpoint.cell,
+            zone: attempt.zone.clone(),
+            cell: attempt.cell,
         };
         if !end.outcome.never_ran() {
             let lost = lost_value(end, &attempt, &self.settings.classes[attempt.class], now);
--- a/crates/pipithub-policy/src/front_end/requests.rs
+++ b/crates/pipithub-policy/src/front_end/requests.rs
@@ -220,6 +220,8 @@
         function,
         class: pending.request.class,
         sent_at: now,
+        zone: worker.endpoint().zone.clone(),
+        cell: worker.endpoint().cell,
         expected: Expectation {
             run_time,
             finish: prediction.finish,
--- a/crates/pipithub-policy/src/worker_table/tests/model.rs
+++ b/crates/pipithub-policy/src/worker_table/tests/model.rs
@@ -165,6 +165,8 @@
         function: FunctionId(1),
         class: 0,
         sent_at: 0,
+        zone: String::new(),
+        cell: 0,
         expected: Expectation {
             run_time: 0.0,
             finish: 0,
--- a/crates/pipithub-policy/tests/reference/attempts.rs
+++ b/crates/pipithub-policy/tests/reference/attempts.rs
@@ -71,8 +71,8 @@
         }
         Some(PossibleExecution {
             sent_at: attempt.sent_at,
-            zone: endpoint.zone,
-            cell: endpoint.cell,
+            zone: attempt.zone,
+            cell: attempt.cell,
         })
     }
 
--- a/crates/pipithub-policy/tests/reference/requests.rs
+++ b/crates/pipithub-policy/tests/reference/requests.rs
@@ -222,6 +222,8 @@
         function,
         class: pending.request.class,
         sent_at: now,
+        zone: worker.endpoint.zone.clone(),
+        cell: worker.endpoint.cell,
         predicted_finish: prediction.finish,
         target_deadline: chosen.target_deadline,
         run_time,
--- a/crates/pipithub-policy/tests/reference/state.rs
+++ b/crates/pipithub-policy/tests/reference/state.rs
@@ -18,6 +18,9 @@
     pub(crate) function: FunctionId,
     pub(crate) class: usize,
     pub(crate) sent_at: Time,
+    /// The zone and the cell of the worker when the attempt was sent.
+    pub(crate) zone: String,
+    pub(crate) cell: u64,
     /// When the answer was expected, as the replay predicted.
     pub(crate) predicted_finish: Time,
     /// The deadline that the attempt was admitted for.
--- a/crates/pipithub-policy/tests/rules.rs
+++ b/crates/pipithub-policy/tests/rules.rs
@@ -135,6 +135,30 @@
     }
 }
 
+/// Guards against a second effect where the list moves workers to another group while a request is in flight: the
+/// workers that drop its repetitions are those that had its first attempt in their group.
+#[test]
+fn retry_with_idempotency_key_stays_in_the_group_of_the_worker_when_the_attempt_was_sent() {
+    for scope in [DeduplicationScope::Zone, DeduplicationScope::Cell] {
+        let mut settings = settings(Idempotency::WithKey);
+        settings.classes[0].deduplication_scope = scope;
+        let mut front_end = FrontEndHarness::new(settings, &["w1", "w2"]);
+        let (id, actions) = front_end.request(1);
+        let first = forwarded_to(&actions).expect("an attempt");
+        let moved = |name: &&str| Endpoint {
+            zone: "b".to_string(),
+            cell: 7,
+            ..endpoint(name)
+        };
+        front_end.update_endpoints(["w1", "w2"].iter().map(moved).collect());
+        let after = front_end.finish_attempt(id, 0, &first, Outcome::ConnectionLost);
+        assert!(
+            forwarded_to(&after).is_none() && is_failed(&after),
+            "{scope:?}"
+        );
+    }
+}
+
 /// The times from which the forwarded requests must not be written any more.
 fn send_limits(actions: &[Action]) -> Vec<Option<Time>> {
     let limit = |action: &Action| match action {
