--- a/crates/pipithub-scenario/src/outage/draw.rs
+++ b/crates/pipithub-scenario/src/outage/draw.rs
@@ -65,6 +65,7 @@
             drain_grace: milliseconds(self.pick(&DRAIN_GRACES_MS)),
             client_timeout: milliseconds(self.pick(&CLIENT_TIMEOUTS_MS)),
             slow_start: milliseconds(4_000 + self.between(0, 4_000)),
+            health_checks: true,
         };
         let begin = self.between(1_500, 3_000);
         let end = self.duration_ms - self.between(1_500, 3_000);
--- a/crates/pipithub-scenario/src/outage/plan.rs
+++ b/crates/pipithub-scenario/src/outage/plan.rs
@@ -110,7 +110,7 @@
     pub functions: usize,
 }
 
-/// The time limits of the rules, which are part of the front ends' settings.
+/// The time limits of the rules and what front ends may do, which are part of their settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// How long after the notification of a drain new work may still be sent to the worker.
@@ -119,6 +119,8 @@
     pub client_timeout: Duration,
     /// How long a worker warms up after its start.
     pub slow_start: Duration,
+    /// Whether front ends may check the health of workers.
+    pub health_checks: bool,
 }
 
 /// All that determines a run.
@@ -141,6 +143,13 @@
 }
 
 impl Plan {
+    /// The same plan for front ends that may not check the health of workers.
+    #[must_use]
+    pub fn without_health_checks(mut self) -> Plan {
+        self.settings.health_checks = false;
+        self
+    }
+
     /// The same plan with discovery in reach all the time. The share of calls served with an outage is compared with that
     /// of this plan.
     #[must_use]
--- a/crates/pipithub-scenario/tests/outage_checks.rs
+++ b/crates/pipithub-scenario/tests/outage_checks.rs
@@ -30,6 +30,7 @@
             drain_grace: GRACE,
             client_timeout: TIMEOUT,
             slow_start: at(4_000),
+            health_checks: true,
         },
         duration: at(20_000),
         steps: Vec::new(),
--- a/crates/pipithub/src/outage.rs
+++ b/crates/pipithub/src/outage.rs
@@ -39,6 +39,10 @@
     /// Run each seed without its outage as well, and compare the shares of served calls.
     #[arg(long)]
     compare: bool,
+    /// Forbid health checks, as some deployments do: calls are rejected once nothing shows that workers are in service.
+    /// No share of served calls is required then.
+    #[arg(long)]
+    no_health_checks: bool,
     /// The tolerance added to each time limit, in milliseconds; the platform adds 50.
     #[arg(long, default_value_t = 50)]
     slack_ms: u64,
@@ -79,7 +83,10 @@
 }
 
 fn run_seed(arguments: &OutageArguments, seed: u64, binary: &Path, folder: &Path) -> Result<bool> {
-    let plan = Plan::draw(seed, arguments.short);
+    let mut plan = Plan::draw(seed, arguments.short);
+    if arguments.no_health_checks {
+        plan = plan.without_health_checks();
+    }
     let slack = Duration::from_millis(arguments.slack_ms);
     let verdict = run_plan(&plan, binary, folder, slack)?;
     let served_ratio = verdict.served_ratio();
@@ -89,8 +96,9 @@
         let compared = run_plan(&plan.without_outage(), binary, &folder, slack)?;
         ratio_without_outage = Some(compared.served_ratio());
     }
-    let serves_enough = ratio_without_outage
-        .is_none_or(|without| served_ratio >= MIN_RELATIVE_SERVED_RATIO * without);
+    let serves_enough = arguments.no_health_checks
+        || ratio_without_outage
+            .is_none_or(|without| served_ratio >= MIN_RELATIVE_SERVED_RATIO * without);
     let passed = verdict.breaches.is_empty() && serves_enough;
     print_row(&plan, &verdict, ratio_without_outage, passed);
     for breach in verdict.breaches.iter().take(MAX_VIOLATIONS_SHOWN) {
--- a/crates/pipithub/tests/discovery_outage.rs
+++ b/crates/pipithub/tests/discovery_outage.rs
@@ -44,6 +44,7 @@
             drain_grace: milliseconds(1_000),
             client_timeout: milliseconds(1_000),
             slow_start: milliseconds(5_000),
+            health_checks: true,
         },
         duration: milliseconds(10_000),
         steps: steps
@@ -92,6 +93,34 @@
     }
 }
 
+/// Guards against new work for draining workers where no health check can show that they drain, and against front ends
+/// that go on rejecting calls once discovery is back.
+#[test]
+fn without_health_checks_draining_workers_get_no_new_work_and_service_comes_back() {
+    for kind in [OutageKind::Refused, OutageKind::Unanswered] {
+        let mut plan = incident(kind).without_health_checks();
+        plan.duration = milliseconds(12_000);
+        plan.steps.push(TimedStep {
+            at: milliseconds(7_500),
+            step: Step::EndOutage {
+                nodes: vec![0, 1, 2],
+            },
+        });
+        let verdict = play(&plan);
+        let shown: Vec<_> = verdict.breaches.iter().take(5).collect();
+        assert!(verdict.breaches.is_empty(), "{kind:?}: {shown:#?}");
+        assert_eq!(verdict.health_checks, 0, "{kind:?}");
+        // Of 12 s, calls are served until at least 3.85 s (2 s, the grace and the margin after a break at 1 s) and again
+        // 1.5 s after discovery is back at the latest.
+        assert!(
+            verdict.served_ratio() > 0.5,
+            "{kind:?}: {} of {}",
+            verdict.served,
+            verdict.calls
+        );
+    }
+}
+
 #[test]
 fn rules_are_kept_through_drawn_outages_beside_drains_restarts_and_faulty_workers() {
     let seeds: Vec<u64> = SEEDS.collect();
