A request for the list counts as its notification: it cuts the list's lease short

EndpointListLease::record_contact knew the two delays; of the third clock it knew the head of an answer, and that only without health checks. The node did not report the request at all. Callers saw nothing; the draining worker got calls up to 1.1 s after its grace.

Change: the node reports each request when it is about to be written on an established connection (StreamUpdate::Requested in place of Answered). The request limits the lease to the grace and 25 ms and never extends it; only a comment or an event confirms. The list of the start has the same lease. What waits unwritten gets the new end of its lease at once. No connection: nobody was asked, the other clocks hold.

Tests: the head's tests of service_leases.rs are replaced by stricter ones on the request (lease after a request, repeated requests, slow start of a worker that restarted before it); the start's lease in core_leases.rs is 1,025 ms in place of 850, as the list of the start may be relied on for the grace whether or not an answer comes.

--- a/crates/pipithub-node/src/coordinator/stream.rs
+++ b/crates/pipithub-node/src/coordinator/stream.rs
@@ -28,9 +28,8 @@
 /// What the front end learns from the coordinator's stream.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StreamUpdate {
-    /// The head of a response came: the coordinator has accepted a request for the stream. This says nothing about the
-    /// list.
-    Answered,
+    /// A request for the stream is about to be written on a connection that was established. Nothing may ever answer it.
+    Requested,
     /// The next event.
     Event(EndpointEvent),
     /// A comment or an event was received completely, and all events before it were passed on: the list was current
@@ -134,12 +133,12 @@
     names: &Names,
     on_update: &mut impl FnMut(StreamUpdate),
 ) -> Result<Infallible, StreamError> {
-    let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(address, sequence.last())).await;
+    let opening = open(address, sequence.last(), on_update);
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
     let mut stream = opened.map_err(|_| StreamError::NoAnswer)??;
     if !stream.response.status().is_success() {
         return Err(StreamError::Status(stream.response.status()));
     }
-    on_update(StreamUpdate::Answered);
     let body = stream.response.body_mut();
     let mut reader = SseReader::default();
     loop {
@@ -178,7 +177,11 @@
 }
 
 /// Connects to the coordinator and requests the events after the event `last`.
-async fn open(address: &str, last: u64) -> Result<OpenStream, StreamError> {
+async fn open(
+    address: &str,
+    last: u64,
+    on_update: &mut impl FnMut(StreamUpdate),
+) -> Result<OpenStream, StreamError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(StreamError::Connect)?;
@@ -193,6 +196,7 @@
         .header("accept", "text/event-stream")
         .header("last-event-id", last)
         .body(Empty::<Bytes>::new())?;
+    on_update(StreamUpdate::Requested);
     let response = sender
         .send_request(request)
         .await
--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -150,9 +150,7 @@
     pub fn tick(&mut self, now: Time) {
         if now >= self.last_sweep + SWEEP_INTERVAL {
             self.last_sweep = now;
-            let engine = &self.engine;
-            self.connection_pool
-                .renew_leases(|worker| engine.lease_end(worker));
+            self.renew_leases();
             self.connection_pool.sweep(now);
             self.process_failures(now);
         }
@@ -166,6 +164,13 @@
         self.run(now, Input::Tick);
     }
 
+    /// Passes the leases that are in force to the connection pool, for work that is not written yet.
+    fn renew_leases(&mut self) {
+        let engine = &self.engine;
+        self.connection_pool
+            .renew_leases(|worker| engine.lease_end(worker));
+    }
+
     fn close_silent_clients(&mut self, now: Time) {
         for connection in self.client_sessions.silent_connections(now) {
             debug!(
--- a/crates/pipithub-node/src/core/endpoint_list.rs
+++ b/crates/pipithub-node/src/core/endpoint_list.rs
@@ -16,14 +16,14 @@
     /// Records that the front end begins to follow the coordinator.
     pub fn follow_coordinator(&mut self, now: Time) {
         self.discovery_log.record_follow_start(now);
-        self.report_contact(now, EndpointListContact::Requested);
+        self.report_contact(now, EndpointListContact::Started);
     }
 
     /// Applies an update from the coordinator's stream. `wall` is the current wall-clock time in nanoseconds since the
     /// Unix epoch.
     pub fn apply_stream_update(&mut self, now: Time, wall: Time, update: &StreamUpdate) {
         match update {
-            StreamUpdate::Answered => self.report_contact(now, EndpointListContact::Answered),
+            StreamUpdate::Requested => self.report_contact(now, EndpointListContact::Requested),
             StreamUpdate::Event(event) => self.update_endpoints_at(now, wall, event),
             StreamUpdate::Disconnected => {
                 self.report_contact(now, EndpointListContact::Disconnected);
@@ -37,6 +37,8 @@
 
     fn report_contact(&mut self, now: Time, contact: EndpointListContact) {
         self.run(now, Input::EndpointListContact(contact));
+        // Work that waits to be written was decided under the former lease, which may end later.
+        self.renew_leases();
     }
 
     /// How long ago the endpoint list was last known to be current, in nanoseconds; `None` as long as no coordinator is
--- a/crates/pipithub-node/tests/coordinator.rs
+++ b/crates/pipithub-node/tests/coordinator.rs
@@ -172,3 +172,53 @@
         assert_eq!(*applied.borrow(), [1], "the previous list stays in use");
     }
 }
+
+/// The kinds of updates that a front end gets while its coordinator is at `address`, until `count` of them have come or
+/// ten attempts to connect have failed.
+async fn updates_from(address: String, count: usize) -> Vec<StreamUpdate> {
+    const MAX_ATTEMPTS: usize = 10;
+    let (_address_sender, followed) = watch::channel(address);
+    let attempts = LogTimeRecorder::default();
+    let _guard = tracing::subscriber::set_default(attempts.clone());
+    let updates = std::cell::RefCell::new(Vec::new());
+    let following = follow(followed, 0, Names::default(), 1, |update| {
+        updates.borrow_mut().push(update);
+    });
+    let ended = async {
+        let failed = || attempts.0.lock().expect("lock not poisoned").len();
+        while updates.borrow().len() < count && failed() < MAX_ATTEMPTS {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let both = async {
+        tokio::select! {
+            () = following => {}
+            () = ended => {}
+        }
+    };
+    let local = LocalSet::new();
+    tokio::time::timeout(Duration::from_secs(60), local.run_until(both))
+        .await
+        .expect("updates or failures come");
+    updates.take()
+}
+
+/// Guards against a list that stays in use although the coordinator was asked again: a change counts as notified from the
+/// request, not from its answer.
+#[tokio::test]
+async fn request_that_is_never_answered_is_reported() {
+    // The system accepts connections for the listener; nothing reads them.
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound").to_string();
+    let updates = updates_from(address, 2).await;
+    assert_eq!(updates, [StreamUpdate::Requested, StreamUpdate::Requested]);
+}
+
+/// Guards against a lease that is cut short although the coordinator cannot have been asked.
+#[tokio::test(start_paused = true)]
+async fn refused_connection_is_not_reported_as_a_request() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound").to_string();
+    drop(listener);
+    assert_eq!(updates_from(address, 1).await, []);
+}
--- a/crates/pipithub-node/tests/core_leases.rs
+++ b/crates/pipithub-node/tests/core_leases.rs
@@ -8,7 +8,7 @@
 use pipithub_node::effect::{ConnectionId, Effect};
 
 /// How long the front end relies on the initial list without a health check, with a grace period of 1 s.
-const LEASE_DURATION: u64 = 850 * MS;
+const LEASE_DURATION: u64 = 1_025 * MS;
 const CALL_PREFIX: &str = r#"{"cmd":"DO""#;
 const HEALTH_CHECK_PREFIX: &str = r#"{"cmd":"ECHO""#;
 
@@ -214,3 +214,30 @@
         .any(|effect| matches!(effect, Effect::CancelWrite { .. }));
     assert!(!withdrawn, "a send counts from its first byte");
 }
+
+/// Guards against a call that was decided under a long lease and is written after a request for the list has cut that lease
+/// short, also if no sweep has come between.
+#[test]
+fn call_that_waits_for_a_connection_is_not_written_after_a_request_for_the_list_has_cut_the_lease_short()
+ {
+    let mut harness = harness_following_coordinator();
+    harness
+        .core
+        .apply_stream_update(harness.now, harness.now, &StreamUpdate::Current);
+    let client = harness.connect_client();
+    harness.call(client, 7, "assign");
+    let (connecting, _) = effects_without_connecting(&mut harness);
+    for update in [StreamUpdate::Disconnected, StreamUpdate::Requested] {
+        harness
+            .core
+            .apply_stream_update(harness.now, harness.now, &update);
+    }
+    harness.now += LEASE_DURATION;
+    harness.core.worker_connected(harness.now, connecting[0]);
+    let written = harness.written();
+    assert_eq!(
+        lines_starting_with(&written, CALL_PREFIX).count(),
+        0,
+        "{written:?}"
+    );
+}
--- a/crates/pipithub-node/tests/discovery_log.rs
+++ b/crates/pipithub-node/tests/discovery_log.rs
@@ -84,12 +84,12 @@
     let age = harness.core.endpoint_list_age(harness.now);
     assert_eq!(age, Some(11_900 * MS));
 
-    // Neither the head of a response ends an outage, nor do events before the stream has caught up.
+    // Neither a request for the stream ends an outage, nor do events before the stream has caught up.
     let host = json!({"host": "w1", "dial": "10.0.0.1:1", "site": "a", "health": "DRAINING"});
     let text = event(4, false, &[host]);
     let missed =
         list::parse(&text, &pipithub_platform::settings::Names::default()).expect("a valid event");
-    for update in [StreamUpdate::Answered, StreamUpdate::Event(missed)] {
+    for update in [StreamUpdate::Requested, StreamUpdate::Event(missed)] {
         harness
             .core
             .apply_stream_update(harness.now, harness.now, &update);
--- a/crates/pipithub-policy/src/api.rs
+++ b/crates/pipithub-policy/src/api.rs
@@ -184,9 +184,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointListContact {
     /// The front end begins to watch the list, starting from the list that it has at that time.
+    Started,
+    /// The front end sends a request to watch the list to the source, on an established connection. The
+    /// source may never answer it.
     Requested,
-    /// The source has answered the request to watch the list. It may not have sent all changes yet.
-    Answered,
     /// The source has sent a heartbeat after all changes so far: the list was current when the
     /// heartbeat was sent.
     Current,
--- a/crates/pipithub-policy/src/endpoint_list_lease.rs
+++ b/crates/pipithub-policy/src/endpoint_list_lease.rs
@@ -1,9 +1,10 @@
 //! The lease that the endpoint list gives on every worker in it: how long the list is relied on
 //! after it was last confirmed.
 //!
-//! Some time after the source of the list gets out of reach, a change of the list counts as notified,
-//! whether or not it was received. From then on a front end that still relies on its list breaks the
-//! rule on drains as soon as a worker drains. Therefore the list must not be relied on any longer.
+//! Some time after the source of the list gets out of reach, or as soon as the front end requests the
+//! list again, a change of the list counts as notified, whether or not it was received. From then on a
+//! front end that still relies on its list breaks the rule on drains as soon as a worker drains.
+//! Therefore the list must not be relied on any longer.
 //! While the source is in reach, each of its heartbeats renews the lease, and nothing else is needed.
 //! `docs/design.md`, "Leases on workers while discovery is out of reach", gives the sources of the
 //! figures.
@@ -17,10 +18,11 @@
 const BREAK_NOTIFICATION_DELAY: Time = 2_000 * MILLISECOND;
 /// Such a change counts as notified this long after the source fell silent on an open connection.
 const SILENCE_NOTIFICATION_DELAY: Time = 4_000 * MILLISECOND;
-/// A source that answers sends its first heartbeat within 1 s, mostly just before the grace after a
-/// start is over. To avoid health checks at each start, the list of the start stays valid for this
-/// time after the grace, which is what the platform allows for the transmission to a worker.
-const ALLOWED_DELAY: Time = 50 * MILLISECOND;
+/// How much longer than the drain grace the lease may last that a start or a request leaves. A source in
+/// reach sends its first heartbeat within 1 s of a request, mostly just before the grace is over, so this
+/// avoids health checks at each request. It is half of what the platform allows for the transmission to a
+/// worker; the transmission itself has the other half.
+const REQUEST_LEASE_EXTENSION: Time = 25 * MILLISECOND;
 
 /// What the length of the lease depends on.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +44,11 @@
             SILENCE_NOTIFICATION_DELAY
         }
     }
+
+    /// How long the list may be relied on after the start, or after a request that nothing has followed.
+    fn request_lease(&self) -> Time {
+        self.drain_grace + REQUEST_LEASE_EXTENSION
+    }
 }
 
 /// How long the endpoint list is relied on.
@@ -52,8 +59,6 @@
     end: Option<Time>,
     /// When the list was last known to be current.
     confirmed_at: Time,
-    /// The source has sent a heartbeat since the start.
-    had_heartbeat: bool,
 }
 
 impl EndpointListLease {
@@ -64,26 +69,16 @@
         terms: LeaseTerms,
         now: Time,
     ) {
-        let drain_grace = terms.drain_grace;
-        let lease = lease_time(drain_grace);
+        let lease = lease_time(terms.drain_grace);
         match contact {
-            EndpointListContact::Requested => self.confirm(now, lease),
-            // This extends the lease of the list of the start only: the head of a response is no
-            // evidence about a later list.
-            EndpointListContact::Answered if !self.had_heartbeat => {
-                let end = self.confirmed_at + drain_grace + ALLOWED_DELAY;
-                self.end = self.end.max(Some(end));
-            }
-            // A source that has been asked again counts as having sent all changes.
-            EndpointListContact::Answered if !terms.has_health_checks => {
-                self.limit(now + drain_grace + ALLOWED_DELAY);
-            }
-            EndpointListContact::Answered => {}
+            EndpointListContact::Started => self.confirm(now, terms.request_lease()),
+            // A change counts as notified as soon as the front end asks for it, whether or not an answer
+            // comes. A request is no evidence about the list, so it never extends the lease.
+            EndpointListContact::Requested => self.limit(now + terms.request_lease()),
             EndpointListContact::Disconnected => {
                 self.limit(now + BREAK_NOTIFICATION_DELAY + lease);
             }
             EndpointListContact::Current => {
-                self.had_heartbeat = true;
                 self.confirm(now, terms.notification_delay() + lease);
             }
         }
--- a/crates/pipithub-policy/tests/reference/front_end.rs
+++ b/crates/pipithub-policy/tests/reference/front_end.rs
@@ -53,8 +53,6 @@
     pub(crate) endpoint_list_lease_end: Option<Time>,
     /// When the endpoint list was last known to be current.
     pub(crate) endpoint_list_confirmed_at: Time,
-    /// The source has reported the endpoint list as current at least once since the start.
-    pub(crate) endpoint_list_was_current: bool,
     /// Mean share of its value that an attempt loses by a late answer, an error or no answer.
     pub(crate) mean_lost_value: f64,
 }
--- a/crates/pipithub-policy/tests/reference/service.rs
+++ b/crates/pipithub-policy/tests/reference/service.rs
@@ -17,9 +17,9 @@
 const BREAK_NOTIFICATION_DELAY: Time = 2_000 * MILLISECOND;
 /// A change of the list counts as notified this long after its source fell silent.
 const SILENCE_NOTIFICATION_DELAY: Time = 4_000 * MILLISECOND;
-/// Once the source has answered, the list of the start is relied on for the drain grace and this
-/// time.
-const ALLOWED_DELAY: Time = 50 * MILLISECOND;
+/// After the start, and after a request for changes, the list is relied on for the drain grace and
+/// this time.
+const REQUEST_LEASE_EXTENSION: Time = 25 * MILLISECOND;
 /// The part of the drain grace that is kept for the way to the worker; at most a quarter of it.
 const MAX_LEASE_MARGIN: Time = 150 * MILLISECOND;
 /// The drain grace if the settings give none.
@@ -75,14 +75,9 @@
     pub(crate) fn record_endpoint_list_contact(&mut self, contact: EndpointListContact) {
         let may_check = self.settings.limits.health_checks;
         let lease = match contact {
-            EndpointListContact::Requested => self.lease_time(),
-            EndpointListContact::Answered => {
-                if !self.endpoint_list_was_current {
-                    let end = self.endpoint_list_confirmed_at + self.drain_grace() + ALLOWED_DELAY;
-                    self.endpoint_list_lease_end = self.endpoint_list_lease_end.max(Some(end));
-                } else if !may_check {
-                    self.limit_list_lease(self.now + self.drain_grace() + ALLOWED_DELAY);
-                }
+            EndpointListContact::Started => self.request_lease(),
+            EndpointListContact::Requested => {
+                self.limit_list_lease(self.now + self.request_lease());
                 return;
             }
             EndpointListContact::Disconnected => {
@@ -90,7 +85,6 @@
                 return;
             }
             EndpointListContact::Current => {
-                self.endpoint_list_was_current = true;
                 let delay = if may_check {
                     BREAK_NOTIFICATION_DELAY
                 } else {
@@ -108,6 +102,11 @@
         self.drain_grace() - MAX_LEASE_MARGIN.min(self.drain_grace() / 4)
     }
 
+    /// How long the list is relied on after the start, or after a request without a heartbeat since.
+    fn request_lease(&self) -> Time {
+        self.drain_grace() + REQUEST_LEASE_EXTENSION
+    }
+
     /// How long new work may be sent to a worker after the notification of its drain.
     fn drain_grace(&self) -> Time {
         self.settings.drain_grace.unwrap_or(DEFAULT_DRAIN_GRACE)
--- a/crates/pipithub-policy/tests/service_leases.rs
+++ b/crates/pipithub-policy/tests/service_leases.rs
@@ -15,6 +15,9 @@
 /// How long the endpoint list is relied on after its source last confirmed it: 2 s until a change counts as
 /// notified, and the lease.
 const ENDPOINT_LIST_LEASE: Time = 2_000 * MS + LEASE;
+/// How long the list is relied on after the start or a request for the list: the drain grace and half of the 50 ms that the
+/// platform allows for the transmission to a worker.
+const REQUEST_LEASE: Time = DRAIN_GRACE + 25 * MS;
 const WORKERS: [&str; 4] = ["w1", "w2", "w3", "w4"];
 const FUNCTION: u64 = 7;
 
@@ -29,7 +32,7 @@
 /// worker.
 fn confirmed_front_end() -> (FrontEndHarness, WorkerId) {
     let mut front_end = FrontEndHarness::new(lease_settings(), &WORKERS);
-    report_contact(&mut front_end, EndpointListContact::Requested);
+    report_contact(&mut front_end, EndpointListContact::Started);
     let preferred = front_end.warm_up(FUNCTION);
     report_contact(&mut front_end, EndpointListContact::Current);
     (front_end, preferred)
@@ -317,25 +320,99 @@
     );
 }
 
+/// Guards against a draining worker that gets work because the list was requested again and nothing came, where the front
+/// end went on with its list until the delay after a break was over.
+#[test]
+fn a_request_for_the_list_ends_the_lease_with_the_drain_grace() {
+    let (mut front_end, preferred) = confirmed_front_end();
+    front_end.advance(200 * MS);
+    report_contact(&mut front_end, EndpointListContact::Disconnected);
+    front_end.advance(50 * MS);
+    report_contact(&mut front_end, EndpointListContact::Requested);
+    assert_eq!(
+        front_end.module.lease_end(&preferred),
+        front_end.now + REQUEST_LEASE
+    );
+    front_end.advance(REQUEST_LEASE - MS);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert_eq!(forwarded_to(&actions), Some(preferred.clone()));
+    front_end.advance(MS);
+    let (_, actions) = front_end.request(FUNCTION);
+    assert_eq!(forwarded_to(&actions), None);
+    assert_eq!(checked_worker(&actions), Some(preferred));
+}
+
+/// Guards against a list that stays in use because its source is asked over and over and never answers.
 #[test]
-fn the_head_of_a_response_extends_only_the_lease_of_the_start() {
+fn repeated_requests_never_extend_a_lease() {
     let mut front_end = FrontEndHarness::new(lease_settings(), &WORKERS);
     let worker = WorkerId::new("w1");
+    report_contact(&mut front_end, EndpointListContact::Started);
+    let end = front_end.now + REQUEST_LEASE;
+    for _ in 0..4 {
+        assert_eq!(front_end.module.lease_end(&worker), end, "after the start");
+        report_contact(&mut front_end, EndpointListContact::Requested);
+        front_end.advance(400 * MS);
+    }
+    report_contact(&mut front_end, EndpointListContact::Current);
     report_contact(&mut front_end, EndpointListContact::Requested);
-    let started_at = front_end.now;
-    assert_eq!(front_end.module.lease_end(&worker), started_at + LEASE);
-    // The source sends the head of each response and nothing after it.
-    for _ in 0..3 {
-        front_end.advance(500 * MS);
-        report_contact(&mut front_end, EndpointListContact::Answered);
-        let end = started_at + DRAIN_GRACE + 50 * MS;
-        assert_eq!(front_end.module.lease_end(&worker), end);
+    let end = front_end.now + REQUEST_LEASE;
+    for _ in 0..4 {
+        assert_eq!(
+            front_end.module.lease_end(&worker),
+            end,
+            "after a heartbeat"
+        );
+        front_end.advance(400 * MS);
+        report_contact(&mut front_end, EndpointListContact::Requested);
     }
+    assert!(end <= front_end.now, "a request does not renew it either");
     report_contact(&mut front_end, EndpointListContact::Current);
-    let end = front_end.now + ENDPOINT_LIST_LEASE;
-    front_end.advance(500 * MS);
-    report_contact(&mut front_end, EndpointListContact::Answered);
-    assert_eq!(front_end.module.lease_end(&worker), end);
+    assert_eq!(
+        front_end.module.lease_end(&worker),
+        front_end.now + ENDPOINT_LIST_LEASE
+    );
+}
+
+/// Guards against the overload of a worker that restarted before the list was requested again: the request is no evidence
+/// that the list was current then.
+#[test]
+fn a_worker_that_restarted_before_a_request_for_the_list_has_slow_start() {
+    let (mut front_end, preferred) = confirmed_front_end();
+    front_end.advance(200 * MS);
+    report_contact(&mut front_end, EndpointListContact::Disconnected);
+    front_end.handle(Event::WorkerDisconnected {
+        worker: preferred.clone(),
+    });
+    front_end.advance(50 * MS);
+    report_contact(&mut front_end, EndpointListContact::Requested);
+    front_end.advance(REQUEST_LEASE);
+    front_end.request(FUNCTION);
+    let connected_at = front_end.now;
+    finish_check_on(
+        &mut front_end,
+        &preferred,
+        HealthCheckOutcome::Healthy,
+        0,
+        connected_at,
+    );
+    let before = forwards_to(&front_end, &preferred);
+    for _ in 0..30 {
+        front_end.request(FUNCTION);
+    }
+    let sent = forwards_to(&front_end, &preferred) - before;
+    assert!(sent < 5, "{sent} of 30 requests forwarded at once");
+}
+
+/// How many requests were forwarded to a worker so far.
+fn forwards_to(front_end: &FrontEndHarness, preferred: &WorkerId) -> usize {
+    let is_there =
+        |action: &Action| matches!(action, Action::Forward { worker, .. } if worker == preferred);
+    front_end
+        .actions_taken
+        .iter()
+        .filter(|taken| is_there(&taken.action))
+        .count()
 }
 
 /// Whether the connection on which a worker answers a check is older than the one that was lost.
@@ -380,19 +457,11 @@
             0,
             connected_at,
         );
-        let forwards = |front_end: &FrontEndHarness| {
-            let is_there = |action: &Action| matches!(action, Action::Forward { worker, .. } if *worker == preferred);
-            front_end
-                .actions_taken
-                .iter()
-                .filter(|taken| is_there(&taken.action))
-                .count()
-        };
-        let before = forwards(&front_end);
+        let before = forwards_to(&front_end, &preferred);
         for _ in 0..30 {
             front_end.request(FUNCTION);
         }
-        let sent = forwards(&front_end) - before;
+        let sent = forwards_to(&front_end, &preferred) - before;
         assert_eq!(
             sent < 5,
             is_limited,
@@ -406,7 +475,7 @@
     let mut settings = lease_settings();
     settings.limits.health_checks = false;
     let mut front_end = FrontEndHarness::new(settings, &WORKERS);
-    report_contact(&mut front_end, EndpointListContact::Requested);
+    report_contact(&mut front_end, EndpointListContact::Started);
     let preferred = front_end.warm_up(FUNCTION);
     report_contact(&mut front_end, EndpointListContact::Current);
     (front_end, preferred)
@@ -448,13 +517,13 @@
     assert_lease_ends_after(&mut front_end, &preferred, 2_000 * MS + LEASE);
 }
 
-/// A change counts as notified when the source is asked again and answers, whether or not it sends the change.
+/// A change counts as notified when the source is asked again, whether or not it answers or sends the change.
 #[test]
-fn without_health_checks_an_answer_without_a_heartbeat_ends_the_lease_sooner() {
+fn without_health_checks_a_request_for_the_list_ends_the_lease_sooner() {
     let (mut front_end, preferred) = confirmed_front_end_without_checks();
     front_end.advance(1_600 * MS);
-    report_contact(&mut front_end, EndpointListContact::Answered);
-    assert_lease_ends_after(&mut front_end, &preferred, DRAIN_GRACE + 50 * MS);
+    report_contact(&mut front_end, EndpointListContact::Requested);
+    assert_lease_ends_after(&mut front_end, &preferred, REQUEST_LEASE);
 }
 
 /// Where checks take over at the end of the lease, a break that is noticed changes nothing.
--- a/crates/pipithub-policy/tests/simulated_fleet/discovery.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/discovery.rs
@@ -10,12 +10,15 @@
 use rand::RngExt;
 
 use super::SimulatedFleet;
+use super::drain_rule::{BREAK_NOTIFICATION_DELAY, SILENCE_NOTIFICATION_DELAY};
 use super::draws::Purpose;
 use super::scenario::{MS, Scenario};
 use super::schedule::ScheduledEvent;
 
 /// The interval at which discovery confirms that the endpoint list is current.
 const CONFIRMATION_INTERVAL: Time = 1_000 * MS;
+/// The front end gives up a stream on which nothing came for this long, and requests the list again.
+const SILENCE_TIMEOUT: Time = 1_600 * MS;
 /// The probability that a health check or its answer is lost.
 const CHECK_LOSS_PROBABILITY: f64 = 0.05;
 /// The probability that the front end has a connection to a worker that restarts, and sees it close.
@@ -23,6 +26,11 @@
 /// The longest drain grace of the scenarios, in units of 250 ms.
 const MAX_GRACE_STEPS: u64 = 8;
 
+/// Whether an outage begins with a connection that breaks; in every other one it stays open.
+fn breaks_connection(outage: usize) -> bool {
+    outage.is_multiple_of(2)
+}
+
 impl Scenario {
     /// The same scenario with outages of discovery, a random drain grace, and settings that allow health checks.
     pub(crate) fn with_outages(mut self) -> Scenario {
@@ -54,31 +62,67 @@
         }
         let contact = ScheduledEvent::DiscoveryContact;
         self.schedule
-            .push(self.now, contact(EndpointListContact::Requested));
+            .push(self.now, contact(EndpointListContact::Started));
         self.schedule
-            .push(self.now + MS, contact(EndpointListContact::Answered));
+            .push(self.now + MS, contact(EndpointListContact::Requested));
         self.schedule.push(
             self.now + CONFIRMATION_INTERVAL,
             contact(EndpointListContact::Current),
         );
-        for (number, (from, until)) in self.scenario.discovery_outages.iter().enumerate() {
-            // Every other outage begins with a connection that breaks; in the others it stays open.
-            if number % 2 == 0 {
+        for (number, (from, until)) in self
+            .scenario
+            .discovery_outages
+            .clone()
+            .into_iter()
+            .enumerate()
+        {
+            if breaks_connection(number) {
                 self.schedule
-                    .push(*from, contact(EndpointListContact::Disconnected));
+                    .push(from, contact(EndpointListContact::Disconnected));
+            }
+            for at in self.request_times(number, from, until) {
                 self.schedule
-                    .push(*until, contact(EndpointListContact::Answered));
+                    .push(at, contact(EndpointListContact::Requested));
             }
-            self.schedule.push(*until, ScheduledEvent::DiscoveryReturns);
+            self.schedule.push(until, ScheduledEvent::DiscoveryReturns);
         }
     }
 
+    /// When the front end requests the list because of an outage. In half of the outages connections are refused until
+    /// the outage ends; in the others requests are accepted, and remain unanswered.
+    fn request_times(&self, number: usize, from: Time, until: Time) -> Vec<Time> {
+        let mut random = self.random_for(Purpose::DiscoveryRequest, number as u64, 0);
+        let noticed_at = if breaks_connection(number) {
+            from
+        } else {
+            from + SILENCE_TIMEOUT
+        };
+        if noticed_at >= until {
+            return Vec::new();
+        }
+        let mut times = vec![until];
+        if random.random_bool(0.5) {
+            let mut at = noticed_at + random.random_range(25..100) * MS;
+            while at < until {
+                times.push(at);
+                at += random.random_range(300..2_500) * MS;
+            }
+        }
+        times
+    }
+
+    /// The outage of discovery in which the simulated time is, with its number.
+    fn current_outage(&self) -> Option<(usize, Time)> {
+        let outages = self.scenario.discovery_outages.iter().enumerate();
+        outages
+            .filter(|(_, (from, until))| (*from..*until).contains(&self.now))
+            .map(|(number, (from, _))| (number, *from))
+            .next()
+    }
+
     /// Whether discovery is out of reach now.
     pub(super) fn is_discovery_unreachable(&self) -> bool {
-        let outages = &self.scenario.discovery_outages;
-        outages
-            .iter()
-            .any(|(from, until)| (*from..*until).contains(&self.now))
+        self.current_outage().is_some()
     }
 
     pub(super) fn discovery_contact(&mut self, contact: EndpointListContact) -> Option<Event> {
@@ -87,13 +131,12 @@
             self.schedule
                 .push(next, ScheduledEvent::DiscoveryContact(contact));
         }
-        let needs_source = matches!(
-            contact,
-            EndpointListContact::Answered | EndpointListContact::Current
-        );
-        if needs_source && self.is_discovery_unreachable() {
+        if contact == EndpointListContact::Current && self.is_discovery_unreachable() {
             return None;
         }
+        if contact == EndpointListContact::Requested {
+            self.drain_rule.record_request(self.now);
+        }
         self.count("discovery contact");
         Some(Event::EndpointListContact(contact))
     }
@@ -102,7 +145,13 @@
     /// close their connections, if the front end has one.
     pub(super) fn delay_change(&mut self, changed: BTreeSet<usize>) {
         self.count("change delayed");
+        let notified_at = self.notified_at();
         for &worker in &changed {
+            if self.workers.get(worker).endpoint.state == EndpointState::Ready {
+                self.drain_rule.record_in_service(worker);
+            } else {
+                self.drain_rule.record_out_of_service(worker, notified_at);
+            }
             let has_connection = self
                 .endpoint_random
                 .random_bool(KNOWN_CONNECTION_PROBABILITY);
@@ -114,8 +163,30 @@
         self.delayed_changes.extend(changed);
     }
 
+    /// When a change that happens now counts as notified at the latest.
+    fn notified_at(&self) -> Time {
+        self.current_outage().map_or(self.now, |(number, from)| {
+            let delay = if breaks_connection(number) {
+                BREAK_NOTIFICATION_DELAY
+            } else {
+                SILENCE_NOTIFICATION_DELAY
+            };
+            self.now.max(from + delay)
+        })
+    }
+
+    /// Checks the rule on drains for new work that the front end sends to a worker now.
+    pub(super) fn check_new_work(&self, worker: &WorkerId) {
+        if let Some(worker) = self.workers.index_of(worker) {
+            let drain_grace = self.scenario.settings.drain_grace;
+            self.drain_rule
+                .check_new_work(worker, drain_grace, self.now);
+        }
+    }
+
     /// The first update after an outage: all workers that have changed meanwhile.
     pub(super) fn discovery_returns(&mut self) -> Event {
+        self.drain_rule.record_request(self.now);
         let missed = std::mem::take(&mut self.delayed_changes);
         Event::Endpoints {
             update: EndpointUpdate::Delta,
--- a/crates/pipithub-policy/tests/simulated_fleet/draws.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/draws.rs
@@ -21,6 +21,7 @@
     LoadCommand = 13,
     Outage = 14,
     HealthCheck = 15,
+    DiscoveryRequest = 16,
 }
 
 /// Position of the purpose in the seed's bits.
--- a/crates/pipithub-policy/tests/simulated_fleet/endpoint_updates.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/endpoint_updates.rs
@@ -32,6 +32,7 @@
     pub(crate) fn restart_one_worker(&mut self) -> Event {
         let worker = self.endpoint_random.random_range(0..self.workers.len());
         self.workers.get_mut(worker).restart(self.now);
+        self.drain_rule.record_in_service(worker);
         delta(self.workers.endpoints([worker]))
     }
 
@@ -49,6 +50,7 @@
         let affected = self.workers.mass_removal_indices();
         for &worker in &affected {
             self.workers.get_mut(worker).restart(self.now);
+            self.drain_rule.record_in_service(worker);
         }
         delta(self.workers.endpoints(affected))
     }
@@ -91,6 +93,9 @@
                 _ => self.endpoint_random.random_range(0..self.workers.len()),
             };
             self.change_worker(worker);
+            if self.workers.get(worker).endpoint.state == EndpointState::Ready {
+                self.drain_rule.record_in_service(worker);
+            }
             changed.insert(worker);
         }
         changed
--- a/crates/pipithub-policy/tests/simulated_fleet/mod.rs
+++ b/crates/pipithub-policy/tests/simulated_fleet/mod.rs
@@ -15,6 +15,7 @@
 mod clients;
 pub(super) mod cost;
 mod discovery;
+mod drain_rule;
 mod draws;
 mod endpoint_updates;
 mod load;
@@ -30,6 +31,7 @@
 use rand::{RngExt, SeedableRng};
 
 use clients::Clients;
+use drain_rule::DrainRule;
 use draws::{Purpose, generator, mix};
 pub(super) use scenario::{MS, Scenario};
 use schedule::{Schedule, ScheduledEvent};
@@ -56,6 +58,7 @@
     endpoint_random: SmallRng,
     /// Workers that have changed while discovery was out of reach. The front end has not been notified of it yet.
     delayed_changes: BTreeSet<usize>,
+    drain_rule: DrainRule,
 }
 
 impl SimulatedFleet {
@@ -70,6 +73,7 @@
             clients: Clients::new(&scenario),
             endpoint_random: SmallRng::seed_from_u64(mix(scenario.seed ^ ENDPOINT_SEED_MASK)),
             delayed_changes: BTreeSet::new(),
+            drain_rule: DrainRule::default(),
             scenario,
         };
         for _ in 0..fleet.scenario.workers.count {
@@ -143,7 +147,10 @@
         match action {
             Action::Forward {
                 request, worker, ..
-            } => self.forward(*request, worker),
+            } => {
+                self.check_new_work(worker);
+                self.forward(*request, worker);
+            }
             Action::Cancel { request, attempt } => self.cancel_attempt(*request, *attempt),
             Action::Reject {
                 request,
@@ -165,7 +172,10 @@
                 function,
                 replicas,
                 ..
-            } => self.load_function(worker, *function, *replicas),
+            } => {
+                self.check_new_work(worker);
+                self.load_function(worker, *function, *replicas);
+            }
             Action::EvictFunction { worker, function } => self.evict_function(worker, *function),
             Action::PollLoad { worker } => self.poll_load(worker),
             Action::CheckHealth { worker } => self.check_health(worker),
