The outage checker counts a request for the list as its notification

Two kinds of outage were missing as well: streams that end in the middle of an event, after which requests get a head and no more, or no answer.

Change: the emulated discovery records each request it has read (History::list_requests); a change counts as notified at the next request after it, if that is before the delay. Bounds and slacks are unchanged; the comment that gives the bound of 0.5 without health checks is derived anew (2.6 s in place of 3.85 s where a stream falls silent).

--- a/crates/pipithub-scenario/src/outage.rs
+++ b/crates/pipithub-scenario/src/outage.rs
@@ -18,8 +18,8 @@
 
 pub use checks::{Breach, Rule, Verdict, check};
 pub use history::{
-    AnswerKind, CallRecord, ClientEnd, EndpointChange, Execution, History, Instant, NodeEvent,
-    NodeRecord, OutageRecord, ReceivedWork, WorkKind, WorkerStart,
+    AnswerKind, CallRecord, ClientEnd, EndpointChange, Execution, History, Instant, ListRequest,
+    NodeEvent, NodeRecord, OutageRecord, ReceivedWork, WorkKind, WorkerStart,
 };
 pub use plan::{EndpointState, OutageKind, Plan, Rates, Settings, Step, TimedStep};
 pub use run::run;
--- a/crates/pipithub-scenario/src/outage/checks.rs
+++ b/crates/pipithub-scenario/src/outage/checks.rs
@@ -98,8 +98,9 @@
 }
 
 /// When a front end counts as notified of a change: when discovery published the change or, if the change falls into an
-/// outage of that front end, [`notification_delay`](super::OutageRecord::notification_delay) after the outage began if
-/// that is later. Outages that began before the last start of the front end do not count.
+/// outage of that front end, at the first of two later times:
+/// [`notification_delay`](super::OutageRecord::notification_delay) after the outage began, and the next request of the
+/// front end for the list. Outages that began before the last start of the front end do not count.
 fn notified_at(history: &History, node: usize, change: &EndpointChange) -> Instant {
     let started = history
         .nodes
@@ -109,6 +110,13 @@
         .map(|record| record.at)
         .max()
         .unwrap_or_default();
+    let requested = history
+        .list_requests
+        .iter()
+        .filter(|request| request.node == node && request.at >= change.at)
+        .map(|request| request.at)
+        .min()
+        .unwrap_or(Instant::MAX);
     history
         .outages
         .iter()
@@ -121,6 +129,7 @@
         })
         .map(|outage| outage.begin + outage.notification_delay)
         .fold(change.at, Instant::max)
+        .min(requested)
 }
 
 /// An interval in which a worker must get no new work from a front end.
--- a/crates/pipithub-scenario/src/outage/discovery.rs
+++ b/crates/pipithub-scenario/src/outage/discovery.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::history::Recorder;
 use super::listener::ReopenableListener;
 use super::plan::OutageKind;
 
@@ -80,6 +81,15 @@
     json!({"index": index, "endpoints": {"seq": index, "whole": complete, "hosts": hosts}})
 }
 
+/// What an address of discovery serves, and to whom.
+#[derive(Clone)]
+pub(super) struct DiscoveryService {
+    /// The index of the front end that uses the address.
+    pub(super) node: usize,
+    pub(super) list: Arc<EndpointList>,
+    pub(super) recorder: Arc<Recorder>,
+}
+
 /// One address at which a front end reaches discovery.
 pub(super) struct DiscoveryAddress {
     pub(super) address: SocketAddr,
@@ -90,12 +100,12 @@
     /// Listens at this address and serves the list there. Fails if the address is not free.
     pub(super) async fn start(
         address: SocketAddr,
-        list: Arc<EndpointList>,
+        service: DiscoveryService,
     ) -> std::io::Result<Self> {
         let listener = ReopenableListener::bind(address).await?;
         let address = listener.address();
         let mode = watch::Sender::new(Mode::Reachable);
-        tokio::spawn(serve_address(listener, mode.subscribe(), list));
+        tokio::spawn(serve_address(listener, mode.subscribe(), service));
         Ok(DiscoveryAddress { address, mode })
     }
 
@@ -123,7 +133,7 @@
 async fn serve_address(
     mut listener: ReopenableListener,
     mut mode: watch::Receiver<Mode>,
-    list: Arc<EndpointList>,
+    service: DiscoveryService,
 ) {
     loop {
         let present = *mode.borrow_and_update();
@@ -131,7 +141,7 @@
         tokio::select! {
             changed = mode.changed() => if changed.is_err() { return },
             stream = listener.accept() => if let Some(stream) = stream {
-                tokio::spawn(serve_stream(stream, mode.clone(), list.clone()));
+                tokio::spawn(serve_stream(stream, mode.clone(), service.clone()));
             },
         }
     }
@@ -141,16 +151,20 @@
 async fn serve_stream(
     mut stream: TcpStream,
     mut mode: watch::Receiver<Mode>,
-    list: Arc<EndpointList>,
+    service: DiscoveryService,
 ) {
+    let list = &service.list;
     let _ = stream.set_nodelay(true);
     let Some(last) = read_request(&mut stream).await else {
         return;
     };
+    service.recorder.list_request(service.node);
     let present = *mode.borrow_and_update();
     match present {
         Mode::Reachable => {}
-        Mode::Outage(OutageKind::Unanswered) => return stay_silent(stream, mode).await,
+        Mode::Outage(OutageKind::Unanswered | OutageKind::BrokenEventUnanswered) => {
+            return stay_silent(stream, mode).await;
+        }
         Mode::Outage(_) => {
             let _ = stream.write_all(HEAD).await;
             return stay_silent(stream, mode).await;
@@ -171,7 +185,7 @@
         }
         tokio::select! {
             biased;
-            _ = mode.changed() => return end_stream(stream, mode, &list, sent).await,
+            _ = mode.changed() => return end_stream(stream, mode, list, sent).await,
             changed = events.changed() => if changed.is_err() { return },
             _ = comments.tick() => if stream.write_all(COMMENT).await.is_err() { return },
             read = stream.read(&mut unread) => if read.unwrap_or(0) == 0 { return },
@@ -215,16 +229,25 @@
     match present {
         Mode::Outage(OutageKind::Refused) | Mode::Reachable => {}
         Mode::Outage(OutageKind::HalfEvent) => {
-            let next = list.events.borrow().get(sent as usize).map(event_text);
-            let text = next.unwrap_or_else(|| "id: 1000\ndata: {\"index\":".to_string());
-            let _ = stream.write_all(&text.as_bytes()[..text.len() / 2]).await;
+            send_half_event(&mut stream, list, sent).await;
             stay_silent(stream, mode).await;
         }
+        Mode::Outage(OutageKind::BrokenEvent | OutageKind::BrokenEventUnanswered) => {
+            send_half_event(&mut stream, list, sent).await;
+        }
         Mode::Outage(_) => stay_silent(stream, mode).await,
         Mode::Retired => tokio::time::sleep(CLOSE_AFTER_MIGRATION).await,
     }
 }
 
+/// Sends the first half of the event after the index `sent`, or of a made-up one if there is none.
+async fn send_half_event(stream: &mut TcpStream, list: &EndpointList, sent: u64) {
+    let next = list.events.borrow().get(sent as usize).map(event_text);
+    let text = next.unwrap_or_else(|| "id: 1000\ndata: {\"index\":".to_string());
+    // It fails only if the front end has closed the stream.
+    let _ = stream.write_all(&text.as_bytes()[..text.len() / 2]).await;
+}
+
 /// Keeps a connection open and writes nothing on it until the mode changes or the front end closes it.
 async fn stay_silent(mut stream: TcpStream, mut mode: watch::Receiver<Mode>) {
     let mut unread = [0; 64];
--- a/crates/pipithub-scenario/src/outage/history.rs
+++ b/crates/pipithub-scenario/src/outage/history.rs
@@ -28,10 +28,19 @@
     pub begin: Instant,
     /// When discovery could be reached again; `None` if the outage did not end.
     pub end: Option<Instant>,
-    /// The time since `begin` after which the front end counts as notified of a change.
+    /// The time since `begin` after which the front end counts as notified of a change at the latest.
     pub notification_delay: Duration,
 }
 
+/// A request for the list that a front end sent to discovery, whether or not it was answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListRequest {
+    /// When discovery had read the request.
+    pub at: Instant,
+    /// The index of the front end.
+    pub node: usize,
+}
+
 /// The kinds of work that a worker is sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkKind {
@@ -154,6 +163,8 @@
     pub changes: Vec<EndpointChange>,
     /// The times in which front ends could not reach discovery.
     pub outages: Vec<OutageRecord>,
+    /// Requests for the list, by time.
+    pub list_requests: Vec<ListRequest>,
     /// Work that arrived at workers.
     pub work: Vec<ReceivedWork>,
     /// Calls that workers ran.
@@ -202,7 +213,8 @@
         self.begin_outage_for(node, kind.notification_delay());
     }
 
-    /// Records that discovery gets out of reach of a front end, which counts as notified of changes after this time.
+    /// Records that discovery gets out of reach of a front end, which counts as notified of changes after this time
+    /// at the latest.
     pub(super) fn begin_outage_for(&self, node: usize, notification_delay: Duration) {
         let begin = self.now();
         self.record(|history| {
@@ -228,6 +240,12 @@
         });
     }
 
+    /// Records that discovery has read a request of a front end for the list.
+    pub(super) fn list_request(&self, node: usize) {
+        let at = self.now();
+        self.record(|history| history.list_requests.push(ListRequest { at, node }));
+    }
+
     /// Records an event of a front end.
     pub(super) fn node_event(&self, node: usize, event: NodeEvent) {
         let at = self.now();
--- a/crates/pipithub-scenario/src/outage/plan.rs
+++ b/crates/pipithub-scenario/src/outage/plan.rs
@@ -13,23 +13,31 @@
     HeadOnly,
     /// Streams stop in the middle of an event and stay open.
     HalfEvent,
+    /// Streams end in the middle of an event; later requests get the head of a response and nothing more.
+    BrokenEvent,
+    /// Streams end in the middle of an event; later requests are never answered.
+    BrokenEventUnanswered,
 }
 
 impl OutageKind {
     /// All kinds, in the order of reports.
-    pub const ALL: [OutageKind; 4] = [
+    pub const ALL: [OutageKind; 6] = [
         OutageKind::Refused,
         OutageKind::Unanswered,
         OutageKind::HeadOnly,
         OutageKind::HalfEvent,
+        OutageKind::BrokenEvent,
+        OutageKind::BrokenEventUnanswered,
     ];
 
-    /// How long after the begin of an outage front ends count as notified of a change of the list, although discovery is
-    /// out of reach: the platform counts 2 s from the end of a stream, and 4 s if the stream stays open and nothing more
-    /// is sent on it.
+    /// How long after the begin of an outage front ends count as notified of a change of the list at the latest, although
+    /// discovery is out of reach: the platform counts 2 s from the end of a stream, and 4 s if the stream stays open and
+    /// nothing more is sent on it. A request for the list notifies them sooner.
     pub fn notification_delay(self) -> Duration {
         match self {
-            OutageKind::Refused => Duration::from_secs(2),
+            OutageKind::Refused | OutageKind::BrokenEvent | OutageKind::BrokenEventUnanswered => {
+                Duration::from_secs(2)
+            }
             OutageKind::Unanswered | OutageKind::HeadOnly | OutageKind::HalfEvent => {
                 Duration::from_secs(4)
             }
--- a/crates/pipithub-scenario/src/outage/run.rs
+++ b/crates/pipithub-scenario/src/outage/run.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::client::{Clients, Load, function_name};
-use super::discovery::{DiscoveryAddress, EndpointList};
+use super::discovery::{DiscoveryAddress, DiscoveryService, EndpointList};
 use super::history::{EndpointChange, History, Recorder};
 use super::node::{Node, NodeSetup};
 use super::plan::{EndpointState, OutageKind, Plan, Step};
@@ -144,7 +144,12 @@
         let mut discovery = Vec::new();
         for number in 0..DISCOVERY_ADDRESSES {
             let at = address(DISCOVERY_NETWORK, index, number, port);
-            discovery.push(DiscoveryAddress::start(at, list.clone()).await?);
+            let service = DiscoveryService {
+                node: index,
+                list: list.clone(),
+                recorder: self.recorder.clone(),
+            };
+            discovery.push(DiscoveryAddress::start(at, service).await?);
         }
         let unreachable = address(DISCOVERY_NETWORK, index, DISCOVERY_ADDRESSES, port);
         let recorder = self.recorder.clone();
--- a/crates/pipithub-scenario/tests/outage_checks.rs
+++ b/crates/pipithub-scenario/tests/outage_checks.rs
@@ -4,8 +4,8 @@
 
 use pipithub_scenario::outage::{
     AnswerKind, CallRecord, ClientEnd, EndpointChange, EndpointState, Execution, History,
-    NodeEvent, NodeRecord, OutageKind, OutageRecord, Plan, Rates, ReceivedWork, Rule, Settings,
-    WorkKind, WorkerStart, check,
+    ListRequest, NodeEvent, NodeRecord, OutageKind, OutageRecord, Plan, Rates, ReceivedWork, Rule,
+    Settings, WorkKind, WorkerStart, check,
 };
 
 const SLACK: Duration = Duration::from_millis(50);
@@ -118,6 +118,37 @@
     }
 }
 
+/// Guards against a checker that knows only the delays after a break and a stop: work at a draining worker is too late from
+/// the drain grace after the front end has requested the list again.
+#[test]
+fn a_request_for_the_list_counts_as_the_notification_of_changes_before_it() {
+    for kind in [OutageKind::BrokenEvent, OutageKind::Unanswered] {
+        let mut history = outage(kind);
+        // One before the change, the first after it, and one of another front end.
+        for (milliseconds, node) in [(5_550, 0), (5_900, 0), (6_400, 0), (5_700, 1)] {
+            history.list_requests.push(ListRequest {
+                at: at(milliseconds),
+                node,
+            });
+        }
+        let last = 5_900 + 1_000 + 50;
+        history.work.push(work(last, WorkKind::Call));
+        assert_eq!(broken_rules(&history), [], "{kind:?}");
+        history.work.push(work(last + 1, WorkKind::Call));
+        assert_eq!(broken_rules(&history), [Rule::DrainedCall], "{kind:?}");
+    }
+    // A request after the delay of the outage does not postpone the notification.
+    let mut history = outage(OutageKind::BrokenEvent);
+    history.list_requests.push(ListRequest {
+        at: at(7_500),
+        node: 0,
+    });
+    history
+        .work
+        .push(work(5_000 + 2_000 + 1_000 + 51, WorkKind::Call));
+    assert_eq!(broken_rules(&history), [Rule::DrainedCall]);
+}
+
 #[test]
 fn a_drain_long_after_the_begin_of_an_outage_counts_as_notified_at_once() {
     let mut history = outage(OutageKind::Unanswered);
--- a/crates/pipithub/tests/discovery_outage.rs
+++ b/crates/pipithub/tests/discovery_outage.rs
@@ -93,6 +93,40 @@
     }
 }
 
+/// The steps of review case 10: discovery breaks off in the middle of an event while two workers begin to drain, and is asked
+/// again in vain.
+fn broken_event(kind: OutageKind) -> Plan {
+    let mut plan = incident(kind);
+    for timed in &mut plan.steps {
+        timed.at = milliseconds(1_000);
+    }
+    plan.duration = milliseconds(5_000);
+    plan
+}
+
+/// Guards against calls at draining workers after discovery was asked again: front ends went on with their list until 2 s after
+/// the break, although a change counts as notified from the request.
+#[test]
+fn draining_workers_get_no_new_work_once_discovery_was_asked_again() {
+    for kind in [OutageKind::BrokenEvent, OutageKind::BrokenEventUnanswered] {
+        for plan in [
+            broken_event(kind),
+            broken_event(kind).without_health_checks(),
+        ] {
+            let verdict = play(&plan);
+            let shown: Vec<_> = verdict.breaches.iter().take(5).collect();
+            assert!(verdict.breaches.is_empty(), "{kind:?}: {shown:#?}");
+            assert!(verdict.served > 0, "{kind:?}");
+            assert!(
+                !plan.settings.health_checks || verdict.served_ratio() > 0.9,
+                "{kind:?}: calls are still served during the outage, {} of {}",
+                verdict.served,
+                verdict.calls
+            );
+        }
+    }
+}
+
 /// Guards against new work for draining workers where no health check can show that they drain, and against front ends
 /// that go on rejecting calls once discovery is back.
 #[test]
@@ -110,8 +144,9 @@
         let shown: Vec<_> = verdict.breaches.iter().take(5).collect();
         assert!(verdict.breaches.is_empty(), "{kind:?}: {shown:#?}");
         assert_eq!(verdict.health_checks, 0, "{kind:?}");
-        // Of 12 s, calls are served until at least 3.85 s (2 s, the grace and the margin after a break at 1 s) and again
-        // 1.5 s after discovery is back at the latest.
+        // Beside the 1.5 s before the first step calls are served, of 12 s, until at least 2.6 s (the silence of a stream since
+        // its last comment, at 0 s or later, and the grace after the request that follows it; 3.85 s after a break, where
+        // connections are refused) and again 1.5 s after discovery is back at the latest.
         assert!(
             verdict.served_ratio() > 0.5,
             "{kind:?}: {} of {}",
