A refused dead letter disturbs no other call: its own channel, a frame bound, one attempt

If the broker refuses any part of a copy, nothing of it holds, the connection closes, the message comes again to the next front end, and the answers of all others go down with it; nothing bounded that.

Change: consumer/dead_letters.rs publishes each copy in a transaction on a channel of its own, then the message is answered and settled. A refused or unroutable copy names its message: it is answered, rejected to the queue's own dead-letter exchange, and said in a warning with reason and count (Notice::NotDeadLettered). The endpoint sends no content header beyond the negotiated frame (SendError::HeaderTooLarge); the copy then goes without the original's headers, and reasons repeat 200 bytes at most. Only the first delivery is copied: the broker's mark of a redelivery bounds the attempts over crashes as well. The flag for a missing exchange is gone, as its channel may close now.

The random test of faults has unreadable messages among its calls now.

--- a/crates/pipithub-amqp/src/endpoint/event.rs
+++ b/crates/pipithub-amqp/src/endpoint/event.rs
@@ -92,4 +92,12 @@
     /// This end may not send this method, or it was sent without its content or with one that it does not have.
     #[error("{0} may not be sent in this way")]
     Misused(&'static str),
+    /// The properties of a content do not fit a frame.
+    #[error("a content header of {bytes} bytes, frames of {max} bytes are allowed")]
+    HeaderTooLarge {
+        /// The size of the frame of the content header.
+        bytes: usize,
+        /// The negotiated size of frames.
+        max: usize,
+    },
 }
--- a/crates/pipithub-amqp/src/endpoint/sending.rs
+++ b/crates/pipithub-amqp/src/endpoint/sending.rs
@@ -70,7 +70,8 @@
     /// Sends a method with its content, whose body is split into frames of the negotiated size.
     ///
     /// # Errors
-    /// The connection or channel is not open, or this end may not send the method in this way.
+    /// The connection or channel is not open, this end may not send the method in this way, or the properties do not fit
+    /// a frame of the negotiated size. Then nothing is sent.
     pub fn send_content(
         &mut self,
         channel: u16,
@@ -84,8 +85,18 @@
             body_size: body.len() as u64,
             properties: Box::new(properties),
         };
+        let start = self.output.len();
         self.write(channel, method);
+        let header_start = self.output.len();
         self.write_payload(channel, header);
+        let (bytes, max) = (
+            self.output.len() - header_start,
+            self.tuning.frame_max as usize,
+        );
+        if bytes > max {
+            self.output.truncate(start);
+            return Err(SendError::HeaderTooLarge { bytes, max });
+        }
         for part in body.chunks(self.tuning.frame_max as usize - OVERHEAD) {
             self.write_payload(channel, Payload::Body(Bytes::copy_from_slice(part)));
         }
--- a/crates/pipithub-amqp/src/lib.rs
+++ b/crates/pipithub-amqp/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod value;
 pub mod wire;
 
-pub use endpoint::{Content, Endpoint, Event, Login, Role, Tuning};
+pub use endpoint::{Content, Endpoint, Event, Login, Role, SendError, Tuning};
 pub use frame::{Frame, FrameDecoder, Payload};
 pub use method::Method;
 pub use properties::Properties;
--- a/crates/pipithub-consumer/src/consumer.rs
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -1,9 +1,11 @@
 //! The state machine that consumes one queue at one broker.
 //!
 //! This module handles the transport, timers and shutdown. `events` handles what the broker sends, `delivery_limit`
-//! sets the limit on deliveries in flight, and `commit` publishes answers and acknowledges their messages.
+//! sets the limit on deliveries in flight, `commit` publishes answers and acknowledges their messages, and `dead_letters`
+//! publishes copies of messages that cannot be read.
 
 mod commit;
+mod dead_letters;
 mod delivery_limit;
 mod events;
 mod notice;
@@ -17,6 +19,8 @@
 use pipithub_engine::{Reply, Ticket, Time};
 
 use self::commit::{Answer, PendingAnswer};
+pub use self::dead_letters::DeadLetterFailure;
+use self::dead_letters::DeadLetters;
 use self::delivery_limit::{AppliedLimit, MIN_QOS_INTERVAL};
 pub use self::notice::{Notice, Phase};
 pub use self::settings::{ConsumerSettings, DeadLetterTarget, Qos};
@@ -58,9 +62,9 @@
     capacity: usize,
     applied_limit: AppliedLimit,
     shutting_down: bool,
-    /// Whether the exchange for dead letters is missing. Publishing to it would close the channel for each message that
-    /// cannot be read, so such messages are rejected instead.
-    dead_letter_exchange_missing: bool,
+    dead_letters: DeadLetters,
+    /// The number of unreadable messages since the start of which there is no dead letter.
+    failed_dead_letters: u64,
     notices: VecDeque<Notice>,
     identity_verifier: IdentityVerifier,
     wall_ms: u64,
@@ -89,7 +93,8 @@
             blocked: false,
             applied_limit: AppliedLimit::default(),
             shutting_down: false,
-            dead_letter_exchange_missing: false,
+            dead_letters: DeadLetters::default(),
+            failed_dead_letters: 0,
             notices: VecDeque::new(),
             wall_ms: 0,
             latest_wall: LatestWallTime::default(),
@@ -143,6 +148,7 @@
         self.in_flight.clear();
         self.pending.clear();
         self.committing.clear();
+        self.dead_letters = DeadLetters::default();
         self.blocked = false;
         self.notices.push_back(Notice::Lost(reason.to_string()));
         self.phase = if self.shutting_down {
@@ -197,6 +203,7 @@
             .unwrap_or_default();
         // A transaction that waited for the output to be written may begin.
         self.begin_commit();
+        self.begin_dead_letter();
         output
     }
 
--- a/crates/pipithub-consumer/src/consumer/commit.rs
+++ b/crates/pipithub-consumer/src/consumer/commit.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use pipithub_amqp::{Code, Content, Fault, Method, Properties, ShortStr};
+use pipithub_amqp::{Code, Fault, Method, Properties, ShortStr};
 use pipithub_engine::Reply;
 
-use super::{Consumer, DeadLetterTarget};
+use super::Consumer;
 use crate::message::{self, MessageError, ReplyAddress};
 
 /// No further transaction starts while more bytes than this wait to be written.
-const MAX_OUTPUT: usize = 4 << 20;
+pub(super) const MAX_OUTPUT: usize = 4 << 20;
 /// The maximum number of answers in one transaction.
 const MAX_BATCH: usize = 128;
 
@@ -19,11 +19,20 @@
     Reply(Arc<Reply>),
     Unreadable {
         error: MessageError,
-        content: Box<Content>,
+        settlement: Settlement,
     },
     Nothing,
 }
 
+/// How a message that cannot be read is settled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Settlement {
+    /// There is a dead letter of it.
+    Acknowledge,
+    /// There is none: the broker passes the message to the dead-letter exchange of the queue, if it has one.
+    Reject,
+}
+
 /// An answer that is not committed yet.
 #[derive(Debug)]
 pub(super) struct PendingAnswer {
@@ -91,44 +100,20 @@
                 self.publish_answer(channel, address, properties, &body);
                 acknowledge
             }
-            Answer::Unreadable { error, content } => {
+            Answer::Unreadable { error, settlement } => {
                 let properties = message::answer_unreadable(address, &error);
                 self.publish_answer(channel, address, properties, &[]);
-                if self.publish_dead_letter(channel, &error, &content) {
-                    return acknowledge;
-                }
-                Method::BasicReject {
-                    delivery_tag: tag,
-                    requeue: false,
+                match settlement {
+                    Settlement::Acknowledge => acknowledge,
+                    Settlement::Reject => Method::BasicReject {
+                        delivery_tag: tag,
+                        requeue: false,
+                    },
                 }
             }
         }
     }
 
-    /// Publishes a copy of an unreadable message as a dead letter. Returns false if dead letters have no target, or if
-    /// the exchange of the target is missing.
-    fn publish_dead_letter(
-        &mut self,
-        channel: u16,
-        error: &MessageError,
-        content: &Content,
-    ) -> bool {
-        if self.dead_letter_exchange_missing {
-            return false;
-        }
-        let Some(target) = self.settings.dead_letter.clone() else {
-            return false;
-        };
-        let DeadLetterTarget {
-            exchange,
-            routing_key,
-        } = target;
-        let queue = &self.settings.queue;
-        let properties = message::dead_letter(&content.properties, queue, error);
-        self.publish(channel, &exchange, &routing_key, properties, &content.body);
-        true
-    }
-
     fn publish_answer(
         &mut self,
         channel: u16,
@@ -136,28 +121,16 @@
         properties: Properties,
         body: &[u8],
     ) {
-        if let Some(reply_to) = &address.reply_to {
-            self.publish(channel, "", reply_to, properties, body);
-        }
-    }
-
-    fn publish(
-        &mut self,
-        channel: u16,
-        exchange: &str,
-        routing_key: &str,
-        properties: Properties,
-        body: &[u8],
-    ) {
+        let (Some(reply_to), Some(endpoint)) = (&address.reply_to, &mut self.endpoint) else {
+            return;
+        };
         let method = Method::BasicPublish {
-            exchange: ShortStr::truncated(exchange),
-            routing_key: ShortStr::truncated(routing_key),
+            exchange: ShortStr::default(),
+            routing_key: reply_to.clone(),
             mandatory: true,
             immediate: false,
         };
-        if let Some(endpoint) = &mut self.endpoint
-            && let Err(error) = endpoint.send_content(channel, method, properties, body)
-        {
+        if let Err(error) = endpoint.send_content(channel, method, properties, body) {
             endpoint.close(Fault::new(Code::InternalError, error.to_string()));
         }
     }
--- a/crates/pipithub-consumer/src/consumer/events.rs
+++ b/crates/pipithub-consumer/src/consumer/events.rs
@@ -3,15 +3,13 @@
 use pipithub_amqp::{Code, Content, Endpoint, Event, Fault, FieldTable, Method, ShortStr};
 use pipithub_engine::{Call, Ticket, Trigger};
 
-use super::commit::Answer;
+use super::dead_letters::UnreadableMessage;
 use super::{Consumer, ConsumerSettings, InFlight, Notice, Phase};
 use crate::message::{self, ArrivalTime, ReplyAddress};
 
 /// Class and method numbers of AMQP 0-9-1, by which a fault names the method that failed.
 const QUEUE_CLASS: u16 = 50;
 const QUEUE_DECLARE: u16 = 10;
-const BASIC_CLASS: u16 = 60;
-const BASIC_PUBLISH: u16 = 40;
 
 impl Consumer {
     pub(super) fn handle_events(&mut self) {
@@ -22,7 +20,15 @@
                         self.phase = Phase::SettingUp { channel };
                     }
                 }
+                Event::ChannelOpened { channel } if self.dead_letters.is_on(channel) => {
+                    self.handle_dead_letter_channel_opened(channel);
+                }
                 Event::ChannelOpened { .. } => self.set_up_channel(),
+                Event::Method {
+                    channel, method, ..
+                } if self.dead_letters.is_on(channel) => {
+                    self.handle_dead_letter_method(channel, &method);
+                }
                 Event::Method {
                     method, content, ..
                 } => self.handle_method(method, content),
@@ -30,6 +36,10 @@
                     self.blocked = reason.is_some();
                     self.notices.push_back(Notice::Blocked(reason));
                     self.begin_commit();
+                    self.begin_dead_letter();
+                }
+                Event::ChannelClosed { channel, fault, .. } if self.dead_letters.is_on(channel) => {
+                    self.handle_dead_letter_channel_closed(fault);
                 }
                 Event::ChannelClosed { fault, .. } => self.handle_channel_closed(fault),
                 // A consumer that has shut down needs no further transport, so the end of its connection is ignored.
@@ -61,9 +71,6 @@
 
     fn handle_channel_closed(&mut self, fault: Fault) {
         let failed_method = (fault.class_id, fault.method_id);
-        if fault.code == Code::NotFound as u16 && failed_method == (BASIC_CLASS, BASIC_PUBLISH) {
-            self.dead_letter_exchange_missing = true;
-        }
         // The queue exists with other properties than those it would be declared with. It is used as it is.
         let is_mismatch = fault.code == Code::PreconditionFailed as u16;
         if is_mismatch && failed_method == (QUEUE_CLASS, QUEUE_DECLARE) {
@@ -149,8 +156,12 @@
                     message_id,
                     error: error.clone(),
                 });
-                let content = Box::new(content);
-                self.enqueue_answer(number, Answer::Unreadable { error, content });
+                self.settle_unreadable(UnreadableMessage {
+                    ticket: number,
+                    redelivered,
+                    error,
+                    content: Box::new(content),
+                });
             }
         }
     }
--- a/crates/pipithub-consumer/src/consumer/notice.rs
+++ b/crates/pipithub-consumer/src/consumer/notice.rs
@@ -2,6 +2,7 @@
 
 use pipithub_engine::{Ticket, Time, Trigger};
 
+use super::DeadLetterFailure;
 use crate::message::MessageError;
 
 /// What happened at the broker, for the engine and the logs.
@@ -34,6 +35,16 @@
         /// The reason why it could not be read.
         error: MessageError,
     },
+    /// There is no dead letter of a message that could not be read. The message is rejected, so that the broker passes it to
+    /// the dead-letter exchange of the queue, if it has one.
+    NotDeadLettered {
+        /// The id of the message, if it has one.
+        message_id: Option<String>,
+        /// The reason why there is none.
+        failure: DeadLetterFailure,
+        /// The number of such messages since the start.
+        count: u64,
+    },
 }
 
 /// The step that a consumer has reached.
--- a/crates/pipithub-consumer/src/lib.rs
+++ b/crates/pipithub-consumer/src/lib.rs
@@ -12,5 +12,7 @@
 pub mod message;
 pub mod replay;
 
-pub use consumer::{Consumer, ConsumerSettings, DeadLetterTarget, Notice, Phase, Qos};
+pub use consumer::{
+    Consumer, ConsumerSettings, DeadLetterFailure, DeadLetterTarget, Notice, Phase, Qos,
+};
 pub use latest_wall::LatestWallTime;
--- a/crates/pipithub-consumer/src/message.rs
+++ b/crates/pipithub-consumer/src/message.rs
@@ -23,7 +23,7 @@
 use pipithub_amqp::{Content, FieldTable, FieldValue, Properties, ShortStr};
 use pipithub_engine::{Call, Reply, Tenant, Time};
 
-pub use self::dead_letter::dead_letter;
+pub use self::dead_letter::{dead_letter, dead_letter_without_headers};
 pub use self::error::MessageError;
 
 const MS: Time = 1_000_000;
@@ -233,7 +233,9 @@
     }
     // If the route gives the class, the property `type` may be used for something else.
     let by_property = headers.get("pipithub-class").is_none();
-    let unknown = || MessageError::UnknownClass { name: name.into() };
+    let unknown = || MessageError::UnknownClass {
+        name: error::shortened(name),
+    };
     route.class.filter(|_| by_property).ok_or_else(unknown)
 }
 
--- a/crates/pipithub-consumer/src/message/dead_letter.rs
+++ b/crates/pipithub-consumer/src/message/dead_letter.rs
@@ -46,6 +46,24 @@
     }
 }
 
+/// The properties of a dead letter without the headers of the original, for headers that do not fit a frame together with
+/// those that the gateway adds. Header `pipithub-original-headers` says so.
+pub fn dead_letter_without_headers(
+    original: &Properties,
+    queue: &str,
+    error: &MessageError,
+) -> Properties {
+    let stripped = Properties {
+        headers: None,
+        ..original.clone()
+    };
+    let mut copy = dead_letter(&stripped, queue, error);
+    if let Some(headers) = &mut copy.headers {
+        headers.insert(original_name("headers"), "too large to copy".into());
+    }
+    copy
+}
+
 /// The headers of the original. Those that a broker acts on have another name.
 fn copied_headers(original: Option<&FieldTable>) -> FieldTable {
     let copied = |(name, value): (&ShortStr, &FieldValue)| {
--- a/crates/pipithub-consumer/src/message/error.rs
+++ b/crates/pipithub-consumer/src/message/error.rs
@@ -2,6 +2,21 @@
 
 use super::MAX_FUNCTION_LEN;
 
+/// The maximum length of a text from a message that is repeated in an error, in bytes.
+const MAX_REPEATED_LEN: usize = 200;
+
+/// The beginning of a text from a message. Errors are published in headers, which must fit a frame.
+pub(super) fn shortened(text: &str) -> String {
+    if text.len() <= MAX_REPEATED_LEN {
+        return text.to_string();
+    }
+    let mut end = MAX_REPEATED_LEN;
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    format!("{}...", &text[..end])
+}
+
 /// A message that cannot be read as a call, or does not prove which user it belongs to. The call never ran.
 ///
 /// The texts are published: an answer and a dead letter carry them in header `pipithub-reason`.
@@ -25,7 +40,7 @@
     /// The class that the message names is not configured.
     #[error("class '{name}' is not known")]
     UnknownClass {
-        /// The name that the message gives.
+        /// The name that the message gives, or its beginning if it is long.
         name: String,
     },
     /// Neither the message nor its route names a function.
--- a/crates/pipithub-consumer/tests/with_broker/client.rs
+++ b/crates/pipithub-consumer/tests/with_broker/client.rs
@@ -20,6 +20,8 @@
     pub(crate) connection: ServerConnection,
     /// The verdicts of the answers, by correlation id.
     pub(crate) answers: BTreeMap<String, Vec<String>>,
+    /// The messages that were fetched one by one.
+    pub(crate) fetched: Vec<Content>,
 }
 
 impl Client {
@@ -28,6 +30,7 @@
             endpoint: Endpoint::client(Login::default(), Tuning::default(), 0),
             connection: ServerConnection::new(CLIENT_CONNECTION, CLIENT_USER, 0),
             answers: BTreeMap::new(),
+            fetched: Vec::new(),
         }
     }
 
@@ -84,6 +87,11 @@
                     content: Some(content),
                     ..
                 } => self.record_answer(*content),
+                Event::Method {
+                    method: Method::BasicGetOk { .. },
+                    content: Some(content),
+                    ..
+                } => self.fetched.push(*content),
                 Event::Closed { fault, .. } => {
                     panic!("the client's connection was closed: {fault}")
                 }
--- a/crates/pipithub-consumer/tests/with_broker/front_end.rs
+++ b/crates/pipithub-consumer/tests/with_broker/front_end.rs
@@ -27,6 +27,14 @@
     pub(crate) incarnation: u64,
     pub(crate) prefetch: u16,
     pub(crate) qos: Qos,
+    pub(crate) dead_letter: DeadLetterPlace,
+}
+
+/// Where front ends publish dead letters.
+#[derive(Clone, Copy)]
+pub(crate) struct DeadLetterPlace {
+    pub(crate) exchange: &'static str,
+    pub(crate) routing_key: &'static str,
 }
 
 /// An attempt that has no result yet.
@@ -234,8 +242,8 @@
         prefetch: options.prefetch,
         qos: options.qos,
         dead_letter: Some(DeadLetterTarget {
-            exchange: String::new(),
-            routing_key: "dead".into(),
+            exchange: options.dead_letter.exchange.into(),
+            routing_key: options.dead_letter.routing_key.into(),
         }),
         reconnect_backoff: BackoffRange {
             initial: 10 * MS,
--- a/crates/pipithub-consumer/tests/with_broker/main.rs
+++ b/crates/pipithub-consumer/tests/with_broker/main.rs
@@ -257,7 +257,7 @@
 
     /// A non-idempotent call reaches a worker at most once.
     #[test]
-    fn under_faults_in_any_order_each_call_gets_one_answer(steps in prop::collection::vec((0..8u8, 0..2usize), 1..40)) {
+    fn under_faults_in_any_order_each_call_gets_one_answer(steps in prop::collection::vec((0..9u8, 0..2usize), 1..40)) {
         let mut bed = TestBed::new(2, 6, Qos::Channel);
         let mut runs: BTreeMap<String, usize> = BTreeMap::new();
         let mut published = 0;
@@ -282,6 +282,11 @@
                     Vec::new()
                 }
                 6 => bed.finish_attempts(Outcome::Served),
+                7 => {
+                    published += 1;
+                    bed.publish(&format!("bad-{published}"), class("unheard-of"));
+                    Vec::new()
+                }
                 _ => bed.finish_attempts(Outcome::ConnectionLost),
             };
             count_runs(&mut runs, finished);
--- a/crates/pipithub-consumer/tests/with_broker/test_bed.rs
+++ b/crates/pipithub-consumer/tests/with_broker/test_bed.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use pipithub_amqp::{FieldTable, Method, Properties, ShortStr};
-use pipithub_consumer::{Notice, Qos};
+use pipithub_amqp::{Content, FieldTable, Method, Properties, ShortStr};
+use pipithub_consumer::{DeadLetterFailure, Notice, Qos};
 use pipithub_emulator::broker::{Broker, ConnectionId, Outgoing};
 use pipithub_engine::Time;
 use pipithub_engine::policy::Outcome;
 
 use crate::client::{CLIENT_CONNECTION, Client};
-use crate::front_end::{FrontEnd, StartOptions};
+use crate::front_end::{DeadLetterPlace, FrontEnd, StartOptions};
 
 pub(crate) const MS: Time = 1_000_000;
 /// The wall time at the start, in Unix milliseconds.
@@ -48,10 +48,37 @@
 impl TestBed {
     /// Starts front ends that consume from the queue `calls`, and a client that consumes from `answers`.
     pub(crate) fn new(front_ends: usize, prefetch: u16, qos: Qos) -> Self {
+        let dead_letter = DeadLetterPlace {
+            exchange: "",
+            routing_key: "dead",
+        };
+        Self::start(front_ends, prefetch, qos, dead_letter, &FieldTable::new())
+    }
+
+    /// Starts two front ends that publish dead letters to a place of their own. The broker's dead letters of `calls` go to
+    /// `rejected`.
+    pub(crate) fn with_dead_letters_to(dead_letter: DeadLetterPlace) -> Self {
+        let own_dead_letters = FieldTable::new()
+            .with("x-dead-letter-exchange", "")
+            .with("x-dead-letter-routing-key", "rejected");
+        let mut bed = Self::start(2, 10, Qos::Channel, dead_letter, &own_dead_letters);
+        // The declaration without arguments is refused once.
+        bed.advance(500 * MS);
+        bed
+    }
+
+    fn start(
+        front_ends: usize,
+        prefetch: u16,
+        qos: Qos,
+        dead_letter: DeadLetterPlace,
+        calls_arguments: &FieldTable,
+    ) -> Self {
         let mut broker = Broker::default();
-        for queue in ["calls", "answers", "dead"] {
+        for queue in ["answers", "dead", "rejected"] {
             broker.declare(queue, &FieldTable::new());
         }
+        broker.declare("calls", calls_arguments);
         let now = 1;
         let start = |number| {
             let options = StartOptions {
@@ -59,6 +86,7 @@
                 incarnation: 0,
                 prefetch,
                 qos,
+                dead_letter,
             };
             FrontEnd::start(options, now)
         };
@@ -92,6 +120,22 @@
         }
     }
 
+    /// Transfers bytes and handles events until the condition holds, which is looked at after each step.
+    pub(crate) fn run_until(&mut self, condition: impl Fn(&TestBed) -> bool) {
+        const MAX_ROUNDS: usize = 100;
+        for _ in 0..MAX_ROUNDS {
+            self.client.exchange(self.now, &mut self.broker);
+            for number in 0..self.front_ends.len() {
+                self.step_front_end(number);
+                if condition(self) {
+                    return;
+                }
+            }
+            self.deliver_broker_outputs();
+        }
+        panic!("the condition does not come to hold");
+    }
+
     fn step_front_end(&mut self, number: usize) -> bool {
         let wall_ms = (WALL_MS + self.now / MS).saturating_add_signed(self.wall_step_ms);
         let front_end = &mut self.front_ends[number];
@@ -195,6 +239,48 @@
             .collect()
     }
 
+    /// Takes all messages that wait in a queue.
+    pub(crate) fn take_messages(&mut self, queue: &str) -> Vec<Content> {
+        for _ in 0..self.depth(queue) {
+            self.client.send(Method::BasicGet {
+                queue: short(queue),
+                no_ack: true,
+            });
+        }
+        self.run_until_idle();
+        std::mem::take(&mut self.client.fetched)
+    }
+
+    /// Whether a front end has read a message that is not a call.
+    pub(crate) fn has_unreadable_message(&self) -> bool {
+        let mut notices = self.front_ends.iter().flat_map(|front| &front.notices);
+        notices.any(|notice| matches!(notice, Notice::Unreadable { .. }))
+    }
+
+    /// The number of messages that wait in a queue.
+    pub(crate) fn depth(&self, queue: &str) -> usize {
+        self.broker.depth(queue).map_or(0, |(ready, _)| ready)
+    }
+
+    /// The notices of all front ends that a message has no dead letter, with the reasons.
+    pub(crate) fn dead_letter_failures(&self) -> Vec<DeadLetterFailure> {
+        let notices = self.front_ends.iter().flat_map(|front| &front.notices);
+        notices
+            .filter_map(|notice| match notice {
+                Notice::NotDeadLettered { failure, .. } => Some(failure.clone()),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// How often connections of front ends were lost.
+    pub(crate) fn lost_connections(&self) -> usize {
+        let notices = self.front_ends.iter().flat_map(|front| &front.notices);
+        notices
+            .filter(|notice| matches!(notice, Notice::Lost(_)))
+            .count()
+    }
+
     /// The number of answers that the broker returned to a front end.
     pub(crate) fn returned_answers(&self) -> usize {
         let notices = self.front_ends.iter().flat_map(|front| &front.notices);
--- a/crates/pipithub-gateway/src/amqp.rs
+++ b/crates/pipithub-gateway/src/amqp.rs
@@ -249,6 +249,20 @@
             Notice::Unreadable { message_id, error } => {
                 warn!(front_end, queue, ?message_id, why = %error, "rejected invalid message");
             }
+            Notice::NotDeadLettered {
+                message_id,
+                failure,
+                count,
+            } => {
+                warn!(
+                    front_end,
+                    queue,
+                    ?message_id,
+                    why = %failure,
+                    count,
+                    "no dead letter of invalid message; rejected to the queue's own dead-letter exchange"
+                );
+            }
         }
     }
 }
