Calls that run while their queue is deleted are answered: the queue is looked up first

Cause: a cancelled or paused consumer consumed the queue again on the channel of its deliveries. The broker refuses a missing queue with 404 and closes that channel; the deliveries end with it, and their messages are gone.

Change: consumer/queue_check.rs. While deliveries are in flight the queue is declared on a channel of its own first (passively, or as the settings say); a missing queue ends that channel alone, and the check is repeated after the backoff. The declaration and the sending of methods stand once for all channels now.

--- a/crates/pipithub-consumer/src/consumer.rs
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -2,13 +2,15 @@
 //!
 //! This module handles the transport, timers and shutdown. `events` handles what the broker sends, `delivery_limit`
 //! sets the limit on deliveries in flight, `commit` publishes answers and acknowledges their messages, and `dead_letters`
-//! publishes copies of messages that cannot be read.
+//! publishes copies of messages that cannot be read. `queue_check` finds out whether a queue exists before it is consumed
+//! again.
 
 mod commit;
 mod dead_letters;
 mod delivery_limit;
 mod events;
 mod notice;
+mod queue_check;
 mod settings;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -23,6 +25,7 @@
 use self::dead_letters::DeadLetters;
 use self::delivery_limit::{AppliedLimit, MIN_QOS_INTERVAL};
 pub use self::notice::{Notice, Phase};
+use self::queue_check::QueueCheck;
 pub use self::settings::{ConsumerSettings, DeadLetterTarget, Qos};
 use crate::backoff::{Backoff, BackoffRange};
 use crate::identity::IdentityVerifier;
@@ -63,6 +66,7 @@
     applied_limit: AppliedLimit,
     shutting_down: bool,
     dead_letters: DeadLetters,
+    queue_check: QueueCheck,
     /// The number of unreadable messages since the start of which there is no dead letter.
     failed_dead_letters: u64,
     notices: VecDeque<Notice>,
@@ -94,6 +98,7 @@
             applied_limit: AppliedLimit::default(),
             shutting_down: false,
             dead_letters: DeadLetters::default(),
+            queue_check: QueueCheck::default(),
             failed_dead_letters: 0,
             notices: VecDeque::new(),
             wall_ms: 0,
@@ -149,6 +154,7 @@
         self.pending.clear();
         self.committing.clear();
         self.dead_letters = DeadLetters::default();
+        self.queue_check = QueueCheck::default();
         self.blocked = false;
         self.notices.push_back(Notice::Lost(reason.to_string()));
         self.phase = if self.shutting_down {
@@ -260,8 +266,15 @@
         }
     }
 
+    /// Sends a method on the consumer's channel, if it is open.
     fn send(&mut self, method: Method) {
-        let (Some(channel), Some(endpoint)) = (self.channel(), &mut self.endpoint) else {
+        if let Some(channel) = self.channel() {
+            self.send_on(channel, method);
+        }
+    }
+
+    fn send_on(&mut self, channel: u16, method: Method) {
+        let Some(endpoint) = &mut self.endpoint else {
             return;
         };
         if let Err(error) = endpoint.send(channel, method) {
--- a/crates/pipithub-consumer/src/consumer/dead_letters.rs
+++ b/crates/pipithub-consumer/src/consumer/dead_letters.rs
@@ -11,7 +11,7 @@
 
 use std::collections::VecDeque;
 
-use pipithub_amqp::{Code, Content, Endpoint, Fault, Method, SendError, ShortStr};
+use pipithub_amqp::{Content, Endpoint, Fault, Method, SendError, ShortStr};
 
 use super::commit::{Answer, MAX_OUTPUT, Settlement};
 use super::{Consumer, DeadLetterTarget, Notice};
@@ -247,14 +247,4 @@
         let UnreadableMessage { ticket, error, .. } = message;
         self.enqueue_answer(ticket, Answer::Unreadable { error, settlement });
     }
-
-    /// Sends a method on a channel other than the consumer's.
-    fn send_on(&mut self, channel: u16, method: Method) {
-        let Some(endpoint) = &mut self.endpoint else {
-            return;
-        };
-        if let Err(error) = endpoint.send(channel, method) {
-            endpoint.close(Fault::new(Code::InternalError, error.to_string()));
-        }
-    }
 }
--- a/crates/pipithub-consumer/src/consumer/delivery_limit.rs
+++ b/crates/pipithub-consumer/src/consumer/delivery_limit.rs
@@ -40,7 +40,7 @@
                 channel,
                 resume_at: None,
             } if !self.shutting_down && self.may_resume() => {
-                self.consume(channel);
+                self.resume(channel);
             }
             _ => {}
         }
@@ -57,7 +57,7 @@
             && self.now >= applied.at + MIN_QOS_INTERVAL
     }
 
-    fn may_resume(&self) -> bool {
+    pub(super) fn may_resume(&self) -> bool {
         let enough = (usize::from(self.settings.prefetch) / RESUME_DIVISOR).max(1);
         self.capacity >= enough || self.in_flight.is_empty() && self.capacity > 0
     }
--- a/crates/pipithub-consumer/src/consumer/events.rs
+++ b/crates/pipithub-consumer/src/consumer/events.rs
@@ -23,12 +23,18 @@
                 Event::ChannelOpened { channel } if self.dead_letters.is_on(channel) => {
                     self.handle_dead_letter_channel_opened(channel);
                 }
+                Event::ChannelOpened { channel } if self.queue_check.is_on(channel) => {
+                    self.handle_check_channel_opened(channel);
+                }
                 Event::ChannelOpened { .. } => self.set_up_channel(),
                 Event::Method {
                     channel, method, ..
                 } if self.dead_letters.is_on(channel) => {
                     self.handle_dead_letter_method(channel, &method);
                 }
+                Event::Method {
+                    channel, method, ..
+                } if self.queue_check.is_on(channel) => self.handle_check_method(channel, &method),
                 Event::Method {
                     method, content, ..
                 } => self.handle_method(method, content),
@@ -41,6 +47,9 @@
                 Event::ChannelClosed { channel, fault, .. } if self.dead_letters.is_on(channel) => {
                     self.handle_dead_letter_channel_closed(fault);
                 }
+                Event::ChannelClosed { channel, fault, .. } if self.queue_check.is_on(channel) => {
+                    self.handle_check_channel_closed(&fault);
+                }
                 Event::ChannelClosed { fault, .. } => self.handle_channel_closed(fault),
                 // A consumer that has shut down needs no further transport, so the end of its connection is ignored.
                 Event::Closed { fault, .. } if self.phase != Phase::Stopped => {
@@ -56,19 +65,24 @@
 
     fn set_up_channel(&mut self) {
         if self.settings.declare {
-            self.send(Method::QueueDeclare {
-                queue: ShortStr::truncated(&self.settings.queue),
-                passive: false,
-                durable: true,
-                exclusive: false,
-                auto_delete: false,
-                no_wait: false,
-                arguments: FieldTable::new(),
-            });
+            self.send(self.queue_declaration(false));
         }
         self.send(Method::TxSelect {});
     }
 
+    /// Declares the queue as a durable one, or only asks for it if the declaration is passive.
+    pub(super) fn queue_declaration(&self, passive: bool) -> Method {
+        Method::QueueDeclare {
+            queue: ShortStr::truncated(&self.settings.queue),
+            passive,
+            durable: true,
+            exclusive: false,
+            auto_delete: false,
+            no_wait: false,
+            arguments: FieldTable::new(),
+        }
+    }
+
     fn handle_channel_closed(&mut self, fault: Fault) {
         let failed_method = (fault.class_id, fault.method_id);
         // The queue exists with other properties than those it would be declared with. It is used as it is.
--- a/crates/pipithub-consumer/tests/with_broker/front_end.rs
+++ b/crates/pipithub-consumer/tests/with_broker/front_end.rs
@@ -27,6 +27,8 @@
     pub(crate) incarnation: u64,
     pub(crate) prefetch: u16,
     pub(crate) qos: Qos,
+    /// Whether the front end declares its queue.
+    pub(crate) declare: bool,
     pub(crate) dead_letter: DeadLetterPlace,
 }
 
@@ -228,7 +230,7 @@
         login: Login::default(),
         tuning: Tuning::default(),
         queue: "calls".into(),
-        declare: true,
+        declare: options.declare,
         route: Route {
             function: Some("f".into()),
             replica_concurrency: 4,
--- a/crates/pipithub-consumer/tests/with_broker/main.rs
+++ b/crates/pipithub-consumer/tests/with_broker/main.rs
@@ -209,6 +209,42 @@
     assert_eq!(bed.finish_attempts(Outcome::Served), ["a"]);
 }
 
+/// Guards against calls that ran and are never answered because the front end, while they run, consumes the deleted queue again
+/// and so loses the channel of their deliveries.
+#[test]
+fn calls_that_run_while_their_queue_is_deleted_are_answered() {
+    let mut bed = TestBed::without_declaration(2);
+    for number in 0..6 {
+        bed.publish(&format!("{number}"), class("unsafe"));
+    }
+    bed.run_until_idle();
+    bed.delete_calls_queue();
+    bed.advance(1_000 * MS);
+    assert_eq!(bed.finish_attempts(Outcome::Served).len(), 6);
+    assert_eq!(bed.answers().len(), 6);
+    assert!(bed.answers().values().all(|v| *v == ["served"]));
+    bed.broker.declare("calls", &FieldTable::new());
+    bed.advance(1_000 * MS);
+    bed.publish("after", |_| {});
+    bed.run_until_idle();
+    assert_eq!(bed.finish_attempts(Outcome::Served), ["after"]);
+}
+
+/// A queue that was declared again is consumed beside the calls that still run.
+#[test]
+fn queue_that_is_declared_again_is_consumed_while_calls_of_the_deleted_one_run() {
+    let mut bed = TestBed::new(1, 10, Qos::Channel);
+    bed.publish("before", class("unsafe"));
+    bed.run_until_idle();
+    bed.delete_calls_queue();
+    bed.advance(1_000 * MS);
+    bed.publish("after", |_| {});
+    bed.run_until_idle();
+    assert_eq!(bed.finish_attempts(Outcome::Served), ["after", "before"]);
+    assert_eq!(bed.answers().len(), 2);
+    assert_eq!(bed.lost_connections(), 0);
+}
+
 /// The broker rejects the declaration of a queue that exists with other arguments, such as a time to live.
 #[test]
 fn queue_with_other_arguments_than_declared_is_consumed_as_it_is() {
--- a/crates/pipithub-consumer/tests/with_broker/test_bed.rs
+++ b/crates/pipithub-consumer/tests/with_broker/test_bed.rs
@@ -17,6 +17,18 @@
 /// The steps in which time advances.
 const TIME_STEP: Time = 5 * MS;
 
+const DEFAULT_OPTIONS: StartOptions = StartOptions {
+    number: 0,
+    incarnation: 0,
+    prefetch: 10,
+    qos: Qos::Channel,
+    declare: true,
+    dead_letter: DeadLetterPlace {
+        exchange: "",
+        routing_key: "dead",
+    },
+};
+
 pub(crate) fn short(text: &str) -> ShortStr {
     ShortStr::truncated(text)
 }
@@ -48,11 +60,21 @@
 impl TestBed {
     /// Starts front ends that consume from the queue `calls`, and a client that consumes from `answers`.
     pub(crate) fn new(front_ends: usize, prefetch: u16, qos: Qos) -> Self {
-        let dead_letter = DeadLetterPlace {
-            exchange: "",
-            routing_key: "dead",
+        let options = StartOptions {
+            prefetch,
+            qos,
+            ..DEFAULT_OPTIONS
+        };
+        Self::start(front_ends, options, &FieldTable::new())
+    }
+
+    /// Starts front ends that rely on others to declare their queue.
+    pub(crate) fn without_declaration(front_ends: usize) -> Self {
+        let options = StartOptions {
+            declare: false,
+            ..DEFAULT_OPTIONS
         };
-        Self::start(front_ends, prefetch, qos, dead_letter, &FieldTable::new())
+        Self::start(front_ends, options, &FieldTable::new())
     }
 
     /// Starts two front ends that publish dead letters to a place of their own. The broker's dead letters of `calls` go to
@@ -61,35 +83,22 @@
         let own_dead_letters = FieldTable::new()
             .with("x-dead-letter-exchange", "")
             .with("x-dead-letter-routing-key", "rejected");
-        let mut bed = Self::start(2, 10, Qos::Channel, dead_letter, &own_dead_letters);
-        // The declaration without arguments is refused once.
-        bed.advance(500 * MS);
-        bed
+        let options = StartOptions {
+            dead_letter,
+            declare: false,
+            ..DEFAULT_OPTIONS
+        };
+        Self::start(2, options, &own_dead_letters)
     }
 
-    fn start(
-        front_ends: usize,
-        prefetch: u16,
-        qos: Qos,
-        dead_letter: DeadLetterPlace,
-        calls_arguments: &FieldTable,
-    ) -> Self {
+    fn start(front_ends: usize, options: StartOptions, calls_arguments: &FieldTable) -> Self {
         let mut broker = Broker::default();
         for queue in ["answers", "dead", "rejected"] {
             broker.declare(queue, &FieldTable::new());
         }
         broker.declare("calls", calls_arguments);
         let now = 1;
-        let start = |number| {
-            let options = StartOptions {
-                number,
-                incarnation: 0,
-                prefetch,
-                qos,
-                dead_letter,
-            };
-            FrontEnd::start(options, now)
-        };
+        let start = |number| FrontEnd::start(StartOptions { number, ..options }, now);
         let mut bed = TestBed {
             now,
             wall_step_ms: 0,
