An answer that the broker refuses for its size fails its own call alone

Change: consumer/body_trials.rs. Brokers do not negotiate that limit, so a body larger than a frame and than all accepted before is published on a channel of its own in a transaction that is rolled back. SideChannel is shared with dead letters; events.rs routes what comes on a channel by its use.

A broker that refuses only at the commit is not found.

--- a/crates/pipithub-consumer/src/consumer.rs
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -3,8 +3,9 @@
 //! This module handles the transport, timers and shutdown. `events` handles what the broker sends, `delivery_limit`
 //! sets the limit on deliveries in flight, `commit` publishes answers and acknowledges their messages, and `dead_letters`
 //! publishes copies of messages that cannot be read. `queue_check` finds out whether a queue exists before it is consumed
-//! again.
+//! again, and `body_trials` whether the broker takes an answer.
 
+mod body_trials;
 mod commit;
 mod dead_letters;
 mod delivery_limit;
@@ -12,6 +13,7 @@
 mod notice;
 mod queue_check;
 mod settings;
+mod side_channel;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -20,6 +22,7 @@
 use pipithub_amqp::{Code, Endpoint, Fault, Method, ShortStr};
 use pipithub_engine::{Reply, Ticket, Time};
 
+use self::body_trials::BodyTrials;
 use self::commit::{Answer, PendingAnswer};
 pub use self::dead_letters::DeadLetterFailure;
 use self::dead_letters::DeadLetters;
@@ -67,6 +70,7 @@
     shutting_down: bool,
     dead_letters: DeadLetters,
     queue_check: QueueCheck,
+    body_trials: BodyTrials,
     /// The number of unreadable messages since the start of which there is no dead letter.
     failed_dead_letters: u64,
     notices: VecDeque<Notice>,
@@ -99,6 +103,7 @@
             shutting_down: false,
             dead_letters: DeadLetters::default(),
             queue_check: QueueCheck::default(),
+            body_trials: BodyTrials::default(),
             failed_dead_letters: 0,
             notices: VecDeque::new(),
             wall_ms: 0,
@@ -155,6 +160,7 @@
         self.committing.clear();
         self.dead_letters = DeadLetters::default();
         self.queue_check = QueueCheck::default();
+        self.body_trials = BodyTrials::default();
         self.blocked = false;
         self.notices.push_back(Notice::Lost(reason.to_string()));
         self.phase = if self.shutting_down {
@@ -210,6 +216,7 @@
         // A transaction that waited for the output to be written may begin.
         self.begin_commit();
         self.begin_dead_letter();
+        self.begin_body_trial();
         output
     }
 
@@ -227,7 +234,7 @@
     /// Publishes the final answer to a trigger and settles its message. An invalid ticket is ignored.
     pub fn answer(&mut self, now: Time, ticket: Ticket, reply: Arc<Reply>) {
         self.now = now;
-        self.enqueue_answer(ticket.number, Answer::Reply(reply));
+        self.publish_reply(ticket.number, reply);
     }
 
     /// Settles the message of a trigger without an answer. An invalid ticket is ignored.
--- a/crates/pipithub-consumer/src/consumer/commit.rs
+++ b/crates/pipithub-consumer/src/consumer/commit.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use pipithub_amqp::{Code, Fault, Method, Properties, ShortStr};
+use pipithub_amqp::{Code, Endpoint, Fault, Method, Properties, ShortStr};
 use pipithub_engine::Reply;
 
 use super::Consumer;
 use crate::message::{self, MessageError, ReplyAddress};
 
 /// No further transaction starts while more bytes than this wait to be written.
-pub(super) const MAX_OUTPUT: usize = 4 << 20;
+const MAX_OUTPUT: usize = 4 << 20;
 /// The maximum number of answers in one transaction.
 const MAX_BATCH: usize = 128;
 
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub(super) enum Answer {
     Reply(Arc<Reply>),
+    /// An answer without its body, which the broker refuses.
+    BodyRefused(Arc<Reply>),
     Unreadable {
         error: MessageError,
         settlement: Settlement,
@@ -74,11 +76,22 @@
     }
 
     fn may_begin_commit(&self) -> bool {
-        let has_output_room = self
-            .endpoint
+        self.has_output_room()
+            && !self.blocked
+            && self.committing.is_empty()
+            && !self.pending.is_empty()
+    }
+
+    /// Whether something may be published on a channel beside the consumer's.
+    pub(super) fn may_publish_aside(&self) -> bool {
+        let is_open = self.endpoint.as_ref().is_some_and(Endpoint::is_open);
+        is_open && !self.blocked && self.has_output_room()
+    }
+
+    fn has_output_room(&self) -> bool {
+        self.endpoint
             .as_ref()
-            .is_some_and(|endpoint| endpoint.output_len() <= MAX_OUTPUT);
-        has_output_room && !self.blocked && self.committing.is_empty() && !self.pending.is_empty()
+            .is_some_and(|endpoint| endpoint.output_len() <= MAX_OUTPUT)
     }
 
     /// Publishes the answer to a delivery and returns the method that settles the delivery.
@@ -100,6 +113,11 @@
                 self.publish_answer(channel, address, properties, &body);
                 acknowledge
             }
+            Answer::BodyRefused(reply) => {
+                let properties = message::answer_without_body(address, &reply);
+                self.publish_answer(channel, address, properties, &[]);
+                acknowledge
+            }
             Answer::Unreadable { error, settlement } => {
                 let properties = message::answer_unreadable(address, &error);
                 self.publish_answer(channel, address, properties, &[]);
--- a/crates/pipithub-consumer/src/consumer/dead_letters.rs
+++ b/crates/pipithub-consumer/src/consumer/dead_letters.rs
@@ -13,7 +13,8 @@
 
 use pipithub_amqp::{Content, Endpoint, Fault, Method, SendError, ShortStr};
 
-use super::commit::{Answer, MAX_OUTPUT, Settlement};
+use super::commit::{Answer, Settlement};
+use super::side_channel::SideChannel;
 use super::{Consumer, DeadLetterTarget, Notice};
 use crate::message::{self, MessageError};
 
@@ -51,32 +52,19 @@
     is_returned: bool,
 }
 
-/// The state of the channel for dead letters. It is opened for the first one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum ChannelState {
-    #[default]
-    Closed,
-    /// The channel is being opened, or transactions are being selected on it.
-    SettingUp(u16),
-    Ready(u16),
-}
-
 /// The messages that wait for their dead letters, and the channel for those.
 #[derive(Debug, Default)]
 pub(super) struct DeadLetters {
     /// At most as many as may be in flight.
     waiting: VecDeque<UnreadableMessage>,
     publishing: Option<Publishing>,
-    channel: ChannelState,
+    channel: SideChannel,
 }
 
 impl DeadLetters {
     /// Whether the channel is the one for dead letters.
     pub(super) fn is_on(&self, channel: u16) -> bool {
-        match self.channel {
-            ChannelState::Closed => false,
-            ChannelState::SettingUp(own) | ChannelState::Ready(own) => own == channel,
-        }
+        self.channel.is_on(channel)
     }
 }
 
@@ -95,28 +83,21 @@
 
     /// Publishes the next dead letter, unless another one is being committed.
     pub(super) fn begin_dead_letter(&mut self) {
-        let Some(endpoint) = &self.endpoint else {
-            return;
-        };
         let letters = &self.dead_letters;
-        let may_begin = endpoint.is_open()
-            && !self.blocked
-            && letters.publishing.is_none()
-            && !letters.waiting.is_empty()
-            && endpoint.output_len() <= MAX_OUTPUT;
-        if !may_begin {
+        let is_due = letters.publishing.is_none() && !letters.waiting.is_empty();
+        if !is_due || !self.may_publish_aside() {
             return;
         }
         match letters.channel {
-            ChannelState::Closed => self.open_dead_letter_channel(),
-            ChannelState::SettingUp(_) => {}
-            ChannelState::Ready(channel) => self.publish_dead_letter(channel),
+            SideChannel::Closed => self.open_dead_letter_channel(),
+            SideChannel::SettingUp(_) => {}
+            SideChannel::Ready(channel) => self.publish_dead_letter(channel),
         }
     }
 
     fn open_dead_letter_channel(&mut self) {
         match self.endpoint.as_mut().map(Endpoint::open_channel) {
-            Some(Ok(channel)) => self.dead_letters.channel = ChannelState::SettingUp(channel),
+            Some(Ok(channel)) => self.dead_letters.channel = SideChannel::SettingUp(channel),
             Some(Err(error)) => {
                 // Without a channel there is none for the others either.
                 for message in std::mem::take(&mut self.dead_letters.waiting) {
@@ -137,7 +118,7 @@
     pub(super) fn handle_dead_letter_method(&mut self, channel: u16, method: &Method) {
         match method {
             Method::TxSelectOk {} => {
-                self.dead_letters.channel = ChannelState::Ready(channel);
+                self.dead_letters.channel = SideChannel::Ready(channel);
                 self.begin_dead_letter();
             }
             Method::BasicReturn { .. } => {
@@ -153,7 +134,7 @@
     /// Handles the end of the channel for dead letters. Its dead letter was refused; a channel that could not be set up
     /// counts as a refusal of the first one that waits, so that each end settles a message.
     pub(super) fn handle_dead_letter_channel_closed(&mut self, fault: Fault) {
-        self.dead_letters.channel = ChannelState::Closed;
+        self.dead_letters.channel = SideChannel::Closed;
         let refused = match self.dead_letters.publishing.take() {
             Some(publishing) => Some(publishing.message),
             None => self.dead_letters.waiting.pop_front(),
--- a/crates/pipithub-consumer/src/consumer/events.rs
+++ b/crates/pipithub-consumer/src/consumer/events.rs
@@ -11,6 +11,16 @@
 const QUEUE_CLASS: u16 = 50;
 const QUEUE_DECLARE: u16 = 10;
 
+/// What a channel is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChannelUse {
+    /// Messages are delivered and answered on it.
+    Deliveries,
+    DeadLetters,
+    QueueCheck,
+    BodyTrials,
+}
+
 impl Consumer {
     pub(super) fn handle_events(&mut self) {
         while let Some(event) = self.endpoint.as_mut().and_then(Endpoint::poll_event) {
@@ -20,37 +30,22 @@
                         self.phase = Phase::SettingUp { channel };
                     }
                 }
-                Event::ChannelOpened { channel } if self.dead_letters.is_on(channel) => {
-                    self.handle_dead_letter_channel_opened(channel);
-                }
-                Event::ChannelOpened { channel } if self.queue_check.is_on(channel) => {
-                    self.handle_check_channel_opened(channel);
-                }
-                Event::ChannelOpened { .. } => self.set_up_channel(),
-                Event::Method {
-                    channel, method, ..
-                } if self.dead_letters.is_on(channel) => {
-                    self.handle_dead_letter_method(channel, &method);
-                }
+                Event::ChannelOpened { channel } => self.handle_channel_opened(channel),
                 Event::Method {
-                    channel, method, ..
-                } if self.queue_check.is_on(channel) => self.handle_check_method(channel, &method),
-                Event::Method {
-                    method, content, ..
-                } => self.handle_method(method, content),
+                    channel,
+                    method,
+                    content,
+                } => self.handle_channel_method(channel, method, content),
                 Event::Blocked(reason) => {
                     self.blocked = reason.is_some();
                     self.notices.push_back(Notice::Blocked(reason));
                     self.begin_commit();
                     self.begin_dead_letter();
+                    self.begin_body_trial();
                 }
-                Event::ChannelClosed { channel, fault, .. } if self.dead_letters.is_on(channel) => {
-                    self.handle_dead_letter_channel_closed(fault);
-                }
-                Event::ChannelClosed { channel, fault, .. } if self.queue_check.is_on(channel) => {
-                    self.handle_check_channel_closed(&fault);
+                Event::ChannelClosed { channel, fault, .. } => {
+                    self.handle_channel_closed(channel, fault);
                 }
-                Event::ChannelClosed { fault, .. } => self.handle_channel_closed(fault),
                 // A consumer that has shut down needs no further transport, so the end of its connection is ignored.
                 Event::Closed { fault, .. } if self.phase != Phase::Stopped => {
                     self.invalidate_tickets(&fault.to_string());
@@ -63,6 +58,51 @@
         }
     }
 
+    /// What a channel is used for.
+    fn use_of(&self, channel: u16) -> ChannelUse {
+        if self.dead_letters.is_on(channel) {
+            ChannelUse::DeadLetters
+        } else if self.queue_check.is_on(channel) {
+            ChannelUse::QueueCheck
+        } else if self.body_trials.is_on(channel) {
+            ChannelUse::BodyTrials
+        } else {
+            ChannelUse::Deliveries
+        }
+    }
+
+    fn handle_channel_opened(&mut self, channel: u16) {
+        match self.use_of(channel) {
+            ChannelUse::Deliveries => self.set_up_channel(),
+            ChannelUse::DeadLetters => self.handle_dead_letter_channel_opened(channel),
+            ChannelUse::QueueCheck => self.handle_check_channel_opened(channel),
+            ChannelUse::BodyTrials => self.handle_trial_channel_opened(channel),
+        }
+    }
+
+    fn handle_channel_method(
+        &mut self,
+        channel: u16,
+        method: Method,
+        content: Option<Box<Content>>,
+    ) {
+        match self.use_of(channel) {
+            ChannelUse::Deliveries => self.handle_method(method, content),
+            ChannelUse::DeadLetters => self.handle_dead_letter_method(channel, &method),
+            ChannelUse::QueueCheck => self.handle_check_method(channel, &method),
+            ChannelUse::BodyTrials => self.handle_trial_method(channel, &method),
+        }
+    }
+
+    fn handle_channel_closed(&mut self, channel: u16, fault: Fault) {
+        match self.use_of(channel) {
+            ChannelUse::Deliveries => self.handle_deliveries_ended(fault),
+            ChannelUse::DeadLetters => self.handle_dead_letter_channel_closed(fault),
+            ChannelUse::QueueCheck => self.handle_check_channel_closed(&fault),
+            ChannelUse::BodyTrials => self.handle_trial_channel_closed(fault),
+        }
+    }
+
     fn set_up_channel(&mut self) {
         if self.settings.declare {
             self.send(self.queue_declaration(false));
@@ -83,7 +123,7 @@
         }
     }
 
-    fn handle_channel_closed(&mut self, fault: Fault) {
+    fn handle_deliveries_ended(&mut self, fault: Fault) {
         let failed_method = (fault.class_id, fault.method_id);
         // The queue exists with other properties than those it would be declared with. It is used as it is.
         let is_mismatch = fault.code == Code::PreconditionFailed as u16;
--- a/crates/pipithub-consumer/src/consumer/notice.rs
+++ b/crates/pipithub-consumer/src/consumer/notice.rs
@@ -1,5 +1,6 @@
 //! Notices of a consumer to its caller, and its phases.
 
+use pipithub_amqp::Fault;
 use pipithub_engine::{Ticket, Time, Trigger};
 
 use super::DeadLetterFailure;
@@ -35,6 +36,13 @@
         /// The reason why it could not be read.
         error: MessageError,
     },
+    /// The broker has refused the body of an answer, and so its call is answered without it.
+    BodyRefused {
+        /// The size of the body.
+        bytes: usize,
+        /// The reason that the broker gave.
+        fault: Fault,
+    },
     /// There is no dead letter of a message that could not be read. The message is rejected, so that the broker passes it to
     /// the dead-letter exchange of the queue, if it has one.
     NotDeadLettered {
--- a/crates/pipithub-consumer/src/message.rs
+++ b/crates/pipithub-consumer/src/message.rs
@@ -388,6 +388,13 @@
     (properties(address, headers, content_type), body)
 }
 
+/// The properties of the answer to a call that was served with a body which the broker refuses. The call has run, so it has
+/// failed.
+pub fn answer_without_body(address: &ReplyAddress, reply: &Reply) -> Properties {
+    let headers = headers("failed", "answer-too-large", reply.attempts);
+    properties(address, headers, None)
+}
+
 /// The properties of the answer to a message that cannot be read as a call. It is a rejection, because nothing ran.
 pub fn answer_unreadable(address: &ReplyAddress, error: &MessageError) -> Properties {
     let headers =
--- a/crates/pipithub-consumer/tests/with_broker/connection.rs
+++ b/crates/pipithub-consumer/tests/with_broker/connection.rs
@@ -4,6 +4,9 @@
 use pipithub_emulator::broker::{Broker, BrokerOutput, ConnectionId};
 use pipithub_engine::Time;
 
+/// The largest body that the broker accepts, in bytes.
+pub(crate) const MAX_BODY: usize = 400_000;
+
 pub(crate) struct ServerConnection {
     pub(crate) id: ConnectionId,
     /// The user that the client logged in as.
@@ -13,10 +16,14 @@
 
 impl ServerConnection {
     pub(crate) fn new(id: ConnectionId, user: &'static str, now: Time) -> Self {
+        let tuning = Tuning {
+            max_body: MAX_BODY as u64,
+            ..Tuning::default()
+        };
         ServerConnection {
             id,
             user,
-            endpoint: Endpoint::server(Tuning::default(), now),
+            endpoint: Endpoint::server(tuning, now),
         }
     }
 
--- a/crates/pipithub-consumer/tests/with_broker/front_end.rs
+++ b/crates/pipithub-consumer/tests/with_broker/front_end.rs
@@ -62,6 +62,8 @@
     pub(crate) connection: Option<ServerConnection>,
     pub(crate) attempts: Vec<RunningAttempt>,
     pub(crate) notices: Vec<Notice>,
+    /// The body that workers answer with.
+    pub(crate) served_body: Bytes,
 }
 
 impl FrontEnd {
@@ -74,6 +76,7 @@
             connection: None,
             attempts: Vec::new(),
             notices: Vec::new(),
+            served_body: Bytes::from_static(b"done"),
         }
     }
 
@@ -170,7 +173,11 @@
         let mut message_ids = Vec::new();
         for attempt in std::mem::take(&mut self.attempts) {
             message_ids.push(attempt.message_id);
-            let finished = Input::AttemptFinished(attempt_result(attempt.id, outcome));
+            let mut result = attempt_result(attempt.id, outcome);
+            if let Some(served) = &mut result.served {
+                served.body = self.served_body.clone();
+            }
+            let finished = Input::AttemptFinished(result);
             let mut outputs = Vec::new();
             self.engine.handle(now, finished, &mut outputs);
             for output in outputs {
--- a/crates/pipithub-consumer/tests/with_broker/main.rs
+++ b/crates/pipithub-consumer/tests/with_broker/main.rs
@@ -1,6 +1,7 @@
 //! Consumers and their engines against the core of the emulated broker, without sockets: the test controls every byte
 //! and the loss of each connection.
 
+mod answers;
 mod client;
 mod connection;
 mod dead_letters;
--- a/crates/pipithub-consumer/tests/with_broker/test_bed.rs
+++ b/crates/pipithub-consumer/tests/with_broker/test_bed.rs
@@ -218,6 +218,14 @@
         message_ids
     }
 
+    /// The same, with bodies of that size from the workers.
+    pub(crate) fn finish_attempts_with_body(&mut self, bytes: usize) -> Vec<String> {
+        for front_end in &mut self.front_ends {
+            front_end.served_body = vec![b'a'; bytes].into();
+        }
+        self.finish_attempts(Outcome::Served)
+    }
+
     /// Cuts the connection of a front end, which notices it at once.
     pub(crate) fn cut_connection(&mut self, number: usize) {
         let front_end = &mut self.front_ends[number];
--- a/crates/pipithub-gateway/src/amqp.rs
+++ b/crates/pipithub-gateway/src/amqp.rs
@@ -249,6 +249,15 @@
             Notice::Unreadable { message_id, error } => {
                 warn!(front_end, queue, ?message_id, why = %error, "rejected invalid message");
             }
+            Notice::BodyRefused { bytes, fault } => {
+                warn!(
+                    front_end,
+                    queue,
+                    bytes,
+                    why = %fault,
+                    "answer refused by broker; its call is answered as failed"
+                );
+            }
             Notice::NotDeadLettered {
                 message_id,
                 failure,
