--- a/crates/pipithub-consumer/src/consumer/body_trials.rs
+++ b/crates/pipithub-consumer/src/consumer/body_trials.rs
@@ -76,7 +76,7 @@
             self.body_trials.waiting.push_back(trial);
             self.begin_body_trial();
         } else {
-            self.enqueue_tried(trial);
+            self.enqueue_by_size(trial);
         }
     }
 
@@ -92,7 +92,7 @@
     }
 
     /// Enqueues an answer whose size is known to be accepted or refused.
-    fn enqueue_tried(&mut self, trial: Trial) {
+    fn enqueue_by_size(&mut self, trial: Trial) {
         let is_refused = trial.body_len() >= self.body_trials.refused;
         let Trial { ticket, reply } = trial;
         let answer = if is_refused {
@@ -110,11 +110,11 @@
                 return;
             };
             if self.is_known(trial.body_len()) {
-                self.enqueue_tried(trial);
+                self.enqueue_by_size(trial);
                 continue;
             }
             match self.body_trials.channel {
-                SideChannel::Ready(channel) => self.try_body(channel, trial),
+                SideChannel::Ready(channel) => self.publish_trial(channel, trial),
                 SideChannel::SettingUp(_) => return self.body_trials.waiting.push_front(trial),
                 SideChannel::Closed => match self.endpoint.as_mut().map(Endpoint::open_channel) {
                     Some(Ok(channel)) => {
@@ -122,13 +122,13 @@
                         return self.body_trials.waiting.push_front(trial);
                     }
                     // Without a free channel the answer goes without a trial.
-                    _ => self.enqueue_tried(trial),
+                    _ => self.enqueue_by_size(trial),
                 },
             }
         }
     }
 
-    fn try_body(&mut self, channel: u16, trial: Trial) {
+    fn publish_trial(&mut self, channel: u16, trial: Trial) {
         let (Some(endpoint), Some(delivery)) =
             (&mut self.endpoint, self.in_flight.get(&trial.ticket))
         else {
@@ -148,7 +148,7 @@
             self.send_on(channel, Method::TxRollback {});
             self.body_trials.running = Some(trial);
         } else {
-            self.enqueue_tried(trial);
+            self.enqueue_by_size(trial);
         }
     }
 
@@ -164,7 +164,7 @@
             Method::TxRollbackOk {} => {
                 if let Some(trial) = self.body_trials.running.take() {
                     self.body_trials.accepted = self.body_trials.accepted.max(trial.body_len());
-                    self.enqueue_tried(trial);
+                    self.enqueue_by_size(trial);
                 }
             }
             _ => {}
@@ -189,7 +189,7 @@
             });
             self.enqueue_answer(trial.ticket, Answer::BodyRefused(trial.reply));
         } else if let Some(trial) = self.body_trials.waiting.pop_front() {
-            self.enqueue_tried(trial);
+            self.enqueue_by_size(trial);
         }
         self.begin_body_trial();
     }
