--- a/crates/pipithub-policy/tests/endpoint_list_lease.rs
+++ b/crates/pipithub-policy/tests/endpoint_list_lease.rs
@@ -4,9 +4,9 @@
 mod common;
 mod lease_harness;
 
-use common::{FrontEndHarness, MS, forwarded_to, is_rejected, load_commands, settings};
+use common::{FrontEndHarness, MS, forwarded_to, is_rejected, load_commands};
 use lease_harness::{
-    DRAIN_GRACE, ENDPOINT_LIST_LEASE, FUNCTION, LEASE, REQUEST_LEASE, WORKERS, checked_worker,
+    ENDPOINT_LIST_LEASE, FUNCTION, LEASE, REQUEST_LEASE, WORKERS, checked_worker,
     confirmed_front_end, finish_check, lease_settings, report_contact,
 };
 use pipithub_policy::api::{
--- a/crates/pipithub-policy/tests/service_leases.rs
+++ b/crates/pipithub-policy/tests/service_leases.rs
@@ -10,7 +10,7 @@
     finish_check, finish_check_on, front_end_in_outage, report_contact, route_with_checks,
 };
 use pipithub_policy::api::{
-    Action, EndpointListContact, EndpointState, Event, HealthCheckOutcome, WorkerId,
+    Action, EndpointListContact, EndpointState, Event, HealthCheckOutcome, Outcome, WorkerId,
 };
 
 #[test]
