A redelivered message that cannot be read is failed, not refused: it may have run

Cause: `handle_delivery` answered every message that `read_trigger` does not accept as one that never ran. "Cannot be read here" and "has not run" are two questions, and only the broker's `redelivered` mark answers the second one at a front end without a history. What the engine remembers of an id decides nothing for such a message: settings do not change while a process runs, so a message that it accepted itself stays readable.

Change: an unreadable message that is marked as redelivered is answered `failed`, `may-have-run-before`, with the reason; one answer, as before, and no copy.

--- a/crates/pipithub-consumer/src/consumer/commit.rs
+++ b/crates/pipithub-consumer/src/consumer/commit.rs
@@ -21,6 +21,8 @@
     BodyRefused(Arc<Reply>),
     Unreadable {
         error: MessageError,
+        /// Whether the call may have run at another front end.
+        may_have_run: bool,
         settlement: Settlement,
     },
     Nothing,
@@ -118,8 +120,12 @@
                 self.publish_answer(channel, address, properties, &[]);
                 acknowledge
             }
-            Answer::Unreadable { error, settlement } => {
-                let properties = message::answer_unreadable(address, &error);
+            Answer::Unreadable {
+                error,
+                may_have_run,
+                settlement,
+            } => {
+                let properties = message::answer_unreadable(address, &error, may_have_run);
                 self.publish_answer(channel, address, properties, &[]);
                 match settlement {
                     Settlement::Acknowledge => acknowledge,
--- a/crates/pipithub-consumer/src/consumer/dead_letters.rs
+++ b/crates/pipithub-consumer/src/consumer/dead_letters.rs
@@ -44,6 +44,27 @@
     pub(super) content: Box<Content>,
 }
 
+impl UnreadableMessage {
+    /// Whether the call may have run, because the broker had delivered the message before. That it cannot be read here does
+    /// not show that it could not be read there: a front end with other settings may have forwarded it.
+    ///
+    /// What the engine remembers of the identity of the message decides nothing here. Settings do not change while a front
+    /// end runs, so a message that it has accepted itself stays readable, and one that is not must be another one.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.redelivered
+    }
+
+    /// The notice that the message cannot be read.
+    pub(super) fn notice(&self) -> Notice {
+        let message_id = self.content.properties.message_id.as_deref();
+        Notice::Unreadable {
+            message_id: message_id.map(str::to_string),
+            error: self.error.clone(),
+            may_have_run: self.may_have_run(),
+        }
+    }
+}
+
 /// A dead letter whose transaction is being committed.
 #[derive(Debug)]
 struct Publishing {
@@ -225,7 +246,13 @@
     }
 
     fn answer_unreadable(&mut self, message: UnreadableMessage, settlement: Settlement) {
+        let may_have_run = message.may_have_run();
         let UnreadableMessage { ticket, error, .. } = message;
-        self.enqueue_answer(ticket, Answer::Unreadable { error, settlement });
+        let answer = Answer::Unreadable {
+            error,
+            may_have_run,
+            settlement,
+        };
+        self.enqueue_answer(ticket, answer);
     }
 }
--- a/crates/pipithub-consumer/src/consumer/events.rs
+++ b/crates/pipithub-consumer/src/consumer/events.rs
@@ -205,17 +205,14 @@
         match self.read_trigger(number, redelivered, &content) {
             Ok(trigger) => self.notices.push_back(Notice::Trigger(Box::new(trigger))),
             Err(error) => {
-                let message_id = content.properties.message_id.as_deref().map(str::to_string);
-                self.notices.push_back(Notice::Unreadable {
-                    message_id,
-                    error: error.clone(),
-                });
-                self.settle_unreadable(UnreadableMessage {
+                let message = UnreadableMessage {
                     ticket: number,
                     redelivered,
                     error,
                     content: Box::new(content),
-                });
+                };
+                self.notices.push_back(message.notice());
+                self.settle_unreadable(message);
             }
         }
     }
--- a/crates/pipithub-consumer/src/consumer/notice.rs
+++ b/crates/pipithub-consumer/src/consumer/notice.rs
@@ -29,12 +29,14 @@
         /// The correlation id of the answer.
         correlation_id: Option<String>,
     },
-    /// A message could not be read as a call. It was answered with a rejection.
+    /// A message could not be read as a call. It is answered with a rejection, or as failed if its call may have run.
     Unreadable {
         /// The id of the message, if it has one.
         message_id: Option<String>,
         /// The reason why it could not be read.
         error: MessageError,
+        /// Whether the call may have run at another front end, which had the message before.
+        may_have_run: bool,
     },
     /// The broker has refused the body of an answer, and so its call is answered without it.
     BodyRefused {
--- a/crates/pipithub-consumer/src/message.rs
+++ b/crates/pipithub-consumer/src/message.rs
@@ -21,7 +21,7 @@
 
 use bytes::Bytes;
 use pipithub_amqp::{Content, FieldTable, FieldValue, Properties, ShortStr};
-use pipithub_engine::{Call, Reply, Tenant, Time};
+use pipithub_engine::{Call, Cause, Reply, Tenant, Time, Verdict};
 
 pub use self::dead_letter::{dead_letter, dead_letter_without_headers};
 pub use self::error::MessageError;
@@ -395,10 +395,20 @@
     properties(address, headers, None)
 }
 
-/// The properties of the answer to a message that cannot be read as a call. It is a rejection, because nothing ran.
-pub fn answer_unreadable(address: &ReplyAddress, error: &MessageError) -> Properties {
+/// The properties of the answer to a message that cannot be read as a call. It is a rejection only if the call cannot have run
+/// at another front end either.
+pub fn answer_unreadable(
+    address: &ReplyAddress,
+    error: &MessageError,
+    may_have_run: bool,
+) -> Properties {
+    let (verdict, cause) = if may_have_run {
+        (Verdict::Failed, Cause::MayHaveRunBefore.as_str())
+    } else {
+        (Verdict::Rejected, "unreadable")
+    };
     let headers =
-        headers("refused", "unreadable", 0).with("pipithub-reason", error.to_string().as_str());
+        headers(verdict.as_str(), cause, 0).with("pipithub-reason", error.to_string().as_str());
     properties(address, headers, None)
 }
 
--- a/crates/pipithub-consumer/src/message/error.rs
+++ b/crates/pipithub-consumer/src/message/error.rs
@@ -17,7 +17,7 @@
     format!("{}...", &text[..end])
 }
 
-/// A message that cannot be read as a call, or does not prove which user it belongs to. The call never ran.
+/// A message that cannot be read as a call, or does not prove which user it belongs to. This front end does not run the call.
 ///
 /// The texts are published: an answer and a dead letter carry them in header `pipithub-reason`.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/pipithub-gateway/src/amqp.rs
+++ b/crates/pipithub-gateway/src/amqp.rs
@@ -246,9 +246,26 @@
                     "failed to deliver answer; the reply queue does not exist"
                 );
             }
-            Notice::Unreadable { message_id, error } => {
+            Notice::Unreadable {
+                message_id,
+                error,
+                may_have_run: false,
+            } => {
                 warn!(front_end, queue, ?message_id, why = %error, "rejected invalid message");
             }
+            Notice::Unreadable {
+                message_id,
+                error,
+                may_have_run: true,
+            } => {
+                warn!(
+                    front_end,
+                    queue,
+                    ?message_id,
+                    why = %error,
+                    "invalid message was delivered before; its call may have run and is answered as failed"
+                );
+            }
             Notice::BodyRefused { bytes, fault } => {
                 warn!(
                     front_end,
