The age of a signature counts at the first delivery alone, not against a redelivery

Cause: `signed_user` held the age against every delivery. The age guards against a client that publishes a captured message again; the mark of a redelivery comes from the broker, and time spent running makes a message no less authentic.

Change: the age, and the bound on clocks ahead, are checked at the first delivery only. The signature is verified at each.

Measured: with the check put back, the three new tests fail (joined: `failed` where the call still runs; after a crash all three classes `failed`; identity: SignatureOutOfTime); with the change they pass. Forged, changed and foreign messages that come again run nothing and get one answer each: a test holds it, it passed before.

--- a/crates/pipithub-consumer/src/identity.rs
+++ b/crates/pipithub-consumer/src/identity.rs
@@ -36,7 +36,7 @@
 pub struct Keys {
     /// The keys by their ids.
     pub keys: BTreeMap<String, Vec<u8>>,
-    /// The maximum age of a signature, in nanoseconds; a message with an older one is rejected.
+    /// The maximum age of a signature at the first delivery, in nanoseconds; a message with an older one is rejected.
     pub max_age: Time,
 }
 
@@ -139,7 +139,7 @@
     /// Returns the user of a message, in the form in which directories compare names; `None` under [`Rule::None`].
     ///
     /// `redelivered` is whether the broker marks the delivery as a redelivery: only then may a signed message arrive
-    /// again. `now` is monotonic time, and `wall_ms` is the wall time then, in Unix milliseconds.
+    /// again, and at any age. `now` is monotonic time, and `wall_ms` is the wall time then, in Unix milliseconds.
     ///
     /// # Errors
     ///
@@ -219,7 +219,9 @@
         behind_ms: keys.max_age / MS,
         ahead_ms: MAX_AHEAD_MS,
     };
-    if !tolerance.accepts(sent_ms, delivery.wall_ms) {
+    // The age protects against a client that publishes a message again. A redelivery is the broker's doing, and how long the
+    // call ran before does not make its message less authentic.
+    if !delivery.redelivered && !tolerance.accepts(sent_ms, delivery.wall_ms) {
         return Err(MessageError::SignatureOutOfTime);
     }
     let Some(id) = message_id(&delivery.content.properties) else {
--- a/crates/pipithub-consumer/tests/identity.rs
+++ b/crates/pipithub-consumer/tests/identity.rs
@@ -7,6 +7,7 @@
 use pipithub_amqp::{Content, FieldTable, Properties, ShortStr};
 use pipithub_clock::ManualClock;
 use pipithub_consumer::identity::{IdentityVerifier, Keys, Rule, sign};
+use pipithub_consumer::message::MessageError;
 use pipithub_engine::Time;
 
 const MS: Time = 1_000_000;
@@ -81,6 +82,26 @@
     );
 }
 
+/// The age guards against clients that publish a message again. The mark of a redelivery comes from the broker.
+#[test]
+fn age_counts_against_first_deliveries_alone_and_the_signature_against_all() {
+    let times = [WALL_MS - 60_001, WALL_MS - 24 * 3_600_000, WALL_MS + 30_001];
+    for sent_ms in times {
+        let call = signed("m", sent_ms);
+        let mut identity = IdentityVerifier::new(rule());
+        let mut verify = |content: &Content, redelivered| {
+            identity.verify_user(content, "q", redelivered, NOW, WALL_MS)
+        };
+        assert_eq!(verify(&call, false), Err(MessageError::SignatureOutOfTime));
+        assert_eq!(verify(&call, true), Ok(Some("mai".into())));
+        let mut changed = call;
+        changed.body = Bytes::from_static(b"other");
+        assert_eq!(verify(&changed, true), Err(MessageError::WrongSignature));
+        let unsigned = message("m", sent_ms);
+        assert_eq!(verify(&unsigned, true), Err(MessageError::MissingSignature));
+    }
+}
+
 /// Each of these changes would let an attacker run a call in another way than its user signed.
 #[test]
 fn changed_signed_message_is_rejected() {
--- a/crates/pipithub-consumer/tests/with_broker/redelivery.rs
+++ b/crates/pipithub-consumer/tests/with_broker/redelivery.rs
@@ -1,8 +1,10 @@
-//! Messages that are delivered again and that the front end which gets them then cannot read.
+//! Messages that are delivered again, and that the front end which gets them then cannot read, or not as before.
 
+use pipithub_amqp::{Properties, ShortStr};
 use pipithub_engine::policy::Outcome;
 
-use crate::test_bed::{TestBed, class};
+use crate::front_end::MAX_SIGNATURE_AGE;
+use crate::test_bed::{MS, TestBed, class, class_sent_at_start, signed_at_start};
 
 /// Guards against a call that ran at a killed front end and is refused as unreadable by another one with other settings: its
 /// client would try again, and it would take effect twice.
@@ -28,3 +30,93 @@
     assert_eq!(bed.answers().len(), 4);
     assert_eq!(bed.finish_attempts(Outcome::Served), [""; 0]);
 }
+
+/// Guards against a call that runs for longer than its signature is accepted: after a crash it was refused as unreadable,
+/// although it had run, and ran again when its client tried again.
+#[test]
+fn signed_calls_that_outlast_their_signature_are_decided_by_their_class_after_a_crash() {
+    let mut bed = TestBed::with_signed_messages(2);
+    for class in ["safe", "keyed", "unsafe"] {
+        bed.publish(class, signed_at_start(class));
+    }
+    bed.run_until_idle();
+    assert_eq!(bed.arrived_at_workers.len(), 3);
+    bed.advance(MAX_SIGNATURE_AGE + 300 * MS);
+    bed.kill(0);
+    bed.kill(1);
+    bed.run_until_idle();
+    assert_eq!(bed.verdicts(), [("unsafe", vec!["failed"])]);
+    assert_eq!(bed.finish_attempts(Outcome::Served), ["keyed", "safe"]);
+    let expected = [
+        ("keyed", vec!["served"]),
+        ("safe", vec!["served"]),
+        ("unsafe", vec!["failed"]),
+    ];
+    assert_eq!(bed.verdicts(), expected);
+}
+
+/// Guards against a second answer, or none, for a call that still runs at the front end whose connection comes back after its
+/// signature has become too old for a first delivery.
+#[test]
+fn signed_call_that_outlasts_its_signature_is_joined_when_its_connection_comes_back() {
+    let mut bed = TestBed::with_signed_messages(1);
+    bed.publish("unsafe", signed_at_start("unsafe"));
+    bed.run_until_idle();
+    bed.advance(MAX_SIGNATURE_AGE + 300 * MS);
+    bed.cut_connection(0);
+    bed.advance(300 * MS);
+    assert_eq!(bed.verdicts(), []);
+    assert_eq!(bed.front_ends[0].engine.stats().joined, 1);
+    assert_eq!(bed.finish_attempts(Outcome::Served), ["unsafe"]);
+    assert_eq!(bed.verdicts(), [("unsafe", vec!["served"])]);
+}
+
+/// A mark of the broker proves nothing about who sent a message: forged, changed and foreign ones run nothing, join no call
+/// and get one answer, however they are delivered. Neither does a message that is too old when it is delivered first.
+#[test]
+fn unproven_messages_run_nothing_when_they_are_delivered_again() {
+    let changed = |properties: &mut Properties| {
+        signed_at_start("safe")(properties);
+        properties.reply_to = Some(ShortStr::truncated("answers"));
+        properties.correlation_id = Some(ShortStr::truncated("changed"));
+        properties.message_id = Some(ShortStr::truncated("another"));
+    };
+    for is_killed in [false, true] {
+        let mut bed = TestBed::with_signed_messages(2);
+        bed.publish("running", signed_at_start("unsafe"));
+        bed.run_until_idle();
+        bed.publish("unsigned", class_sent_at_start("safe"));
+        bed.publish("changed", changed);
+        // Names the id of the call that runs, without its signature.
+        bed.publish("running-forged", |properties| {
+            class_sent_at_start("safe")(properties);
+            properties.message_id = Some(ShortStr::truncated("running"));
+        });
+        bed.run_until(TestBed::has_unreadable_message);
+        for number in 0..2 {
+            if is_killed {
+                bed.kill(number);
+            } else {
+                bed.cut_connection(number);
+            }
+        }
+        bed.advance(500 * MS);
+        let arrived: Vec<&str> = bed.arrived_at_workers.iter().map(String::as_str).collect();
+        assert_eq!(arrived, ["running"]);
+        bed.finish_attempts(Outcome::Served);
+        let expected = if is_killed { "failed" } else { "served" };
+        assert_eq!(bed.answers()["running"], [expected]);
+        for id in ["unsigned", "changed", "running-forged"] {
+            let verdicts = &bed.answers()[id];
+            assert_eq!(verdicts.len(), 1, "{id}: {verdicts:?}");
+            assert_ne!(verdicts[0], "served", "{id}");
+        }
+        assert_eq!(bed.answers().len(), 4);
+    }
+    let mut bed = TestBed::with_signed_messages(1);
+    bed.advance(MAX_SIGNATURE_AGE + 300 * MS);
+    bed.publish("late", signed_at_start("unsafe"));
+    bed.run_until_idle();
+    assert_eq!(bed.verdicts(), [("late", vec!["refused"])]);
+    assert!(bed.arrived_at_workers.is_empty());
+}
--- a/crates/pipithub-consumer/tests/with_broker/test_bed.rs
+++ b/crates/pipithub-consumer/tests/with_broker/test_bed.rs
@@ -2,14 +2,18 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use bytes::Bytes;
 use pipithub_amqp::{Content, FieldTable, Method, Properties, ShortStr};
+use pipithub_consumer::identity::sign;
 use pipithub_consumer::{DeadLetterFailure, Notice, Qos};
 use pipithub_emulator::broker::{Broker, ConnectionId, Outgoing};
 use pipithub_engine::Time;
 use pipithub_engine::policy::Outcome;
 
-use crate::client::{CLIENT_CONNECTION, Client};
-use crate::front_end::{DeadLetterPlace, FrontEnd, StartOptions};
+use crate::client::{CALL_BODY, CLIENT_CONNECTION, Client};
+use crate::front_end::{
+    DeadLetterPlace, FrontEnd, IdentityRule, SIGNING_KEY, SIGNING_KEY_ID, StartOptions,
+};
 
 pub(crate) const MS: Time = 1_000_000;
 /// The wall time at the start, in Unix milliseconds.
@@ -28,6 +32,7 @@
         routing_key: "dead",
     },
     has_visit_class: false,
+    identity: IdentityRule::None,
 };
 
 pub(crate) fn short(text: &str) -> ShortStr {
@@ -48,6 +53,24 @@
     }
 }
 
+/// Gives a message a class, a user and the start of the test as its send time, and signs it.
+pub(crate) fn signed_at_start(name: &'static str) -> impl FnOnce(&mut Properties) {
+    move |properties| {
+        class_sent_at_start(name)(properties);
+        let headers = properties.headers.take().unwrap_or_default();
+        let headers = headers
+            .with("pipithub-user", "mai")
+            .with("pipithub-key-id", SIGNING_KEY_ID);
+        properties.headers = Some(headers.clone());
+        let content = Content {
+            properties: properties.clone(),
+            body: Bytes::from_static(CALL_BODY),
+        };
+        let signature = sign(SIGNING_KEY, &content, "calls");
+        properties.headers = Some(headers.with("pipithub-signature", signature.as_str()));
+    }
+}
+
 pub(crate) struct TestBed {
     pub(crate) now: Time,
     /// By how much the wall clock of the front ends was stepped.
@@ -82,6 +105,15 @@
         Self::start_all(&[options(0), options(1)], &FieldTable::new())
     }
 
+    /// Starts front ends that accept signed messages alone.
+    pub(crate) fn with_signed_messages(front_ends: usize) -> Self {
+        let options = StartOptions {
+            identity: IdentityRule::Signed,
+            ..DEFAULT_OPTIONS
+        };
+        Self::start(front_ends, options, &FieldTable::new())
+    }
+
     /// Starts front ends that rely on others to declare their queue.
     pub(crate) fn without_declaration(front_ends: usize) -> Self {
         let options = StartOptions {
