A signed message that is published twice is failed, not refused: its call may run

Cause: the answer to `Replayed` was a rejection like that to any unreadable message, although the front end knows the id because it has accepted it.

Change: `Replayed` is answered `failed`, `may-have-run-before`, with the reason, and the id is looked up before the age, so that an old copy is known as one, too.

Measured: without the change of the verdict the new test gets `refused` (at once); with it both copies, at once and after max-age, get `failed`, the call itself `served`.

--- a/crates/pipithub-consumer/src/consumer/commit.rs
+++ b/crates/pipithub-consumer/src/consumer/commit.rs
@@ -21,7 +21,7 @@
     BodyRefused(Arc<Reply>),
     Unreadable {
         error: MessageError,
-        /// Whether the call may have run at another front end.
+        /// Whether the call may have run at an earlier delivery.
         may_have_run: bool,
         settlement: Settlement,
     },
--- a/crates/pipithub-consumer/src/consumer/dead_letters.rs
+++ b/crates/pipithub-consumer/src/consumer/dead_letters.rs
@@ -45,13 +45,14 @@
 }
 
 impl UnreadableMessage {
-    /// Whether the call may have run, because the broker had delivered the message before. That it cannot be read here does
-    /// not show that it could not be read there: a front end with other settings may have forwarded it.
+    /// Whether the call may have run, because the broker had delivered the message before, or because this front end has
+    /// accepted a message with the same signed id. That it cannot be read here does not show that it could not be read
+    /// there: a front end with other settings may have forwarded it.
     ///
     /// What the engine remembers of the identity of the message decides nothing here. Settings do not change while a front
     /// end runs, so a message that it has accepted itself stays readable, and one that is not must be another one.
     pub(super) fn may_have_run(&self) -> bool {
-        self.redelivered
+        self.redelivered || self.error == MessageError::Replayed
     }
 
     /// The notice that the message cannot be read.
--- a/crates/pipithub-consumer/src/consumer/notice.rs
+++ b/crates/pipithub-consumer/src/consumer/notice.rs
@@ -35,7 +35,7 @@
         message_id: Option<String>,
         /// The reason why it could not be read.
         error: MessageError,
-        /// Whether the call may have run at another front end, which had the message before.
+        /// Whether the call may have run, as the message or another one with its signed id was delivered before.
         may_have_run: bool,
     },
     /// The broker has refused the body of an answer, and so its call is answered without it.
--- a/crates/pipithub-consumer/src/identity.rs
+++ b/crates/pipithub-consumer/src/identity.rs
@@ -215,6 +215,13 @@
     let Some(sent_ms) = sent_ms(delivery.content).and_then(|ms| u64::try_from(ms).ok()) else {
         return Err(MessageError::MissingSendTime);
     };
+    let Some(id) = message_id(&delivery.content.properties) else {
+        return Err(MessageError::MissingMessageId);
+    };
+    // Looked up before the age is checked: the answer to an old replay must not say that the call never ran either.
+    if !delivery.redelivered && replays.remembers(id) {
+        return Err(MessageError::Replayed);
+    }
     let tolerance = Tolerance {
         behind_ms: keys.max_age / MS,
         ahead_ms: MAX_AHEAD_MS,
@@ -224,9 +231,6 @@
     if !delivery.redelivered && !tolerance.accepts(sent_ms, delivery.wall_ms) {
         return Err(MessageError::SignatureOutOfTime);
     }
-    let Some(id) = message_id(&delivery.content.properties) else {
-        return Err(MessageError::MissingMessageId);
-    };
     let is_new = replays.is_new(id, sent_ms, delivery.now, delivery.wall_ms, tolerance);
     if !is_new && !delivery.redelivered {
         return Err(MessageError::Replayed);
--- a/crates/pipithub-consumer/src/message.rs
+++ b/crates/pipithub-consumer/src/message.rs
@@ -396,7 +396,7 @@
 }
 
 /// The properties of the answer to a message that cannot be read as a call. It is a rejection only if the call cannot have run
-/// at another front end either.
+/// at an earlier delivery.
 pub fn answer_unreadable(
     address: &ReplyAddress,
     error: &MessageError,
--- a/crates/pipithub-consumer/src/replay.rs
+++ b/crates/pipithub-consumer/src/replay.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Whether a message with this id was accepted, and is not forgotten.
+    pub fn remembers(&self, id: &str) -> bool {
+        self.ids.contains(&digest(id))
+    }
+
     /// Whether a message is new. A new one is remembered from now on.
     pub fn is_new(
         &mut self,
--- a/crates/pipithub-consumer/tests/with_broker/redelivery.rs
+++ b/crates/pipithub-consumer/tests/with_broker/redelivery.rs
@@ -120,3 +120,20 @@
     assert_eq!(bed.verdicts(), [("late", vec!["refused"])]);
     assert!(bed.arrived_at_workers.is_empty());
 }
+
+/// Guards against a client that publishes a signed message twice, because it does not know whether the first one arrived, and
+/// is told that the call did not run, which it may take as leave to sign it anew.
+#[test]
+fn signed_message_that_is_published_twice_is_not_rejected_while_its_call_runs() {
+    for waited in [0, MAX_SIGNATURE_AGE + 300 * MS] {
+        let mut bed = TestBed::with_signed_messages(1);
+        bed.publish("unsafe", signed_at_start("unsafe"));
+        bed.run_until_idle();
+        bed.advance(waited);
+        bed.publish("unsafe", signed_at_start("unsafe"));
+        bed.run_until_idle();
+        assert_eq!(bed.verdicts(), [("unsafe", vec!["failed"])]);
+        assert_eq!(bed.finish_attempts(Outcome::Served), ["unsafe"]);
+        assert_eq!(bed.verdicts(), [("unsafe", vec!["failed", "served"])]);
+    }
+}
