Scenario in which calls outlast their signatures finds refusals of calls that ran

The checker judges it already (a refusal of a non-idempotent call with an effect in the workers' record), but no scenario had calls older than `max-age` when their front end is killed.

--- a/crates/pipithub-scenario/src/run/settings.rs
+++ b/crates/pipithub-scenario/src/run/settings.rs
@@ -54,8 +54,9 @@
                 "tenant {tenant:?} {{ directory \"campus\" base=\"ou={tenant},dc=example\"; function \"{tenant}-*\" }}"
             );
         }
+        let max_age = milliseconds(spec.max_signature_age);
         format!(
-            "signatures {{ key {SIGNING_KEY_ID:?} text={SIGNING_KEY:?} }}\ndirectory \"campus\" {{\n{servers}    tls \"none\"\n    \
+            "signatures max-age=\"{max_age}ms\" {{ key {SIGNING_KEY_ID:?} text={SIGNING_KEY:?} }}\ndirectory \"campus\" {{\n{servers}    tls \"none\"\n    \
              base \"dc=example\"\n    mark-attribute \"contextCSN\"\n{}\n}}\n{tenants}",
             spec.settings
         )
--- a/crates/pipithub/tests/cli.rs
+++ b/crates/pipithub/tests/cli.rs
@@ -266,6 +266,13 @@
     check_all_rules("bad-day-tenants.kdl");
 }
 
+/// Checks all rules where calls outlast their signatures and front ends are killed: a call that has begun at a worker must not
+/// be refused because its message is too old for a first delivery.
+#[test]
+fn scenario_with_calls_that_outlast_their_signatures_keeps_all_rules() {
+    check_all_rules("redelivered-calls.kdl");
+}
+
 /// Checks all rules without tenants on the traffic between real processes.
 #[test]
 fn small_fault_scenario_keeps_all_rules() {
