--- a/crates/pipithub-node/src/shell.rs
+++ b/crates/pipithub-node/src/shell.rs
@@ -42,6 +42,8 @@
     sockets: RefCell<HashMap<ConnectionId, Rc<Socket>>>,
     clients: Rc<Slots>,
     workers: Rc<Slots>,
+    /// How many bytes the operating system may hold for each client that does not read.
+    client_send_buffer: usize,
     /// The number of client connections that linger after their close.
     lingering: Cell<usize>,
     local_faults: LocalFaults,
--- a/crates/pipithub-node/src/shell/listener.rs
+++ b/crates/pipithub-node/src/shell/listener.rs
@@ -24,6 +24,7 @@
         let on_connection = |(stream, _)| {
             let connection = self.core.borrow_mut().next_connection_id();
             let socket = Socket::new(stream, PeerKind::Client, self.clients.take());
+            socket.limit_send_buffer(self.client_send_buffer);
             self.last_client_activity.set(self.clock.now());
             self.sockets.borrow_mut().insert(connection, socket.clone());
             self.update_core(|core, now| core.client_connected(now, connection));
--- a/crates/pipithub-node/src/shell/runtime.rs
+++ b/crates/pipithub-node/src/shell/runtime.rs
@@ -26,6 +26,9 @@
 /// The bytes that wait to be written to all clients together, and those to all workers together, may each take at most
 /// the memory divided by this number: many peers that do not read must not exhaust it.
 const UNWRITTEN_MEMORY_DIVISOR: usize = 8;
+/// The least send buffer of a client's connection: it holds the longest answer, so that a client that reads gets each in one
+/// write.
+const MIN_CLIENT_SEND_BUFFER: usize = 32 << 10;
 /// The process ends only once clients have been silent for this long, in nanoseconds, which is long compared with one
 /// iteration of the event loop.
 const QUIET_TIME: Time = 20_000_000;
@@ -69,8 +72,10 @@
     fn new(config: &NodeConfig) -> Self {
         let clock = Clock::unix();
         let max_unwritten = ((config.memory_mb as usize) << 20) / UNWRITTEN_MEMORY_DIVISOR;
+        let core = Core::new(clock.now(), config);
         Shell {
-            core: Rc::new(RefCell::new(Core::new(clock.now(), config))),
+            client_send_buffer: client_send_buffer(max_unwritten, core.max_client_connections()),
+            core: Rc::new(RefCell::new(core)),
             sockets: RefCell::default(),
             clients: Slots::new(max_unwritten),
             workers: Slots::new(max_unwritten),
@@ -155,6 +160,12 @@
     }
 }
 
+/// The send buffer of each client's connection, so that the buffers of all clients together take no more than what may wait for
+/// them in this process.
+fn client_send_buffer(max_unwritten: usize, max_clients: usize) -> usize {
+    (max_unwritten / max_clients).max(MIN_CLIENT_SEND_BUFFER)
+}
+
 /// A front end that listens but does not serve yet.
 pub struct Node {
     config: NodeConfig,
--- a/crates/pipithub-node/src/shell/socket.rs
+++ b/crates/pipithub-node/src/shell/socket.rs
@@ -72,6 +72,13 @@
         })
     }
 
+    /// Limits how many bytes the operating system holds for a peer that does not read. What it does not hold waits in this
+    /// process, where it is counted.
+    pub(super) fn limit_send_buffer(&self, bytes: usize) {
+        // A failure leaves the system's own limit.
+        let _ = SockRef::from(&self.stream).set_send_buffer_size(bytes);
+    }
+
     pub(super) fn peer_kind(&self) -> PeerKind {
         self.peer_kind
     }
--- a/crates/pipithub-node/tests/socket_harness/system_queues.rs
+++ b/crates/pipithub-node/tests/socket_harness/system_queues.rs
@@ -32,6 +32,16 @@
         .sum()
 }
 
+/// The number of bytes that the operating system holds at the end of a connection with the port `local`, because its peer at
+/// the port `remote` does not read, or because they are not read at this end.
+pub(crate) fn bytes_at_end(local: u16, remote: u16) -> usize {
+    connection_ends()
+        .iter()
+        .filter(|end| (end.local_port, end.remote_port) == (local, remote))
+        .map(|end| end.bytes)
+        .sum()
+}
+
 /// One end of a connection.
 struct ConnectionEnd {
     local_port: u16,
--- a/crates/pipithub-node/tests/unread_answers.rs
+++ b/crates/pipithub-node/tests/unread_answers.rs
@@ -3,13 +3,18 @@
 
 mod socket_harness;
 
-use socket_harness::system_queues::bytes_at_port;
+use socket_harness::system_queues::{bytes_at_end, bytes_at_port};
 use socket_harness::{FrontEnd, Peer, call_line, long_body, run_test, served_line};
 use tokio::io::Interest;
 
 /// About how many bytes of answers the front end holds for each client: well below the limit for a single client.
 const UNREAD_BYTES_PER_CLIENT: usize = 700 << 10;
 
+/// The memory of the front end in the configuration of these tests, in MB.
+const MEMORY_MB: usize = 16;
+/// The part of the memory that may wait for clients that do not read.
+const UNREAD_MEMORY_DIVISOR: usize = 8;
+
 /// A client that does not read, and how many calls it has sent.
 struct UnreadClient {
     peer: Peer,
@@ -33,14 +38,9 @@
 async fn clients_that_do_not_read_are_disconnected_once_their_answers_exceed_the_memory() {
     run_test(async {
         let limit_memory =
-            |config: &mut serde_json::Value| config["limits"]["memory_mb"] = 16.into();
+            |config: &mut serde_json::Value| config["limits"]["memory_mb"] = MEMORY_MB.into();
         let front_end = FrontEnd::start_with(limit_memory).await;
-        let mut peer = front_end.connect_client().await;
-        peer.send(&call_line(1, "view", "")).await;
-        let mut at_worker = front_end.accept_at_worker().await;
-        at_worker.serve_next().await;
-        peer.expect_message().await;
-        let mut health_checker = HealthChecker { peer, last_id: 1 };
+        let (mut at_worker, mut health_checker) = serve_first_call(&front_end).await;
         let mut clients = Vec::new();
         for number in 1..=4u64 {
             let peer = front_end.connect_client().await;
@@ -62,6 +62,36 @@
     .await;
 }
 
+/// Has a first call served; returns the connection of the worker and the client.
+async fn serve_first_call(front_end: &FrontEnd) -> (Peer, HealthChecker) {
+    let mut peer = front_end.connect_client().await;
+    peer.send(&call_line(1, "view", "")).await;
+    let mut at_worker = front_end.accept_at_worker().await;
+    at_worker.serve_next().await;
+    peer.expect_message().await;
+    (at_worker, HealthChecker { peer, last_id: 1 })
+}
+
+/// Guards against clients that do not read and for each of which the operating system holds megabytes beside what the front end
+/// counts: together they exceed its memory.
+#[tokio::test]
+async fn system_holds_little_for_a_client_that_does_not_read() {
+    run_test(async {
+        let limit_memory =
+            |config: &mut serde_json::Value| config["limits"]["memory_mb"] = MEMORY_MB.into();
+        let front_end = FrontEnd::start_with(limit_memory).await;
+        let (mut at_worker, mut health_checker) = serve_first_call(&front_end).await;
+        let peer = front_end.connect_client().await;
+        let client = fill_answer_buffer(peer, 1000, &mut at_worker, &mut health_checker).await;
+        let (client_port, front_end_port) = client.peer.ports();
+        let held = bytes_at_end(front_end_port, client_port);
+        let max_for_all = (MEMORY_MB << 20) / UNREAD_MEMORY_DIVISOR;
+        // Sixteen such clients must fit into the part of the memory that all of them may take.
+        assert!(held > 0 && held < max_for_all / 16, "{held} bytes");
+    })
+    .await;
+}
+
 /// Sends calls, which are served, until the front end holds about [`UNREAD_BYTES_PER_CLIENT`] for the client or has
 /// disconnected it.
 async fn fill_answer_buffer(
