--- a/crates/pipithub-node/src/client_sessions.rs
+++ b/crates/pipithub-node/src/client_sessions.rs
@@ -170,9 +170,9 @@
         self.sessions.is_empty()
     }
 
-    /// Remembers until `expires_at` that the call of this name may have run and must not run again.
-    pub(crate) fn record_executed(&mut self, expires_at: Time, call: &str) {
-        self.executed_calls.record(expires_at, call);
+    /// Remembers that the call of this name may have run and must not run again.
+    pub(crate) fn record_executed(&mut self, call: &str) {
+        self.executed_calls.record(call);
     }
 
     /// Checks whether a call with this id and name is admitted on a connection.
@@ -196,7 +196,7 @@
         if self.tickets.contains_key(name) {
             return Err(CallRejection::AlreadyPending);
         }
-        if self.executed_calls.contains(now, name) {
+        if self.executed_calls.contains(name) {
             return Err(CallRejection::MayHaveExecuted);
         }
         if client.pending_calls.len() >= MAX_PENDING_CALLS {
@@ -277,8 +277,8 @@
     }
 
     /// Removes a connection that has ended, with its pending calls; returns their tickets. Calls that are not
-    /// idempotent are remembered until `expires_at` as calls that may have run.
-    pub fn disconnected(&mut self, connection: ConnectionId, expires_at: Time) -> Vec<u64> {
+    /// idempotent are remembered as calls that may have run.
+    pub fn disconnected(&mut self, connection: ConnectionId) -> Vec<u64> {
         let Some(client) = self.sessions.remove(&connection) else {
             return Vec::new();
         };
@@ -291,7 +291,7 @@
                 self.tickets.remove(&pending.name);
             }
             if pending.non_idempotent {
-                self.record_executed(expires_at, &pending.name);
+                self.record_executed(&pending.name);
             }
         }
         tickets
--- a/crates/pipithub-node/src/core.rs
+++ b/crates/pipithub-node/src/core.rs
@@ -57,7 +57,6 @@
     name: String,
     engine: Engine,
     site: SiteSettings,
-    max_client_timeout: Time,
     client_sessions: ClientSessions,
     connection_pool: ConnectionPool,
     /// The worker of each attempt that has not ended.
@@ -86,7 +85,6 @@
             name: config.name.clone(),
             engine: Engine::new(engine_settings(config, limits), config.seed),
             site: site.clone(),
-            max_client_timeout,
             client_sessions: ClientSessions::new(limits.clients),
             connection_pool: ConnectionPool::new(connection_pool_settings(site, limits)),
             in_flight: BTreeMap::new(),
--- a/crates/pipithub-node/src/core/calls.rs
+++ b/crates/pipithub-node/src/core/calls.rs
@@ -163,8 +163,7 @@
             return;
         };
         if pending.non_idempotent && reply.attempts > 0 && reply.verdict != Verdict::Rejected {
-            self.client_sessions
-                .record_executed(now + self.max_client_timeout, &pending.name);
+            self.client_sessions.record_executed(&pending.name);
         }
         debug!(
             front_end = self.name,
--- a/crates/pipithub-node/src/core/clients.rs
+++ b/crates/pipithub-node/src/core/clients.rs
@@ -47,9 +47,7 @@
 
     /// Records that a client's connection has ended, and cancels its pending calls.
     pub fn client_closed(&mut self, now: Time, connection: ConnectionId) {
-        let tickets = self
-            .client_sessions
-            .disconnected(connection, now + self.max_client_timeout);
+        let tickets = self.client_sessions.disconnected(connection);
         if !tickets.is_empty() {
             debug!(
                 front_end = self.name,
@@ -152,8 +150,7 @@
         };
         let ended = self.client_sessions.end_call(now, ticket);
         if let Some(pending) = ended.as_ref().filter(|pending| pending.non_idempotent) {
-            self.client_sessions
-                .record_executed(now + self.max_client_timeout, &pending.name);
+            self.client_sessions.record_executed(&pending.name);
         }
         let may_be_at_work = self.cancel_call(now, ticket);
         if let Some(cancelled) = ended.filter(|_| may_be_at_work) {
--- a/crates/pipithub-node/src/executed_calls.rs
+++ b/crates/pipithub-node/src/executed_calls.rs
@@ -1,53 +1,38 @@
 //! Non-idempotent calls that may have run, remembered so that they are not run again.
 
 use std::collections::{HashSet, VecDeque};
+use std::sync::Arc;
 
-use pipithub_engine::Time;
-
-/// The maximum number of remembered calls: as many as a front end can serve in some seconds.
-const MAX_EXECUTED_CALLS: usize = 4096;
-
-/// A remembered call, and the time after which it may be forgotten.
-#[derive(Debug)]
-struct ExecutedCall {
-    expires_at: Time,
-    name: String,
-}
+/// The maximum number of remembered calls; each takes about 100 bytes.
+pub const MAX_EXECUTED_CALLS: usize = 32_768;
 
 /// Names of calls that may have run; the oldest are forgotten first.
+///
+/// They are forgotten for lack of room alone: however much later a name comes again, running its call would repeat its effect.
 #[derive(Debug, Default)]
 pub(crate) struct ExecutedCalls {
-    names: HashSet<String>,
-    by_age: VecDeque<ExecutedCall>,
+    names: HashSet<Arc<str>>,
+    by_age: VecDeque<Arc<str>>,
 }
 
 impl ExecutedCalls {
-    /// Remembers until `expires_at` that the call of this name may have run.
-    pub(crate) fn record(&mut self, expires_at: Time, name: &str) {
-        if self.by_age.len() >= MAX_EXECUTED_CALLS {
-            self.forget_oldest();
+    /// Remembers that the call of this name may have run.
+    pub(crate) fn record(&mut self, name: &str) {
+        if self.names.contains(name) {
+            return;
         }
-        if self.names.insert(name.to_string()) {
-            let name = name.to_string();
-            self.by_age.push_back(ExecutedCall { expires_at, name });
+        if self.by_age.len() >= MAX_EXECUTED_CALLS
+            && let Some(oldest) = self.by_age.pop_front()
+        {
+            self.names.remove(&oldest);
         }
+        let name: Arc<str> = name.into();
+        self.names.insert(name.clone());
+        self.by_age.push_back(name);
     }
 
     /// Whether a call of this name is remembered as one that may have run.
-    pub(crate) fn contains(&mut self, now: Time, name: &str) -> bool {
-        while self
-            .by_age
-            .front()
-            .is_some_and(|oldest| oldest.expires_at < now)
-        {
-            self.forget_oldest();
-        }
+    pub(crate) fn contains(&self, name: &str) -> bool {
         self.names.contains(name)
     }
-
-    fn forget_oldest(&mut self) {
-        if let Some(oldest) = self.by_age.pop_front() {
-            self.names.remove(&oldest.name);
-        }
-    }
 }
--- a/crates/pipithub-node/src/lib.rs
+++ b/crates/pipithub-node/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod coordinator;
 pub mod core;
 pub mod effect;
-mod executed_calls;
+pub mod executed_calls;
 pub mod idle_timeout;
 pub mod shell;
 pub mod sockets;
--- a/crates/pipithub-node/tests/core.rs
+++ b/crates/pipithub-node/tests/core.rs
@@ -161,17 +161,14 @@
             written.len() == 1 && written[0].0 == other && written[0].1.contains("-32600"),
             "{end}: {written:?}"
         );
-        // The name may be used again once the longest client timeout has passed.
+        // Nor is it run once the longest client timeout has passed.
         harness.advance(3_100 * MS);
         let other = harness.connect_client();
         harness.call(other, 7, "assign");
-        assert!(
-            harness
-                .written()
-                .iter()
-                .any(|(_, line)| line.contains("\"DO\"")),
-            "{end}"
-        );
+        let written = harness.written();
+        let is_forwarded = written.iter().any(|(_, line)| line.contains("\"DO\""));
+        let is_failed = written.iter().any(|(_, line)| line.contains("-32600"));
+        assert!(!is_forwarded && is_failed, "{end}: {written:?}");
     }
     // An idempotent call is run again.
     let mut harness = CoreHarness::new();
--- a/crates/pipithub-node/tests/core_cancellation.rs
+++ b/crates/pipithub-node/tests/core_cancellation.rs
@@ -211,3 +211,30 @@
         .collect();
     assert!(is_forwarded(&to_workers));
 }
+
+/// Guards against a call that must not run twice and runs again because its name comes again long after its client has left or
+/// has cancelled it: it was remembered for the longest client timeout only.
+#[test]
+fn non_idempotent_call_does_not_run_again_long_after_its_client_left() {
+    for cancels in [true, false] {
+        let mut harness = CoreHarness::new();
+        let (client, _) = harness.start_call("assign");
+        if cancels {
+            harness.send_line(client, CANCEL_CALL_7);
+        } else {
+            harness.core.client_closed(harness.now, client);
+        }
+        harness.written();
+        harness.advance(3_600_000 * MS);
+        let again = harness.connect_client();
+        harness.call(again, 7, "assign");
+        let lines: Vec<String> = harness
+            .written()
+            .into_iter()
+            .map(|(_, line)| line)
+            .collect();
+        assert!(!is_forwarded(&lines), "{lines:?}");
+        let is_answered = |line: &String| line.contains("may have run") && !line.contains("-32050");
+        assert!(lines.iter().any(is_answered), "{lines:?}");
+    }
+}
