Log lines of the consumer's task have functions of their own, and say why a message failed

Need: `log_notice` had grown to over 60 lines with the new answer to unreadable messages, and its line "was delivered before" was not true of a message whose signed id another one had.

`executed_calls` is private again.

--- a/crates/pipithub-gateway/src/amqp.rs
+++ b/crates/pipithub-gateway/src/amqp.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, BytesMut};
 use pipithub_amqp::Tuning;
 use pipithub_clock::{Clock, wall_ms};
+use pipithub_consumer::message::MessageError;
 use pipithub_consumer::{Consumer, ConsumerSettings, Notice, Phase};
 use pipithub_engine::{Input, SourceId, Time};
 use pipithub_settings::{AmqpConfig, Config, QueueConfig};
@@ -214,6 +215,31 @@
         }
     }
 
+    fn log_returned(&self, reply_to: &str, correlation_id: Option<&str>) {
+        warn!(
+            front_end = self.front_end,
+            queue = self.queue,
+            reply_to,
+            ?correlation_id,
+            "failed to deliver answer; the reply queue does not exist"
+        );
+    }
+
+    fn log_unreadable(&self, message_id: Option<&str>, error: &MessageError, may_have_run: bool) {
+        let (front_end, queue) = (&self.front_end, &self.queue);
+        if may_have_run {
+            warn!(
+                front_end,
+                queue,
+                ?message_id,
+                why = %error,
+                "invalid message answered as failed, because its call may have run"
+            );
+        } else {
+            warn!(front_end, queue, ?message_id, why = %error, "rejected invalid message");
+        }
+    }
+
     fn log_notice(&self, notice: &Notice) {
         let (front_end, queue) = (&self.front_end, &self.queue);
         match notice {
@@ -237,35 +263,12 @@
             Notice::Returned {
                 reply_to,
                 correlation_id,
-            } => {
-                warn!(
-                    front_end,
-                    queue,
-                    reply_to,
-                    ?correlation_id,
-                    "failed to deliver answer; the reply queue does not exist"
-                );
-            }
+            } => self.log_returned(reply_to, correlation_id.as_deref()),
             Notice::Unreadable {
                 message_id,
                 error,
-                may_have_run: false,
-            } => {
-                warn!(front_end, queue, ?message_id, why = %error, "rejected invalid message");
-            }
-            Notice::Unreadable {
-                message_id,
-                error,
-                may_have_run: true,
-            } => {
-                warn!(
-                    front_end,
-                    queue,
-                    ?message_id,
-                    why = %error,
-                    "invalid message was delivered before; its call may have run and is answered as failed"
-                );
-            }
+                may_have_run,
+            } => self.log_unreadable(message_id.as_deref(), error, *may_have_run),
             Notice::BodyRefused { bytes, fault } => {
                 warn!(
                     front_end,
--- a/crates/pipithub-node/src/executed_calls.rs
+++ b/crates/pipithub-node/src/executed_calls.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 /// The maximum number of remembered calls; each takes about 100 bytes.
-pub const MAX_EXECUTED_CALLS: usize = 32_768;
+const MAX_EXECUTED_CALLS: usize = 32_768;
 
 /// Names of calls that may have run; the oldest are forgotten first.
 ///
--- a/crates/pipithub-node/src/lib.rs
+++ b/crates/pipithub-node/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod coordinator;
 pub mod core;
 pub mod effect;
-pub mod executed_calls;
+mod executed_calls;
 pub mod idle_timeout;
 pub mod shell;
 pub mod sockets;
