--- a/crates/pipithub-consumer/src/consumer/events.rs
+++ b/crates/pipithub-consumer/src/consumer/events.rs
@@ -235,7 +235,7 @@
             wall_ms: self.wall_ms,
             latest_wall_ms: self.latest_wall_ms,
         };
-        let read = message::read(content, queue, route, classes, arrival)?;
+        let read = message::read(content, route, classes, arrival)?;
         let user = self.identity_verifier.verify_user(
             content,
             queue,
--- a/crates/pipithub-consumer/src/message.rs
+++ b/crates/pipithub-consumer/src/message.rs
@@ -3,7 +3,7 @@
 //! | property or header | meaning |
 //! | --- | --- |
 //! | `reply_to`, `correlation_id` | the queue that the answer goes to, and the id that it repeats |
-//! | `message_id` | identifies the message; without it `reply_to` with `correlation_id` does, if present |
+//! | `message_id` | the client's id of the message; without it `reply_to` with `correlation_id` is, if present |
 //! | `type` or `pipithub-class` | the class of the call |
 //! | `pipithub-function` | the function or model to run |
 //! | `pipithub-memory-mb`, `pipithub-lanes`, `pipithub-load-ms`, `pipithub-expected-ms` | properties of the function |
@@ -16,12 +16,13 @@
 
 mod dead_letter;
 mod error;
+mod identity;
 
 use std::sync::Arc;
 
 use bytes::Bytes;
 use pipithub_amqp::{Content, FieldTable, FieldValue, Properties, ShortStr};
-use pipithub_engine::{Call, Cause, Reply, Tenant, Time, Verdict};
+use pipithub_engine::{Call, Cause, MessageIdentity, Reply, Tenant, Time, Verdict};
 
 pub use self::dead_letter::{dead_letter, dead_letter_without_headers};
 pub use self::error::MessageError;
@@ -72,7 +73,7 @@
     /// The call that the message asks for.
     pub call: Call,
     /// Identifies the message across its deliveries; `None` if no property identifies it.
-    pub identity: Option<Arc<str>>,
+    pub identity: Option<MessageIdentity>,
     /// The number of earlier deliveries; 0 if the broker does not count them.
     pub deliveries: u32,
 }
@@ -145,14 +146,13 @@
     }
 }
 
-/// Reads a message of a queue as a call. `classes` are in the order of their numbers.
+/// Reads a message as a call. `classes` are in the order of their numbers.
 ///
 /// # Errors
 ///
 /// Fails if the message lacks what a call needs, or a property or header cannot be read.
 pub fn read(
     content: &Content,
-    queue: &str,
     route: &Route,
     classes: &[ClassName],
     arrival: ArrivalTime,
@@ -196,7 +196,7 @@
     };
     Ok(ParsedMessage {
         call,
-        identity: identity(properties, queue),
+        identity: identity::message_identity(content),
         deliveries: deliveries(headers),
     })
 }
@@ -301,19 +301,6 @@
     properties.message_id.as_deref().filter(|id| !id.is_empty())
 }
 
-/// Identifies the message across its deliveries; `None` if no property identifies it.
-fn identity(properties: &Properties, queue: &str) -> Option<Arc<str>> {
-    if let Some(id) = message_id(properties) {
-        return Some(format!("{queue}\0{id}").into());
-    }
-    let reply_to = properties.reply_to.as_deref()?;
-    let correlation_id = properties
-        .correlation_id
-        .as_deref()
-        .filter(|id| !id.is_empty())?;
-    Some(format!("{queue}\0\0{reply_to}\0{correlation_id}").into())
-}
-
 /// The idempotency key. If a class needs one and the message gives none, the id of the message is used, because every
 /// delivery carries the same id.
 fn key(
--- a/crates/pipithub-engine/src/call.rs
+++ b/crates/pipithub-engine/src/call.rs
@@ -80,13 +80,28 @@
     pub person: u64,
 }
 
+/// Identifies a message across its deliveries by one source.
+///
+/// It must cover everything that the client determines: the user, the id, the address of the answer and the content.
+/// Messages with one identity are then copies of each other, and an answer to one of them is right for each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MessageIdentity(pub u128);
+
+/// A message of one source, as far as the source can identify it. Sources may stand for different brokers, so equal
+/// identities at two of them say nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct SourceMessage {
+    pub(crate) source: SourceId,
+    pub(crate) identity: MessageIdentity,
+}
+
 /// A call that has arrived, as one delivery of its message.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trigger {
     /// The ticket by which the trigger is settled.
     pub ticket: Ticket,
     /// Identifies the message across its deliveries; `None` if its source cannot identify it.
-    pub identity: Option<Arc<str>>,
+    pub identity: Option<MessageIdentity>,
     /// Whether the message may have been delivered before, here or to another front end.
     pub redelivered: bool,
     /// The number of earlier deliveries; 0 if the source does not count them.
@@ -95,6 +110,16 @@
     pub call: Call,
 }
 
+impl Trigger {
+    /// The message that this is a delivery of; `None` if its source cannot identify it.
+    pub(crate) fn message(&self) -> Option<SourceMessage> {
+        self.identity.map(|identity| SourceMessage {
+            source: self.ticket.source,
+            identity,
+        })
+    }
+}
+
 /// Identifies an attempt among all attempts of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -14,12 +14,11 @@
 mod output_queue;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use pipithub_policy::FrontEnd;
 use pipithub_policy::api::{Class, Event, RequestId, Time, WorkerId};
 
-use crate::call::{AttemptId, Ticket};
+use crate::call::{AttemptId, Ticket, Trigger};
 use crate::decide::Decide;
 use crate::function_names::FunctionNames;
 use crate::input::Input;
@@ -132,10 +131,11 @@
         self.pending.of_ticket(ticket)
     }
 
-    /// Whether a message with this identity is pending here or was settled here recently. If so, that alone decides
-    /// what happens to a redelivery of the message.
-    pub fn knows_message(&self, identity: &Arc<str>, now: Time) -> bool {
-        self.pending.decide_redelivery(identity, now).is_some()
+    /// Whether a trigger is a redelivery of a message whose earlier delivery was lost here, or that was settled here
+    /// recently. If so, that alone decides what happens to it.
+    pub fn knows_redelivery(&self, trigger: &Trigger, now: Time) -> bool {
+        let known = |message| self.pending.decide_redelivery(message, now).is_some();
+        trigger.redelivered && trigger.message().is_some_and(known)
     }
 
     /// Handles one input and appends the resulting outputs to `out`. Timers that are due are handled first.
--- a/crates/pipithub-engine/src/engine/admission.rs
+++ b/crates/pipithub-engine/src/engine/admission.rs
@@ -19,7 +19,7 @@
     Start { timeout: Time },
     /// Give this final answer without starting a request.
     Answer(FinalAnswer),
-    /// Join the trigger to the pending request of an earlier delivery, whose ticket it replaces.
+    /// Join the trigger to the pending request of its message, whose earlier delivery was lost.
     Join(RequestId),
     /// Settle the trigger without an answer, because its message was answered before.
     Settle,
@@ -70,9 +70,8 @@
             return RedeliveryDecision::Run { within: None };
         }
         let known = trigger
-            .identity
-            .as_ref()
-            .and_then(|identity| self.pending.decide_redelivery(identity, now));
+            .message()
+            .and_then(|message| self.pending.decide_redelivery(message, now));
         known.unwrap_or_else(|| {
             let call = &trigger.call;
             let policy = &self.settings.policy;
--- a/crates/pipithub-engine/src/engine/arrivals.rs
+++ b/crates/pipithub-engine/src/engine/arrivals.rs
@@ -34,6 +34,7 @@
     }
 
     fn start_request(&mut self, now: Time, trigger: Trigger, timeout: Time) {
+        let message = trigger.message();
         let call = trigger.call;
         let function = function_id(&call.function);
         self.function_names
@@ -49,7 +50,7 @@
             timeout: Some(timeout),
         };
         self.pending
-            .insert(trigger.ticket, trigger.identity, call, now + timeout);
+            .insert(trigger.ticket, message, call, now + timeout);
         self.decide(now, Event::Arrived(request));
     }
 
@@ -59,11 +60,11 @@
         let without_body = Call::default();
         let request = self
             .pending
-            .insert(trigger.ticket, trigger.identity, without_body, now);
+            .insert(trigger.ticket, trigger.message(), without_body, now);
         self.answer(request, answer);
     }
 
-    /// Replaces the earlier delivery of a pending message by a new one.
+    /// Replaces the lost delivery of a pending message by a new one.
     fn join(&mut self, request: RequestId, ticket: Ticket) {
         let Some(pending) = self.pending.replace_ticket(request, ticket) else {
             return;
--- a/crates/pipithub-engine/src/engine/cancellation.rs
+++ b/crates/pipithub-engine/src/engine/cancellation.rs
@@ -33,15 +33,15 @@
         }
     }
 
-    /// Voids the tickets of a source. A request with an identity stays pending until its deadline, because its message
-    /// may be redelivered here. A request without an identity is cancelled, because its answer could not be delivered.
+    /// Voids the tickets of a source. A request whose message is identified stays pending until its deadline, because
+    /// its message may be redelivered here. Any other request is cancelled, because its answer could not be delivered.
     pub(super) fn source_lost(&mut self, now: Time, source: SourceId) {
         for ticket in self.pending.tickets_of(source) {
             let Some(request) = self.pending.void_ticket(ticket) else {
                 continue;
             };
             match self.pending.get(request) {
-                Some(pending) if pending.identity().is_some() => {
+                Some(pending) if pending.message().is_some() => {
                     self.timers.set(pending.deadline().max(now), request.0);
                 }
                 _ => self.abandon(now, request),
--- a/crates/pipithub-engine/src/lib.rs
+++ b/crates/pipithub-engine/src/lib.rs
@@ -24,7 +24,7 @@
 mod stats;
 mod timers;
 
-pub use call::{AttemptId, Call, SourceId, Tenant, Ticket, Trigger, function_id};
+pub use call::{AttemptId, Call, MessageIdentity, SourceId, Tenant, Ticket, Trigger, function_id};
 pub use decide::Decide;
 pub use engine::Engine;
 pub use input::{AttemptResult, Input, LoadCommandResult, LoadPollResult, TenantUser};
--- a/crates/pipithub-engine/src/pending.rs
+++ b/crates/pipithub-engine/src/pending.rs
@@ -1,5 +1,6 @@
-//! The requests that are not settled, by id, ticket and identity, with the memory that their bodies take.
+//! The requests that are not settled, by id, ticket and message, with the memory that their bodies take.
 
+mod lost_deliveries;
 mod request;
 
 use std::collections::BTreeMap;
@@ -7,7 +8,8 @@
 
 use pipithub_policy::api::{RequestId, Time};
 
-use crate::call::{Call, SourceId, Ticket};
+use self::lost_deliveries::LostDeliveries;
+use crate::call::{Call, SourceId, SourceMessage, Ticket};
 use crate::input::TenantUser;
 use crate::redelivery::{DeliveryHistory, RedeliveryDecision};
 use crate::reply::{FinalAnswer, Reply};
@@ -26,6 +28,7 @@
 pub(crate) struct PendingRequests {
     requests: BTreeMap<RequestId, PendingRequest>,
     by_ticket: BTreeMap<Ticket, RequestId>,
+    lost_deliveries: LostDeliveries,
     history: DeliveryHistory,
     next_id: RequestId,
     body_bytes: usize,
@@ -37,6 +40,7 @@
         PendingRequests {
             requests: BTreeMap::new(),
             by_ticket: BTreeMap::new(),
+            lost_deliveries: LostDeliveries::default(),
             history: DeliveryHistory::new(max_settled, retention),
             next_id: RequestId(1),
             body_bytes: 0,
@@ -57,36 +61,35 @@
         self.next_id
     }
 
-    /// What to do with a redelivered message that is pending here or was settled here recently; `None` if the message
-    /// is unknown.
+    /// What to do with a redelivered message whose earlier delivery was lost here, or that was settled here recently;
+    /// `None` if the message is unknown.
     pub(crate) fn decide_redelivery(
         &self,
-        identity: &Arc<str>,
+        message: SourceMessage,
         now: Time,
     ) -> Option<RedeliveryDecision> {
-        self.history.decide(identity, now)
+        if let Some(request) = self.lost_deliveries.of(message).next() {
+            return Some(RedeliveryDecision::Join(request));
+        }
+        self.history
+            .is_settled(message, now)
+            .then_some(RedeliveryDecision::Settle)
     }
 
     /// Adds the request of a new message and returns its id.
-    ///
-    /// If another request with the same identity is pending, a client used the identity for two calls. The earlier
-    /// request still gets its own answer and loses the identity to the new request.
     pub(crate) fn insert(
         &mut self,
         ticket: Ticket,
-        identity: Option<Arc<str>>,
+        message: Option<SourceMessage>,
         call: Call,
         deadline: Time,
     ) -> RequestId {
         let id = self.next_id;
         self.next_id.0 += 1;
-        if let Some(identity) = &identity {
-            let former = self.history.begin(identity, id);
-            if let Some(former) = former.and_then(|former| self.requests.get_mut(&former)) {
-                former.release_identity();
-            }
+        if let Some(message) = message {
+            self.history.forget(message);
         }
-        let request = PendingRequest::new(ticket, identity, call, deadline);
+        let request = PendingRequest::new(ticket, message, call, deadline);
         self.body_bytes += request.body_bytes();
         self.by_ticket.insert(ticket, id);
         self.requests.insert(id, request);
@@ -148,6 +151,9 @@
         if let Some(former) = request.replace_ticket(Some(ticket)) {
             self.by_ticket.remove(&former);
         }
+        if let Some(message) = request.message() {
+            self.lost_deliveries.remove(message, id);
+        }
         self.by_ticket.insert(ticket, id);
         Some(request)
     }
@@ -155,7 +161,11 @@
     /// Removes a ticket from its request, which stays pending without one; `None` if no request has the ticket.
     pub(crate) fn void_ticket(&mut self, ticket: Ticket) -> Option<RequestId> {
         let id = self.by_ticket.remove(&ticket)?;
-        self.requests.get_mut(&id)?.replace_ticket(None);
+        let request = self.requests.get_mut(&id)?;
+        request.replace_ticket(None);
+        if let Some(message) = request.message() {
+            self.lost_deliveries.insert(message, id);
+        }
         Some(id)
     }
 
@@ -187,18 +197,14 @@
         let Some(request) = self.remove(id) else {
             return;
         };
-        if let Some(identity) = request.identity() {
-            self.history.settle(identity, id, now);
+        if let Some(message) = request.message() {
+            self.history.settle(message, now);
         }
     }
 
     /// Removes a request whose answer is not known to be safe at its source.
     pub(crate) fn release(&mut self, id: RequestId) -> Option<PendingRequest> {
-        let request = self.remove(id)?;
-        if let Some(identity) = request.identity() {
-            self.history.abandon(identity, id);
-        }
-        Some(request)
+        self.remove(id)
     }
 
     /// Removes an answered request whose message was not redelivered here by the deadline, because it must have been
@@ -217,6 +223,8 @@
         self.body_bytes -= request.body_bytes();
         if let Some(ticket) = request.ticket() {
             self.by_ticket.remove(&ticket);
+        } else if let Some(message) = request.message() {
+            self.lost_deliveries.remove(message, id);
         }
         Some(request)
     }
--- a/crates/pipithub-engine/src/pending/request.rs
+++ b/crates/pipithub-engine/src/pending/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use pipithub_policy::api::{Outcome, RequestId, Time, WorkerId};
 
-use crate::call::{AttemptId, Call, Ticket};
+use crate::call::{AttemptId, Call, SourceMessage, Ticket};
 use crate::input::TenantUser;
 use crate::reply::{FinalAnswer, Reply};
 
@@ -18,12 +18,12 @@
 
 /// A request that is not settled: its answer is not known yet, or not yet known to be safe at its source.
 ///
-/// The fields that the table of pending requests depends on (ticket, identity, size of the body) change only through
+/// The fields that the table of pending requests depends on (ticket, size of the body) change only through
 /// the table.
 #[derive(Debug)]
 pub(crate) struct PendingRequest {
     ticket: Option<Ticket>,
-    identity: Option<Arc<str>>,
+    message: Option<SourceMessage>,
     call: Arc<Call>,
     deadline: Time,
     attempts: u32,
@@ -35,13 +35,13 @@
 impl PendingRequest {
     pub(super) fn new(
         ticket: Ticket,
-        identity: Option<Arc<str>>,
+        message: Option<SourceMessage>,
         call: Call,
         deadline: Time,
     ) -> Self {
         PendingRequest {
             ticket: Some(ticket),
-            identity,
+            message,
             body_bytes: call.body.len(),
             call: Arc::new(call),
             deadline,
@@ -57,9 +57,9 @@
         self.ticket
     }
 
-    /// The identity of the message; `None` if it has none or a later message has taken it over.
-    pub(crate) fn identity(&self) -> Option<&Arc<str>> {
-        self.identity.as_ref()
+    /// The message of the request; `None` if its source cannot identify it.
+    pub(crate) fn message(&self) -> Option<SourceMessage> {
+        self.message
     }
 
     /// The call; without its body once the request has its answer.
@@ -131,10 +131,6 @@
         std::mem::replace(&mut self.ticket, ticket)
     }
 
-    pub(super) fn release_identity(&mut self) {
-        self.identity = None;
-    }
-
     pub(super) fn record_ended_attempt(&mut self, attempt: EndedAttempt) {
         self.last_attempt = Some(attempt);
     }
--- a/crates/pipithub-engine/src/redelivery.rs
+++ b/crates/pipithub-engine/src/redelivery.rs
@@ -1,18 +1,19 @@
 //! Decisions on messages that are delivered again.
 //!
 //! A broker redelivers a message when the connection that it was delivered on is lost, whatever was done with the
-//! message until then. The decision depends on what this front end remembers of earlier deliveries. If it remembers
-//! none, it depends on what the class of the call allows.
+//! message until then. A request whose own delivery was lost here is joined by a redelivery of its message. For any
+//! other redelivery the decision depends on what the class of the call allows.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 
 use pipithub_policy::api::{Class, DeduplicationScope, Idempotency, RequestId, Time};
 
+use crate::call::SourceMessage;
+
 /// What to do with a redelivered message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RedeliveryDecision {
-    /// The message is pending here, and this delivery replaces the earlier one.
+    /// The request of the message is pending here, and this delivery replaces the one that was lost.
     Join(RequestId),
     /// The message was answered and its answer is safe at its source: settle the delivery without another answer.
     Settle,
@@ -63,18 +64,17 @@
 
 #[derive(Debug)]
 struct SettledMessage {
-    identity: Arc<str>,
+    message: SourceMessage,
     settled_at: Time,
 }
 
-/// The messages that are pending or were settled recently, by identity. The number and age of settled messages are
-/// bounded. A message that was evicted counts as unknown, which is safe: it runs again only if its class allows that.
+/// The messages that were settled recently. Their number and age are bounded. A message that was evicted counts as
+/// unknown, which is safe: it runs again only if its class allows that.
 #[derive(Debug)]
 pub(crate) struct DeliveryHistory {
     max_settled: usize,
     retention: Time,
-    pending: BTreeMap<Arc<str>, RequestId>,
-    settled: BTreeMap<Arc<str>, Time>,
+    settled: BTreeMap<SourceMessage, Time>,
     settled_by_age: VecDeque<SettledMessage>,
 }
 
@@ -84,29 +84,22 @@
         DeliveryHistory {
             max_settled,
             retention,
-            pending: BTreeMap::new(),
             settled: BTreeMap::new(),
             settled_by_age: VecDeque::new(),
         }
     }
 
-    /// Records a new message. Returns the pending request that had its identity until now; `None` if there is none.
-    /// The record of an earlier message with the same identity is dropped: a client may use an identity again, and the
-    /// new message must not be settled by the answer to the old one.
-    pub(crate) fn begin(&mut self, identity: &Arc<str>, request: RequestId) -> Option<RequestId> {
-        self.settled.remove(identity);
-        self.pending.insert(identity.clone(), request)
+    /// Drops the record of an earlier message with the same identity: a client may use an identity again, and the new
+    /// message must not be settled by the answer to the old one.
+    pub(crate) fn forget(&mut self, message: SourceMessage) {
+        self.settled.remove(&message);
     }
 
-    /// Records that the answer of a request is safe at its source.
-    pub(crate) fn settle(&mut self, identity: &Arc<str>, request: RequestId, now: Time) {
-        if self.pending.get(identity) != Some(&request) {
-            return;
-        }
-        self.pending.remove(identity);
-        self.settled.insert(identity.clone(), now);
+    /// Records that the answer to a message is safe at its source.
+    pub(crate) fn settle(&mut self, message: SourceMessage, now: Time) {
+        self.settled.insert(message, now);
         self.settled_by_age.push_back(SettledMessage {
-            identity: identity.clone(),
+            message,
             settled_at: now,
         });
         self.evict_old(now);
@@ -119,29 +112,17 @@
                 return;
             }
             // If the same identity was settled again later, the later entry keeps the record.
-            if self.settled.get(&oldest.identity) == Some(&oldest.settled_at) {
-                self.settled.remove(&oldest.identity);
+            if self.settled.get(&oldest.message) == Some(&oldest.settled_at) {
+                self.settled.remove(&oldest.message);
             }
             self.settled_by_age.pop_front();
         }
     }
 
-    /// Records that a request ended without a safe answer.
-    pub(crate) fn abandon(&mut self, identity: &Arc<str>, request: RequestId) {
-        if self.pending.get(identity) == Some(&request) {
-            self.pending.remove(identity);
-        }
-    }
-
-    /// What to do with a redelivered message that is pending here or was settled here recently; `None` if the message
-    /// is unknown.
-    pub(crate) fn decide(&self, identity: &Arc<str>, now: Time) -> Option<RedeliveryDecision> {
-        if let Some(request) = self.pending.get(identity) {
-            return Some(RedeliveryDecision::Join(*request));
-        }
+    /// Whether the message was settled here recently.
+    pub(crate) fn is_settled(&self, message: SourceMessage, now: Time) -> bool {
         self.settled
-            .get(identity)
-            .filter(|settled_at| **settled_at + self.retention >= now)
-            .map(|_| RedeliveryDecision::Settle)
+            .get(&message)
+            .is_some_and(|settled_at| *settled_at + self.retention >= now)
     }
 }
--- a/crates/pipithub-gateway/src/cron.rs
+++ b/crates/pipithub-gateway/src/cron.rs
@@ -156,7 +156,7 @@
         replica_concurrency: route.replica_concurrency.max(1),
         load_time: route.load_time,
         message_id: Some(name.clone()),
-        idempotency_key: Some(name.clone()),
+        idempotency_key: Some(name),
         content_type: Some("application/json".into()),
         body: Bytes::from(config.body.clone()),
         tenant: route.tenant,
@@ -165,7 +165,8 @@
     };
     Trigger {
         ticket,
-        identity: Some(name),
+        // A timer has no connection that could be lost, so it never delivers a trigger again.
+        identity: None,
         redelivered: false,
         deliveries: 0,
         call,
--- a/crates/pipithub-gateway/src/front_end.rs
+++ b/crates/pipithub-gateway/src/front_end.rs
@@ -11,7 +11,7 @@
 use pipithub_clock::Clock;
 use pipithub_consumer::message::ClassName;
 use pipithub_engine::policy::{Endpoint, EndpointUpdate, WorkerId};
-use pipithub_engine::{AttemptId, Engine, Input, Output, SourceId, Time, Trigger};
+use pipithub_engine::{AttemptId, Engine, Input, Output, SourceId, Time};
 use pipithub_settings::{Config, FixedWorker};
 use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{info, warn};
@@ -245,7 +245,9 @@
             return self.engine.handle(now, input, &mut self.outputs);
         };
         match input {
-            Input::Trigger(trigger) if !is_known_redelivery(&self.engine, &trigger, now) => {
+            // A known redelivery bypasses admission, which must not reject what is running already. Its message is the
+            // same to the last byte as the one that was admitted, user and function included.
+            Input::Trigger(trigger) if !self.engine.knows_redelivery(&trigger, now) => {
                 tenancy.arrive(now, trigger, &mut self.engine_inputs);
             }
             Input::SourceLost(source) => {
@@ -278,10 +280,3 @@
             .send_if_modified(|known| std::mem::replace(known, snapshot) != snapshot);
     }
 }
-
-/// Whether a trigger is a redelivery of a request that the engine knows. Such a request bypasses admission, which must
-/// not reject what is running already.
-fn is_known_redelivery(engine: &Engine, trigger: &Trigger, now: Time) -> bool {
-    let is_known = |identity| engine.knows_message(identity, now);
-    trigger.redelivered && trigger.identity.as_ref().is_some_and(is_known)
-}
