--- a/crates/pipithub-consumer/src/consumer.rs
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -23,7 +23,7 @@
 use pipithub_engine::{Reply, Ticket, Time};
 
 use self::body_trials::BodyTrials;
-use self::commit::{Answer, PendingAnswer};
+use self::commit::PendingAnswer;
 pub use self::dead_letters::DeadLetterFailure;
 use self::dead_letters::DeadLetters;
 use self::delivery_limit::{AppliedLimit, MIN_QOS_INTERVAL};
@@ -237,12 +237,6 @@
         self.publish_reply(ticket.number, reply);
     }
 
-    /// Settles the message of a trigger without an answer. An invalid ticket is ignored.
-    pub fn acknowledge(&mut self, now: Time, ticket: Ticket) {
-        self.now = now;
-        self.enqueue_answer(ticket.number, Answer::Nothing);
-    }
-
     /// Begins a graceful shutdown: no more deliveries are taken, and the connection is closed once all are settled.
     pub fn shutdown(&mut self, now: Time) {
         self.now = now;
--- a/crates/pipithub-consumer/src/consumer/commit.rs
+++ b/crates/pipithub-consumer/src/consumer/commit.rs
@@ -25,7 +25,6 @@
         may_have_run: bool,
         settlement: Settlement,
     },
-    Nothing,
 }
 
 /// How a message that cannot be read is settled.
@@ -109,7 +108,6 @@
             multiple: false,
         };
         match answer {
-            Answer::Nothing => acknowledge,
             Answer::Reply(reply) => {
                 let (properties, body) = message::answer(address, &reply);
                 self.publish_answer(channel, address, properties, &body);
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -1,6 +1,6 @@
 //! The engine, which connects the decision module to the pending requests and gives each request one final answer.
 //!
-//! Each part of the state has an owner: [`PendingRequests`] holds the requests and the history of their messages,
+//! Each part of the state has an owner: [`PendingRequests`] holds the requests,
 //! [`DecisionQueue`] the decision module and the events that it has not handled yet, [`Timers`] the timers that are
 //! set, and [`OutputQueue`] the outputs and the counters. The `impl` blocks of [`Engine`] hold only the steps that need
 //! several of these owners.
@@ -64,10 +64,7 @@
         Engine {
             decisions: DecisionQueue::new(decider),
             timers: Timers::default(),
-            pending: PendingRequests::new(
-                settings.max_settled_messages,
-                settings.settled_retention,
-            ),
+            pending: PendingRequests::new(),
             attempts_in_flight: BTreeMap::new(),
             function_names: FunctionNames::new(settings.max_function_names),
             ready_workers: ReadyWorkers::default(),
@@ -131,11 +128,14 @@
         self.pending.of_ticket(ticket)
     }
 
-    /// Whether a trigger is a redelivery of a message whose earlier delivery was lost here, or that was settled here
-    /// recently. If so, that alone decides what happens to it.
-    pub fn knows_redelivery(&self, trigger: &Trigger, now: Time) -> bool {
-        let known = |message| self.pending.decide_redelivery(message, now).is_some();
-        trigger.redelivered && trigger.message().is_some_and(known)
+    /// Whether a trigger joins a pending request of its message, whose earlier delivery was lost here.
+    pub fn joins_pending_request(&self, trigger: &Trigger) -> bool {
+        self.request_to_join(trigger).is_some()
+    }
+
+    fn request_to_join(&self, trigger: &Trigger) -> Option<RequestId> {
+        let message = trigger.message().filter(|_| trigger.redelivered)?;
+        self.pending.awaiting_redelivery(message)
     }
 
     /// Handles one input and appends the resulting outputs to `out`. Timers that are due are handled first.
@@ -166,7 +166,7 @@
             }
             Input::UserMigrated { user, successor } => self.user_migrated(now, &user, successor),
             Input::SourceLost(source) => self.source_lost(now, source),
-            Input::Settled(ticket) => self.pending.settle(ticket, now),
+            Input::Settled(ticket) => self.pending.settle(ticket),
             Input::CallerCancelled(ticket) => self.caller_cancelled(now, ticket),
             Input::AttemptFinished(result) => self.attempt_finished(now, result),
             Input::LoadPolled(result) => self.decide(now, result.into()),
--- a/crates/pipithub-engine/src/engine/admission.rs
+++ b/crates/pipithub-engine/src/engine/admission.rs
@@ -1,6 +1,6 @@
-//! Admission of calls: whether a trigger starts a request, joins a pending one or is answered at once.
+//! Admission of calls: whether a trigger that joins no pending request starts one or is answered at once.
 
-use pipithub_policy::api::{RequestId, Time};
+use pipithub_policy::api::Time;
 
 use crate::call::{Call, Trigger};
 use crate::pending::PendingRequests;
@@ -19,10 +19,6 @@
     Start { timeout: Time },
     /// Give this final answer without starting a request.
     Answer(FinalAnswer),
-    /// Join the trigger to the pending request of its message, whose earlier delivery was lost.
-    Join(RequestId),
-    /// Settle the trigger without an answer, because its message was answered before.
-    Settle,
 }
 
 /// The state of the engine that admission decisions depend on. Making a decision does not change it.
@@ -36,18 +32,14 @@
 impl Admission<'_> {
     /// Decides what to do with a trigger. `rejection` is the answer to a call that must not run; `None` if it may run.
     ///
-    /// Earlier deliveries of the message are looked up first even if there is a rejection. A call that is running here
-    /// or was answered here must not be rejected as well. A rejection also tells the client that a retry is harmless,
-    /// which is not true of a call that may have run elsewhere.
+    /// Whether a redelivered call may have run elsewhere is decided first even if there is a rejection, which tells the
+    /// client that a retry is harmless.
     pub(super) fn decide(
         &self,
-        now: Time,
         trigger: &Trigger,
         rejection: Option<FinalAnswer>,
     ) -> AdmissionDecision {
-        let run_within = match self.decide_redelivery(now, trigger) {
-            RedeliveryDecision::Join(request) => return AdmissionDecision::Join(request),
-            RedeliveryDecision::Settle => return AdmissionDecision::Settle,
+        let run_within = match self.decide_redelivery(trigger) {
             RedeliveryDecision::Fail => {
                 return AdmissionDecision::Answer(FinalAnswer::failed(Cause::MayHaveRunBefore));
             }
@@ -65,20 +57,15 @@
         }
     }
 
-    fn decide_redelivery(&self, now: Time, trigger: &Trigger) -> RedeliveryDecision {
+    fn decide_redelivery(&self, trigger: &Trigger) -> RedeliveryDecision {
         if !trigger.redelivered {
             return RedeliveryDecision::Run { within: None };
         }
-        let known = trigger
-            .message()
-            .and_then(|message| self.pending.decide_redelivery(message, now));
-        known.unwrap_or_else(|| {
-            let call = &trigger.call;
-            let policy = &self.settings.policy;
-            let margin = self.settings.answer_margin + TICKS_UNTIL_LAST_ATTEMPT * policy.tick;
-            let has_key = call.idempotency_key.is_some();
-            decide_unknown(&policy.classes[call.class], call.age, has_key, margin)
-        })
+        let call = &trigger.call;
+        let policy = &self.settings.policy;
+        let margin = self.settings.answer_margin + TICKS_UNTIL_LAST_ATTEMPT * policy.tick;
+        let has_key = call.idempotency_key.is_some();
+        decide_unknown(&policy.classes[call.class], call.age, has_key, margin)
     }
 
     /// The rejection of a call that this engine must not or cannot run; `None` if it can run.
--- a/crates/pipithub-engine/src/engine/arrivals.rs
+++ b/crates/pipithub-engine/src/engine/arrivals.rs
@@ -5,12 +5,14 @@
 use super::Engine;
 use super::admission::{Admission, AdmissionDecision};
 use crate::call::{Call, Ticket, Trigger, function_id};
-use crate::output::Output;
 use crate::reply::FinalAnswer;
 
 impl Engine {
-    /// Starts a request for a call, joins the call to an earlier delivery of its message, answers it at once, or
-    /// settles it without another answer. `rejection` is the answer to a call that must not run; `None` if it may run.
+    /// Joins a call to the pending request of its message, starts a request for it, or answers it at once. `rejection` is
+    /// the answer to a call that must not run; `None` if it may run.
+    ///
+    /// The pending request is looked up first even if there is a rejection: a call that is running here must not be
+    /// rejected as well.
     pub(super) fn receive(
         &mut self,
         now: Time,
@@ -20,16 +22,17 @@
         self.outputs.count_trigger(trigger.redelivered);
         let last_class = self.settings.policy.classes.len() - 1;
         trigger.call.class = trigger.call.class.min(last_class);
+        if let Some(request) = self.request_to_join(&trigger) {
+            return self.join(request, trigger.ticket);
+        }
         let admission = Admission {
             settings: &self.settings,
             pending: &self.pending,
             draining: self.draining,
         };
-        match admission.decide(now, &trigger, rejection) {
+        match admission.decide(&trigger, rejection) {
             AdmissionDecision::Start { timeout } => self.start_request(now, trigger, timeout),
             AdmissionDecision::Answer(answer) => self.answer_at_once(now, trigger, answer),
-            AdmissionDecision::Join(request) => self.join(request, trigger.ticket),
-            AdmissionDecision::Settle => self.outputs.push(Output::Settle(trigger.ticket)),
         }
     }
 
--- a/crates/pipithub-engine/src/engine/output_queue.rs
+++ b/crates/pipithub-engine/src/engine/output_queue.rs
@@ -54,10 +54,7 @@
             Output::LoadFunction { .. } => self.stats.load_commands += 1,
             Output::PollLoad(_) => self.stats.load_polls += 1,
             Output::CheckHealth(_) => self.stats.health_checks += 1,
-            Output::EvictFunction { .. }
-            | Output::Answer { .. }
-            | Output::Settle(_)
-            | Output::WatchEndpoints => {}
+            Output::EvictFunction { .. } | Output::Answer { .. } | Output::WatchEndpoints => {}
         }
         self.outputs.push(output);
     }
--- a/crates/pipithub-engine/src/input.rs
+++ b/crates/pipithub-engine/src/input.rs
@@ -98,8 +98,8 @@
         endpoints: Vec<Endpoint>,
     },
     /// A call arrived that must not run. It gets one final answer like any other call. A redelivered message is still
-    /// handled as a redelivery: it joins a pending request, is settled if it was answered here, and fails if the call
-    /// may have run elsewhere and must not run again.
+    /// handled as a redelivery: it joins the pending request of its message, and fails if the call may have run
+    /// elsewhere and must not run again.
     Reject {
         /// The trigger of the call.
         trigger: Trigger,
--- a/crates/pipithub-engine/src/output.rs
+++ b/crates/pipithub-engine/src/output.rs
@@ -60,8 +60,6 @@
         /// The final answer.
         reply: Arc<Reply>,
     },
-    /// Settle a trigger whose message was already answered, without another answer.
-    Settle(Ticket),
     /// Start to watch the endpoint list. Its state must be reported as [`Endpoints`](crate::Input::Endpoints).
     WatchEndpoints,
 }
--- a/crates/pipithub-engine/src/pending.rs
+++ b/crates/pipithub-engine/src/pending.rs
@@ -11,7 +11,6 @@
 use self::lost_deliveries::LostDeliveries;
 use crate::call::{Call, SourceId, SourceMessage, Ticket};
 use crate::input::TenantUser;
-use crate::redelivery::{DeliveryHistory, RedeliveryDecision};
 use crate::reply::{FinalAnswer, Reply};
 
 pub(crate) use request::{EndedAttempt, PendingRequest};
@@ -23,25 +22,22 @@
     pub(crate) reply: Arc<Reply>,
 }
 
-/// The requests that are not settled, and the history of the messages that started them.
+/// The requests that are not settled.
 #[derive(Debug)]
 pub(crate) struct PendingRequests {
     requests: BTreeMap<RequestId, PendingRequest>,
     by_ticket: BTreeMap<Ticket, RequestId>,
     lost_deliveries: LostDeliveries,
-    history: DeliveryHistory,
     next_id: RequestId,
     body_bytes: usize,
 }
 
 impl PendingRequests {
-    /// Creates an empty table that remembers up to `max_settled` settled messages, each for `retention` nanoseconds.
-    pub(crate) fn new(max_settled: usize, retention: Time) -> Self {
+    pub(crate) fn new() -> Self {
         PendingRequests {
             requests: BTreeMap::new(),
             by_ticket: BTreeMap::new(),
             lost_deliveries: LostDeliveries::default(),
-            history: DeliveryHistory::new(max_settled, retention),
             next_id: RequestId(1),
             body_bytes: 0,
         }
@@ -61,19 +57,9 @@
         self.next_id
     }
 
-    /// What to do with a redelivered message whose earlier delivery was lost here, or that was settled here recently;
-    /// `None` if the message is unknown.
-    pub(crate) fn decide_redelivery(
-        &self,
-        message: SourceMessage,
-        now: Time,
-    ) -> Option<RedeliveryDecision> {
-        if let Some(request) = self.lost_deliveries.of(message).next() {
-            return Some(RedeliveryDecision::Join(request));
-        }
-        self.history
-            .is_settled(message, now)
-            .then_some(RedeliveryDecision::Settle)
+    /// The request that a redelivery of the message joins; `None` if no request of the message has lost its delivery.
+    pub(crate) fn awaiting_redelivery(&self, message: SourceMessage) -> Option<RequestId> {
+        self.lost_deliveries.of(message).next()
     }
 
     /// Adds the request of a new message and returns its id.
@@ -86,9 +72,6 @@
     ) -> RequestId {
         let id = self.next_id;
         self.next_id.0 += 1;
-        if let Some(message) = message {
-            self.history.forget(message);
-        }
         let request = PendingRequest::new(ticket, message, call, deadline);
         self.body_bytes += request.body_bytes();
         self.by_ticket.insert(ticket, id);
@@ -189,24 +172,13 @@
         Some(AnsweredRequest { ticket, reply })
     }
 
-    /// Removes the request of a ticket whose answer is safe at its source, and records its message as settled.
-    pub(crate) fn settle(&mut self, ticket: Ticket, now: Time) {
-        let Some(id) = self.of_ticket(ticket) else {
-            return;
-        };
-        let Some(request) = self.remove(id) else {
-            return;
-        };
-        if let Some(message) = request.message() {
-            self.history.settle(message, now);
+    /// Removes the request of a ticket whose answer is safe at its source.
+    pub(crate) fn settle(&mut self, ticket: Ticket) {
+        if let Some(id) = self.of_ticket(ticket) {
+            self.release(id);
         }
     }
 
-    /// Removes a request whose answer is not known to be safe at its source.
-    pub(crate) fn release(&mut self, id: RequestId) -> Option<PendingRequest> {
-        self.remove(id)
-    }
-
     /// Removes an answered request whose message was not redelivered here by the deadline, because it must have been
     /// redelivered elsewhere.
     pub(crate) fn release_if_abandoned(&mut self, id: RequestId, now: Time) {
@@ -218,7 +190,8 @@
         }
     }
 
-    fn remove(&mut self, id: RequestId) -> Option<PendingRequest> {
+    /// Removes a request.
+    pub(crate) fn release(&mut self, id: RequestId) -> Option<PendingRequest> {
         let request = self.requests.remove(&id)?;
         self.body_bytes -= request.body_bytes();
         if let Some(ticket) = request.ticket() {
--- a/crates/pipithub-engine/src/redelivery.rs
+++ b/crates/pipithub-engine/src/redelivery.rs
@@ -3,20 +3,16 @@
 //! A broker redelivers a message when the connection that it was delivered on is lost, whatever was done with the
 //! message until then. A request whose own delivery was lost here is joined by a redelivery of its message. For any
 //! other redelivery the decision depends on what the class of the call allows.
+//!
+//! That a message with the same identity was answered here does not matter. Once its acknowledgement is confirmed, the
+//! broker does not deliver it again, so a redelivery is that of another message, which a client published under the same
+//! id and which waits for an answer of its own.
 
-use std::collections::{BTreeMap, VecDeque};
-
-use pipithub_policy::api::{Class, DeduplicationScope, Idempotency, RequestId, Time};
-
-use crate::call::SourceMessage;
+use pipithub_policy::api::{Class, DeduplicationScope, Idempotency, Time};
 
-/// What to do with a redelivered message.
+/// What to do with a redelivered message that joins no pending request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RedeliveryDecision {
-    /// The request of the message is pending here, and this delivery replaces the one that was lost.
-    Join(RequestId),
-    /// The message was answered and its answer is safe at its source: settle the delivery without another answer.
-    Settle,
     /// The call may have run elsewhere, and running it again is harmless.
     Run {
         /// The time from now within which the call must be answered, in nanoseconds; `None` if there is no bound.
@@ -61,68 +57,3 @@
         .checked_sub(used)
         .filter(|remaining| *remaining > 0)
 }
-
-#[derive(Debug)]
-struct SettledMessage {
-    message: SourceMessage,
-    settled_at: Time,
-}
-
-/// The messages that were settled recently. Their number and age are bounded. A message that was evicted counts as
-/// unknown, which is safe: it runs again only if its class allows that.
-#[derive(Debug)]
-pub(crate) struct DeliveryHistory {
-    max_settled: usize,
-    retention: Time,
-    settled: BTreeMap<SourceMessage, Time>,
-    settled_by_age: VecDeque<SettledMessage>,
-}
-
-impl DeliveryHistory {
-    /// Creates an empty history that holds up to `max_settled` settled messages, each for `retention` nanoseconds.
-    pub(crate) fn new(max_settled: usize, retention: Time) -> Self {
-        DeliveryHistory {
-            max_settled,
-            retention,
-            settled: BTreeMap::new(),
-            settled_by_age: VecDeque::new(),
-        }
-    }
-
-    /// Drops the record of an earlier message with the same identity: a client may use an identity again, and the new
-    /// message must not be settled by the answer to the old one.
-    pub(crate) fn forget(&mut self, message: SourceMessage) {
-        self.settled.remove(&message);
-    }
-
-    /// Records that the answer to a message is safe at its source.
-    pub(crate) fn settle(&mut self, message: SourceMessage, now: Time) {
-        self.settled.insert(message, now);
-        self.settled_by_age.push_back(SettledMessage {
-            message,
-            settled_at: now,
-        });
-        self.evict_old(now);
-    }
-
-    fn evict_old(&mut self, now: Time) {
-        while let Some(oldest) = self.settled_by_age.front() {
-            let expired = oldest.settled_at + self.retention < now;
-            if !expired && self.settled_by_age.len() <= self.max_settled {
-                return;
-            }
-            // If the same identity was settled again later, the later entry keeps the record.
-            if self.settled.get(&oldest.message) == Some(&oldest.settled_at) {
-                self.settled.remove(&oldest.message);
-            }
-            self.settled_by_age.pop_front();
-        }
-    }
-
-    /// Whether the message was settled here recently.
-    pub(crate) fn is_settled(&self, message: SourceMessage, now: Time) -> bool {
-        self.settled
-            .get(&message)
-            .is_some_and(|settled_at| *settled_at + self.retention >= now)
-    }
-}
--- a/crates/pipithub-engine/src/settings.rs
+++ b/crates/pipithub-engine/src/settings.rs
@@ -7,7 +7,6 @@
 use crate::owners::Owners;
 
 const MILLISECOND: Time = 1_000_000;
-const SECOND: Time = 1_000 * MILLISECOND;
 const MEBIBYTE: usize = 1 << 20;
 
 /// The settings of an engine, which do not change while it runs.
@@ -21,10 +20,6 @@
     pub max_body_bytes: usize,
     /// How long before the client's timeout the final answer is given, so that it arrives in time, in nanoseconds.
     pub answer_margin: Time,
-    /// The maximum number of settled messages that are remembered in order to recognize redeliveries.
-    pub max_settled_messages: usize,
-    /// How long a settled message is remembered, in nanoseconds.
-    pub settled_retention: Time,
     /// A message with more earlier deliveries than this fails, because it may be the cause of crashes of front ends.
     pub max_deliveries: u32,
     /// The maximum number of functions whose names are kept for load and evict commands.
@@ -40,8 +35,6 @@
             max_pending: 4_096,
             max_body_bytes: 256 * MEBIBYTE,
             answer_margin: 5 * MILLISECOND,
-            max_settled_messages: 65_536,
-            settled_retention: 600 * SECOND,
             max_deliveries: 20,
             max_function_names: 16_384,
             owners: Arc::default(),
--- a/crates/pipithub-gateway/src/amqp.rs
+++ b/crates/pipithub-gateway/src/amqp.rs
@@ -149,7 +149,6 @@
         let now = self.clock.now();
         match command {
             Some(SourceCommand::Answer(ticket, reply)) => self.consumer.answer(now, ticket, reply),
-            Some(SourceCommand::Settle(ticket)) => self.consumer.acknowledge(now, ticket),
             // The channel closes when the front end has ended, and then no trigger can be handled any more.
             Some(SourceCommand::Shutdown) | None => self.consumer.shutdown(now),
         }
--- a/crates/pipithub-gateway/src/cron.rs
+++ b/crates/pipithub-gateway/src/cron.rs
@@ -75,7 +75,6 @@
                 log_answer(ticket, &reply);
                 self.settle(ticket).await;
             }
-            SourceCommand::Settle(ticket) => self.settle(ticket).await,
             SourceCommand::Shutdown => self.schedule.stop(),
         }
     }
--- a/crates/pipithub-gateway/src/front_end.rs
+++ b/crates/pipithub-gateway/src/front_end.rs
@@ -245,9 +245,9 @@
             return self.engine.handle(now, input, &mut self.outputs);
         };
         match input {
-            // A known redelivery bypasses admission, which must not reject what is running already. Its message is the
-            // same to the last byte as the one that was admitted, user and function included.
-            Input::Trigger(trigger) if !self.engine.knows_redelivery(&trigger, now) => {
+            // A redelivery that joins its request bypasses admission, which must not reject what is running already. Its
+            // message is the same to the last byte as the one that was admitted, user and function included.
+            Input::Trigger(trigger) if !self.engine.joins_pending_request(&trigger) => {
                 tenancy.arrive(now, trigger, &mut self.engine_inputs);
             }
             Input::SourceLost(source) => {
--- a/crates/pipithub-gateway/src/front_end/outputs.rs
+++ b/crates/pipithub-gateway/src/front_end/outputs.rs
@@ -66,7 +66,6 @@
             Output::PollLoad(worker) => self.poll_load(worker),
             Output::CheckHealth(worker) => self.check_health(worker),
             Output::Answer { ticket, reply } => self.answer(ticket, reply),
-            Output::Settle(ticket) => self.settle(ticket),
             // The gateway watches the endpoint list from its start.
             Output::WatchEndpoints => {}
         }
@@ -150,16 +149,10 @@
 
     fn answer(&mut self, ticket: Ticket, reply: Arc<Reply>) {
         self.log_answer(ticket, &reply);
-        self.finish_admission(ticket, Some(&reply));
+        self.finish_admission(ticket, &reply);
         self.send_command(ticket.source, SourceCommand::Answer(ticket, reply));
     }
 
-    /// Settles a trigger without an answer, as its request was answered before.
-    fn settle(&mut self, ticket: Ticket) {
-        self.finish_admission(ticket, None);
-        self.send_command(ticket.source, SourceCommand::Settle(ticket));
-    }
-
     fn log_answer(&self, ticket: Ticket, reply: &Reply) {
         let tenancy = self.tenancy.as_ref();
         let CallerNames { tenant, user } =
@@ -194,7 +187,7 @@
         }
     }
 
-    fn finish_admission(&mut self, ticket: Ticket, reply: Option<&Reply>) {
+    fn finish_admission(&mut self, ticket: Ticket, reply: &Reply) {
         let now = self.clock.now();
         if let Some(tenancy) = &mut self.tenancy {
             tenancy.answered(now, ticket, reply, &mut self.engine_inputs);
--- a/crates/pipithub-gateway/src/front_end/source.rs
+++ b/crates/pipithub-gateway/src/front_end/source.rs
@@ -10,8 +10,6 @@
 pub(crate) enum SourceCommand {
     /// Send the final answer and settle the trigger. The source does both or neither.
     Answer(Ticket, Arc<Reply>),
-    /// Settle the trigger without an answer.
-    Settle(Ticket),
     /// Accept no new triggers, and end when all pending ones are settled.
     Shutdown,
 }
--- a/crates/pipithub-gateway/src/tenancy.rs
+++ b/crates/pipithub-gateway/src/tenancy.rs
@@ -166,17 +166,15 @@
         }
     }
 
-    /// Handles the final answer of a call. `None` means that the call was settled without an answer, as an earlier
-    /// delivery of it had been answered.
+    /// Handles the final answer of a call.
     pub(crate) fn answered(
         &mut self,
         now: Time,
         ticket: Ticket,
-        reply: Option<&Reply>,
+        reply: &Reply,
         inputs: &mut Vec<Input>,
     ) {
-        let result = reply.map_or(ServiceResult::Other, service_result);
-        self.finish(now, ticket, result, inputs);
+        self.finish(now, ticket, service_result(reply), inputs);
     }
 
     /// Reports the end of an admitted call to admission, once for each call.
--- a/crates/pipithub-node/src/core/outputs.rs
+++ b/crates/pipithub-node/src/core/outputs.rs
@@ -51,8 +51,8 @@
                 self.answer_client(now, ticket.number, &reply);
                 self.inputs.push_back(Input::Settled(ticket));
             }
-            // Clients' calls are never redelivered, and the endpoint list is watched from the start.
-            Output::Settle(_) | Output::WatchEndpoints => {}
+            // The endpoint list is watched from the start.
+            Output::WatchEndpoints => {}
         }
     }
 
--- a/crates/pipithub-settings/src/policy.rs
+++ b/crates/pipithub-settings/src/policy.rs
@@ -199,19 +199,20 @@
     let count =
         |name: &str, default: usize, range| node.integer(name, default as u64, range) as usize;
     let default_deliveries = u64::from(defaults.max_deliveries);
+    read_settings_without_effect(node, max_client_timeout);
     EngineSettings {
         policy,
         max_pending: count("max-open", defaults.max_pending, 1..=1_000_000),
         max_body_bytes: count("max-mb", 256, 1..=65_536) * MEBIBYTE,
         answer_margin: node.duration("answer-margin", defaults.answer_margin, 0..=10 * SECOND),
-        max_settled_messages: count("remember", defaults.max_settled_messages, 0..=10_000_000),
-        settled_retention: node.duration(
-            "remember-for",
-            defaults.settled_retention,
-            max_client_timeout..=DAY,
-        ),
         max_deliveries: node.integer("max-deliveries", default_deliveries, 1..=1_000_000) as u32,
         max_function_names: count("max-names", defaults.max_function_names, 16..=10_000_000),
         owners: Default::default(),
     }
 }
+
+/// Reads settings that had an effect in earlier versions, so that their files remain valid.
+fn read_settings_without_effect(engine: &Reader<'_>, max_client_timeout: Time) {
+    engine.integer("remember", 0, 0..=10_000_000);
+    engine.duration("remember-for", max_client_timeout, max_client_timeout..=DAY);
+}
