An unsafe call is not refused by an answer whose commit was not confirmed

Change: the consumer reports each answer whose tx.commit was sent and not confirmed before it reports the loss. The engine ends the request of an unsafe call that it refused, so that the redelivery fails as an unknown one. Served and failed answers are given again: the transaction publishes both or neither, so that a message that does come again has no answer yet, and a copy of the same bytes gets the answer of the same call. No effect happens twice; the price is a refusal that becomes failed in the time of one commit.

--- a/crates/pipithub-consumer/src/consumer.rs
+++ b/crates/pipithub-consumer/src/consumer.rs
@@ -155,9 +155,15 @@
     /// Invalidates all tickets. The broker delivers their messages again, unless their transaction was committed. A
     /// consumer that is not shutting down requests another transport after the backoff.
     fn invalidate_tickets(&mut self, reason: &str) {
+        let source = self.settings.source;
+        let unconfirmed = self
+            .committing
+            .drain(..)
+            .map(|number| Ticket { source, number });
+        self.notices
+            .extend(unconfirmed.map(Notice::AnswerUnconfirmed));
         self.in_flight.clear();
         self.pending.clear();
-        self.committing.clear();
         self.dead_letters = DeadLetters::default();
         self.queue_check = QueueCheck::default();
         self.body_trials = BodyTrials::default();
--- a/crates/pipithub-consumer/src/consumer/notice.rs
+++ b/crates/pipithub-consumer/src/consumer/notice.rs
@@ -13,6 +13,9 @@
     Trigger(Box<Trigger>),
     /// The broker has committed the answer to a ticket, and its message is settled.
     Settled(Ticket),
+    /// The connection is lost while the broker commits the answer to a ticket, so that it may be published or not.
+    /// [`Lost`](Self::Lost) follows.
+    AnswerUnconfirmed(Ticket),
     /// The connection was lost, for this reason; all pending tickets are invalid.
     Lost(String),
     /// The broker delivers messages from now on.
--- a/crates/pipithub-consumer/tests/with_broker/front_end.rs
+++ b/crates/pipithub-consumer/tests/with_broker/front_end.rs
@@ -180,6 +180,7 @@
             let input = match &notice {
                 Notice::Trigger(trigger) => Some(Input::Trigger((**trigger).clone())),
                 Notice::Settled(ticket) => Some(Input::Settled(*ticket)),
+                Notice::AnswerUnconfirmed(ticket) => Some(Input::AnswerUnconfirmed(*ticket)),
                 Notice::Lost(_) => Some(Input::SourceLost(SOURCE)),
                 _ => None,
             };
--- a/crates/pipithub-consumer/tests/with_broker/redelivery.rs
+++ b/crates/pipithub-consumer/tests/with_broker/redelivery.rs
@@ -1,6 +1,7 @@
 //! Messages that are delivered again, and that the front end which gets them then cannot read, or not as before.
 
 use pipithub_amqp::{Properties, ShortStr};
+use pipithub_consumer::{Notice, Qos};
 use pipithub_engine::policy::Outcome;
 
 use crate::front_end::MAX_SIGNATURE_AGE;
@@ -137,3 +138,31 @@
         assert_eq!(bed.verdicts(), [("unsafe", vec!["failed", "served"])]);
     }
 }
+
+/// Whether a front end has reported that the commit of an answer is unconfirmed.
+fn reported_unconfirmed_answer(bed: &TestBed) -> bool {
+    let mut notices = bed.front_ends[0].notices.iter();
+    notices.any(|notice| matches!(notice, Notice::AnswerUnconfirmed(_)))
+}
+
+/// The connection is cut before the commit of an answer is sent, or before its confirmation arrives: the client gets one
+/// answer either way, and the engine is told only of the commit that may have taken effect.
+#[test]
+fn answer_is_given_once_whether_its_commit_took_effect_or_not() {
+    for is_committed in [false, true] {
+        let mut bed = TestBed::new(1, 10, Qos::Channel);
+        bed.publish("unsafe", class("unsafe"));
+        bed.run_until_idle();
+        if is_committed {
+            let now = bed.now;
+            bed.front_ends[0].finish_attempts(now, Outcome::Served);
+            bed.step_front_end(0);
+        }
+        bed.cut_connection(0);
+        bed.finish_attempts(Outcome::Served);
+        bed.advance(300 * MS);
+        assert_eq!(bed.verdicts(), [("unsafe", vec!["served"])]);
+        assert_eq!(reported_unconfirmed_answer(&bed), is_committed);
+        assert_eq!(bed.broker.depth("calls"), Some((0, 0)));
+    }
+}
--- a/crates/pipithub-consumer/tests/with_broker/test_bed.rs
+++ b/crates/pipithub-consumer/tests/with_broker/test_bed.rs
@@ -201,7 +201,8 @@
         panic!("the condition does not come to hold");
     }
 
-    fn step_front_end(&mut self, number: usize) -> bool {
+    /// Lets a front end send to the broker, whose response stays on its way. Returns whether anything happened.
+    pub(crate) fn step_front_end(&mut self, number: usize) -> bool {
         let wall_ms = (WALL_MS + self.now / MS).saturating_add_signed(self.wall_step_ms);
         let front_end = &mut self.front_ends[number];
         let broker = &mut self.broker;
--- a/crates/pipithub-engine/src/engine.rs
+++ b/crates/pipithub-engine/src/engine.rs
@@ -165,6 +165,7 @@
                 self.receive(now, trigger, Some(rejection));
             }
             Input::UserMigrated { user, successor } => self.user_migrated(now, &user, successor),
+            Input::AnswerUnconfirmed(ticket) => self.answer_unconfirmed(ticket),
             Input::SourceLost(source) => self.source_lost(now, source),
             Input::Settled(ticket) => self.pending.settle(ticket),
             Input::CallerCancelled(ticket) => self.caller_cancelled(now, ticket),
--- a/crates/pipithub-engine/src/engine/arrivals.rs
+++ b/crates/pipithub-engine/src/engine/arrivals.rs
@@ -60,7 +60,10 @@
     /// Gives a final answer to a trigger that the decision module never sees. Its body is dropped at once, so that a
     /// call that is rejected for lack of memory takes none.
     fn answer_at_once(&mut self, now: Time, trigger: Trigger, answer: FinalAnswer) {
-        let without_body = Call::default();
+        let without_body = Call {
+            class: trigger.call.class,
+            ..Call::default()
+        };
         let request = self
             .pending
             .insert(trigger.ticket, trigger.message(), without_body, now);
--- a/crates/pipithub-engine/src/engine/cancellation.rs
+++ b/crates/pipithub-engine/src/engine/cancellation.rs
@@ -1,7 +1,7 @@
 //! Requests that end early because the caller left, the source lost its connection, the user migrated, or the engine
 //! shuts down.
 
-use pipithub_policy::api::{Event, RequestId, Time};
+use pipithub_policy::api::{Event, Idempotency, RequestId, Time};
 
 use super::Engine;
 use crate::call::{SourceId, Ticket};
@@ -33,6 +33,25 @@
         }
     }
 
+    /// Handles that the answer of a ticket may or may not be safe at its source. If it is safe, the message does not come
+    /// again, and a redelivery is that of a copy of the message, which its client published after the answer.
+    ///
+    /// The copy may have run at another front end. So the rejection of a call that must not run twice is not given to it:
+    /// the request ends, and the redelivery fails like that of an unknown message. Any other answer is right for both.
+    pub(super) fn answer_unconfirmed(&mut self, ticket: Ticket) {
+        let Some((request, pending)) = self.pending.of_ticket_mut(ticket) else {
+            return;
+        };
+        pending.mark_answer_unconfirmed();
+        let is_rejected = pending
+            .reply()
+            .is_some_and(|reply| reply.verdict == Verdict::Rejected);
+        let class = &self.settings.policy.classes[pending.call().class];
+        if is_rejected && class.idempotency == Idempotency::NonIdempotent {
+            self.pending.release(request);
+        }
+    }
+
     /// Voids the tickets of a source. A request whose message is identified stays pending until its deadline, because
     /// its message may be redelivered here. Any other request is cancelled, because its answer could not be delivered.
     pub(super) fn source_lost(&mut self, now: Time, source: SourceId) {
--- a/crates/pipithub-engine/src/input.rs
+++ b/crates/pipithub-engine/src/input.rs
@@ -71,6 +71,9 @@
     Tick,
     /// A call arrived that is to run.
     Trigger(Trigger),
+    /// The source of a ticket is about to lose its connection while it waits for the confirmation that the answer is safe.
+    /// It may be safe or not. [`SourceLost`](Self::SourceLost) follows.
+    AnswerUnconfirmed(Ticket),
     /// A source lost its connection. Its pending tickets are void, and their messages may be redelivered.
     SourceLost(SourceId),
     /// The answer to a ticket is safe at its source, so the request can be removed.
--- a/crates/pipithub-engine/src/pending/request.rs
+++ b/crates/pipithub-engine/src/pending/request.rs
@@ -29,6 +29,8 @@
     attempts: u32,
     last_attempt: Option<EndedAttempt>,
     reply: Option<Arc<Reply>>,
+    /// Whether the answer may be safe at its source, although the source has lost its connection.
+    answer_unconfirmed: bool,
     body_bytes: usize,
 }
 
@@ -48,6 +50,7 @@
             attempts: 0,
             last_attempt: None,
             reply: None,
+            answer_unconfirmed: false,
         }
     }
 
@@ -86,6 +89,15 @@
         self.reply.is_some()
     }
 
+    /// Whether the answer may be safe at its source, so that the message may not be redelivered.
+    pub(crate) fn is_answer_unconfirmed(&self) -> bool {
+        self.answer_unconfirmed
+    }
+
+    pub(crate) fn mark_answer_unconfirmed(&mut self) {
+        self.answer_unconfirmed = true;
+    }
+
     /// The id of the attempt that would be made next.
     pub(crate) fn next_attempt_id(&self, request: RequestId) -> AttemptId {
         AttemptId {
@@ -126,8 +138,11 @@
         successor.is_none() || caller != successor
     }
 
-    /// Sets the ticket and returns the former one.
+    /// Sets the ticket and returns the former one. An answer is given to the new ticket again.
     pub(super) fn replace_ticket(&mut self, ticket: Option<Ticket>) -> Option<Ticket> {
+        if ticket.is_some() {
+            self.answer_unconfirmed = false;
+        }
         std::mem::replace(&mut self.ticket, ticket)
     }
 
--- a/crates/pipithub-engine/tests/random_faults/simulation.rs
+++ b/crates/pipithub-engine/tests/random_faults/simulation.rs
@@ -273,6 +273,7 @@
                     self.input(front_end, Input::Settled(ticket));
                 } else {
                     self.lose_connection(front_end);
+                    self.input(front_end, Input::AnswerUnconfirmed(ticket));
                     self.input(front_end, Input::SourceLost(SOURCE));
                 }
             }
--- a/crates/pipithub-gateway/src/amqp.rs
+++ b/crates/pipithub-gateway/src/amqp.rs
@@ -203,6 +203,7 @@
             let input = match notice {
                 Notice::Trigger(trigger) => Input::Trigger(*trigger),
                 Notice::Settled(ticket) => Input::Settled(ticket),
+                Notice::AnswerUnconfirmed(ticket) => Input::AnswerUnconfirmed(ticket),
                 Notice::Lost(_) => Input::SourceLost(self.source),
                 _ => continue,
             };
@@ -242,7 +243,7 @@
     fn log_notice(&self, notice: &Notice) {
         let (front_end, queue) = (&self.front_end, &self.queue);
         match notice {
-            Notice::Trigger(_) | Notice::Settled(_) => {}
+            Notice::Trigger(_) | Notice::Settled(_) | Notice::AnswerUnconfirmed(_) => {}
             Notice::Lost(reason) => {
                 warn!(front_end, queue, why = reason, "connection to broker lost");
             }
