A signed message is no replay because another user or key has used its id

Under identity "signed", an id that one user had used made the message of another user, or of another key's holder, a replay: answered failed, may-have-run-before, and never run, within max-age and an hour.

Change: what is remembered is the digest of key id, user and message id, each preceded by its length.

--- a/crates/pipithub-consumer/src/identity.rs
+++ b/crates/pipithub-consumer/src/identity.rs
@@ -23,7 +23,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::message::{MessageError, message_id};
-use crate::replay::{ReplayMemory, Tolerance};
+use crate::replay::{ReplayMemory, SignedId, Tolerance};
 
 const MS: Time = 1_000_000;
 /// The maximum time that the clock of a publisher may be ahead.
@@ -211,13 +211,18 @@
     let Some(user) = delivery.named_user() else {
         return Err(MessageError::MissingUser);
     };
-    check_signature(delivery, keys)?;
+    let key_id = check_signature(delivery, keys)?;
     let Some(sent_ms) = sent_ms(delivery.content).and_then(|ms| u64::try_from(ms).ok()) else {
         return Err(MessageError::MissingSendTime);
     };
-    let Some(id) = message_id(&delivery.content.properties) else {
+    let Some(message_id) = message_id(&delivery.content.properties) else {
         return Err(MessageError::MissingMessageId);
     };
+    let id = SignedId {
+        key_id,
+        user,
+        message_id,
+    };
     // Looked up before the age is checked: the answer to an old replay must not say that the call never ran either.
     if !delivery.redelivered && replays.remembers(id) {
         return Err(MessageError::Replayed);
@@ -238,16 +243,18 @@
     Ok(user)
 }
 
-fn check_signature(delivery: &Delivery<'_>, keys: &Keys) -> Result<(), MessageError> {
+/// Checks the signature of a message and returns the id of its key.
+fn check_signature<'a>(delivery: &Delivery<'a>, keys: &Keys) -> Result<&'a str, MessageError> {
     let content = delivery.content;
-    let key = header_text(content, "pipithub-key-id").and_then(|id| keys.keys.get(id));
+    let key_id = header_text(content, "pipithub-key-id").unwrap_or_default();
+    let key = keys.keys.get(key_id);
     let signature = header_text(content, "pipithub-signature").and_then(decode_hex);
     let (Some(key), Some(signature)) = (key, signature) else {
         return Err(MessageError::MissingSignature);
     };
     let mac = mac(key, content, delivery.queue);
     if mac.is_some_and(|mac| mac.verify_slice(&signature).is_ok()) {
-        Ok(())
+        Ok(key_id)
     } else {
         Err(MessageError::WrongSignature)
     }
--- a/crates/pipithub-consumer/src/replay.rs
+++ b/crates/pipithub-consumer/src/replay.rs
@@ -50,14 +50,31 @@
     }
 }
 
-/// The first half of the SHA-256 of an id, which has the same length for every id.
+/// The id of a signed message. It is unique among the messages that one user signs with one key; other users and the
+/// holders of other keys may choose the same message ids.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SignedId<'a> {
+    /// The id of the key that the message is signed with.
+    pub key_id: &'a str,
+    /// The user that the message names.
+    pub user: &'a str,
+    /// The id of the message.
+    pub message_id: &'a str,
+}
+
+/// The first half of a SHA-256, which has the same length for every id.
 type IdDigest = [u8; 16];
 
-fn digest(id: &str) -> IdDigest {
-    let whole = Sha256::digest(id.as_bytes());
-    let mut half = IdDigest::default();
-    half.copy_from_slice(&whole[..size_of::<IdDigest>()]);
-    half
+impl SignedId<'_> {
+    /// Each part is preceded by its length, so that different ids have different digests.
+    fn digest(self) -> IdDigest {
+        let mut hasher = Sha256::new();
+        for part in [self.key_id, self.user, self.message_id] {
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        hasher.finalize().first_chunk().copied().unwrap_or_default()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -95,21 +112,21 @@
     }
 
     /// Whether a message with this id was accepted, and is not forgotten.
-    pub fn remembers(&self, id: &str) -> bool {
-        self.ids.contains(&digest(id))
+    pub fn remembers(&self, id: SignedId<'_>) -> bool {
+        self.ids.contains(&id.digest())
     }
 
     /// Whether a message is new. A new one is remembered from now on.
     pub fn is_new(
         &mut self,
-        id: &str,
+        id: SignedId<'_>,
         sent_ms: u64,
         now: Time,
         wall_ms: u64,
         tolerance: Tolerance,
     ) -> bool {
         self.forget_expired(now, wall_ms, tolerance);
-        let id = digest(id);
+        let id = id.digest();
         if self.ids.contains(&id) || self.forgotten.contains(sent_ms) {
             return false;
         }
--- a/crates/pipithub-consumer/tests/replay.rs
+++ b/crates/pipithub-consumer/tests/replay.rs
@@ -1,7 +1,7 @@
 //! Tests of replays of messages whose ids were forgotten.
 
 use pipithub_clock::ManualClock;
-use pipithub_consumer::replay::{ReplayMemory, Tolerance};
+use pipithub_consumer::replay::{ReplayMemory, SignedId, Tolerance};
 
 const MS: u64 = 1_000_000;
 const WALL_MS: u64 = 1_800_000_000_000;
@@ -12,6 +12,11 @@
 
 fn is_new(memory: &mut ReplayMemory, id: &str, sent_ms: u64, clock: &ManualClock) -> bool {
     let reading = clock.read();
+    let id = SignedId {
+        key_id: "desk",
+        user: "mai",
+        message_id: id,
+    };
     memory.is_new(id, sent_ms, reading.now, reading.wall_ms, TOLERANCE)
 }
 
@@ -96,3 +101,30 @@
     assert!(!is_new(&mut memory, "first", ahead_ms, &clock));
     assert!(!is_new(&mut memory, "second", ahead_ms + 500, &clock));
 }
+
+/// Guards against a call that never runs because another user, or the holder of another key, has used its message id.
+#[test]
+fn message_id_of_another_user_or_key_is_new() {
+    let clock = ManualClock::new(1, WALL_MS);
+    let mut memory = ReplayMemory::with_capacity(10);
+    let ids = [
+        ("desk", "mai", "1"),
+        ("desk", "lan", "1"),
+        ("ward", "mai", "1"),
+        ("desk", "mai1", ""),
+    ];
+    let now = clock.read().now;
+    let mut is_new = |(key_id, user, message_id)| {
+        let id = SignedId {
+            key_id,
+            user,
+            message_id,
+        };
+        let is_remembered = memory.remembers(id);
+        let is_new = memory.is_new(id, WALL_MS, now, WALL_MS, TOLERANCE);
+        assert_ne!(is_new, is_remembered, "{id:?}");
+        is_new
+    };
+    assert_eq!(ids.map(&mut is_new), [true; 4]);
+    assert_eq!(ids.map(&mut is_new), [false; 4]);
+}
