Keys of keyed calls name their user at workers, with a change that runs none twice

Cause: the key of a keyed call is the message_id, or what the client states, and names neither user nor tenant. Workers deduplicate by the key alone.

Change: with tenants, workers see user:USER/KEY, or tenant:TENANT/KEY for calls without a user. The user, not the tenant, as a retry after a migration must have the same key. A worker cannot tell that 17 and user:mai/17 are one call. So front ends can be given the time of the change (admission scoped-keys-since): plain keys before it, then no keyed call at all for as long as workers may know the plain one (give-up, window, twice 30 s of skew; refused, and failed if redelivered), then scoped keys.

The test of the change fixes by clocks 60 s apart that the first scoped key comes after the last plain one's lifetime.

--- a/crates/pipithub-admission/src/lib.rs
+++ b/crates/pipithub-admission/src/lib.rs
@@ -5,10 +5,12 @@
 //! rejects requests. Where a request runs is decided by the decision module alone.
 
 mod admission;
+mod idempotency_key;
 mod outputs;
 mod quotas;
 
 pub use admission::{Admission, AdmissionSettings};
+pub use idempotency_key::{KeyChange, KeyForm, KeyOwner};
 pub use outputs::{Admitted, Arrival, Completion, Output, RejectReason, ServiceResult};
 pub use quotas::{LimitRange, QuotaSettings, RateLimit, TenantQuota};
 
--- a/crates/pipithub-engine/src/reply.rs
+++ b/crates/pipithub-engine/src/reply.rs
@@ -62,6 +62,8 @@
     OverQuota,
     /// The tenant exceeds its rate limit.
     OverRate,
+    /// Front ends are changing the form in which they send idempotency keys, so that the call could run twice now.
+    KeysChanging,
 }
 
 impl Cause {
@@ -84,6 +86,7 @@
             Cause::UserMigrated => "user-moved",
             Cause::OverQuota => "over-share",
             Cause::OverRate => "over-rate",
+            Cause::KeysChanging => "keys-changing",
         }
     }
 }
--- a/crates/pipithub-gateway/tests/tenants/main.rs
+++ b/crates/pipithub-gateway/tests/tenants/main.rs
@@ -2,6 +2,7 @@
 //! stale replicas. They check which calls the worker has received.
 
 mod identity;
+mod keys;
 mod migrations;
 mod random_migrations;
 mod rig;
--- a/crates/pipithub-gateway/tests/tenants/rig.rs
+++ b/crates/pipithub-gateway/tests/tenants/rig.rs
@@ -53,6 +53,8 @@
     pub(crate) at_ns: u64,
     pub(crate) request: String,
     pub(crate) function: String,
+    /// The idempotency key that the worker sees.
+    pub(crate) key: Option<String>,
 }
 
 /// A broker and a worker, and a folder for files.
@@ -142,11 +144,15 @@
     pub(crate) fn received_calls(&self) -> Vec<ReceivedCall> {
         let call = |r: pipithub_conformance::record::Record| match r.seen {
             Seen::Call {
-                request, function, ..
+                request,
+                function,
+                key,
+                ..
             } => Some(ReceivedCall {
                 at_ns: r.time_ns,
                 request,
                 function,
+                key,
             }),
             _ => None,
         };
--- a/crates/pipithub-settings/src/tenants.rs
+++ b/crates/pipithub-settings/src/tenants.rs
@@ -111,6 +111,7 @@
         directories,
         admission: admission.settings,
         max_users: admission.max_users,
+        scoped_keys_since_ms: admission.scoped_keys_since_ms,
         snapshot: admission.snapshot,
     });
     let tenants = Tenants {
--- a/crates/pipithub-settings/src/tenants/admission.rs
+++ b/crates/pipithub-settings/src/tenants/admission.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use chrono::DateTime;
 use pipithub_admission::{AdmissionSettings, LimitRange, QuotaSettings, RateLimit, TenantQuota};
 
 use crate::duration::{DAY, MS, SECOND};
@@ -12,6 +13,7 @@
 pub(super) struct Admission {
     pub(super) settings: AdmissionSettings,
     pub(super) max_users: usize,
+    pub(super) scoped_keys_since_ms: Option<u64>,
     pub(super) snapshot: Option<SnapshotConfig>,
 }
 
@@ -33,15 +35,30 @@
         max_waiting: node.integer("max-waiting", 4_096, 0..=1_000_000) as usize,
     };
     let max_users = node.integer("max-users", 2_000_000, 1..=100_000_000) as usize;
+    let scoped_keys_since_ms = read_timestamp(&node, "scoped-keys-since");
     let snapshot = node.child("snapshot").map(|node| read_snapshot(&node));
     node.finish();
     Admission {
         settings,
         max_users,
+        scoped_keys_since_ms,
         snapshot,
     }
 }
 
+/// Reads a time of the form `2026-12-08T02:00:00Z`, in Unix milliseconds; `None` if it is not given.
+fn read_timestamp(node: &Reader<'_>, name: &str) -> Option<u64> {
+    let text = node.text(name)?;
+    let time = DateTime::parse_from_rfc3339(&text).ok();
+    let unix_ms = time.and_then(|time| u64::try_from(time.timestamp_millis()).ok());
+    if unix_ms.is_none() {
+        node.fault(format!(
+            "'{name}' is a time such as 2026-12-08T02:00:00Z, not '{text}'"
+        ));
+    }
+    unix_ms
+}
+
 fn read_limit(node: &Reader<'_>) -> LimitRange {
     let limit = LimitRange {
         min: node.number("limit-least", 8.0, 1.0..=1e6),
--- a/crates/pipithub-settings/tests/settings.rs
+++ b/crates/pipithub-settings/tests/settings.rs
@@ -228,3 +228,33 @@
     let key = format!("{:?}", b"the-key-of-the-snapshot");
     assert!(!tenants.contains(&key), "{tenants}");
 }
+
+#[test]
+fn time_since_when_keys_are_scoped_is_read_with_its_offset_or_rejected() {
+    let read = |time: &str| {
+        let text = format!(
+            "{VALID}\n\
+             directory \"campus\" {{ server \"127.0.0.1:3890\"; tls \"none\"; base \"dc=example\" }}\n\
+             tenant \"north\" {{ directory \"campus\" base=\"ou=north,dc=example\" }}\n\
+             admission {{ scoped-keys-since \"{time}\" }}"
+        );
+        let text = text
+            .replace("queue \"calls\" {", "queue \"calls\" { tenant \"north\";")
+            .replace("cron \"dawn\" {", "cron \"dawn\" { tenant \"north\";");
+        Config::parse("valid.kdl", &text)
+            .map(|config| config.tenants.expect("a tenant").scoped_keys_since_ms)
+            .map_err(|faults| format!("{:?}", faults.lines()))
+    };
+    assert_eq!(read("2026-12-08T02:00:00Z"), Ok(Some(1_796_695_200_000)));
+    assert_eq!(
+        read("2026-12-08T09:00:00+07:00"),
+        Ok(Some(1_796_695_200_000))
+    );
+    for invalid in ["", "tomorrow", "2026-12-08", "1900-01-01T00:00:00Z"] {
+        let fault = read(invalid).expect_err(invalid);
+        assert!(
+            fault.contains("'scoped-keys-since' is a time such as"),
+            "{fault}"
+        );
+    }
+}
