An unconfirmed answer to an unsafe call is given to no redelivery

The commit of the second publication's answer took effect without its confirmation, and the third one, redelivered from a front end whose worker had not run it, joined that request.

Change: the request of an unsafe call ends whatever its answer, and a redelivery fails, which is true in both cases. Safe and keyed calls keep the answer, as running or not running a copy of theirs makes no difference. The price: an unsafe call whose commit did not take effect, within the time of one commit before a lost connection, is failed in place of its answer. The order among copies is not needed any more and goes.

--- a/crates/pipithub-engine/src/engine/cancellation.rs
+++ b/crates/pipithub-engine/src/engine/cancellation.rs
@@ -34,20 +34,21 @@
     }
 
     /// Handles that the answer of a ticket may or may not be safe at its source. If it is safe, the message does not come
-    /// again, and a redelivery is that of a copy of the message, which its client published after the answer.
+    /// again, and a redelivery is that of a copy of the message, which its client published too.
     ///
-    /// The copy may have run at another front end. So the rejection of a call that must not run twice is not given to it:
-    /// the request ends, and the redelivery fails like that of an unknown message. Any other answer is right for both.
+    /// The copy may have run at another front end, or not. So neither the rejection nor the result of a call that must not
+    /// run twice is given to it: the request ends, and a redelivery fails like that of an unknown message. Other calls may
+    /// have the answer to a copy.
     pub(super) fn answer_unconfirmed(&mut self, ticket: Ticket) {
-        let Some((request, pending)) = self.pending.of_ticket_mut(ticket) else {
+        let Some(request) = self.pending.of_ticket(ticket) else {
             return;
         };
-        pending.mark_answer_unconfirmed();
-        let is_rejected = pending
-            .reply()
-            .is_some_and(|reply| reply.verdict == Verdict::Rejected);
-        let class = &self.settings.policy.classes[pending.call().class];
-        if is_rejected && class.idempotency == Idempotency::NonIdempotent {
+        let class = self
+            .pending
+            .get(request)
+            .map(|pending| pending.call().class);
+        let class = class.and_then(|class| self.settings.policy.classes.get(class));
+        if class.is_some_and(|class| class.idempotency == Idempotency::NonIdempotent) {
             self.pending.release(request);
         }
     }
--- a/crates/pipithub-engine/src/pending.rs
+++ b/crates/pipithub-engine/src/pending.rs
@@ -57,14 +57,9 @@
         self.next_id
     }
 
-    /// The request that a redelivery of the message joins; `None` if no request of the message has lost its delivery. Of
-    /// copies, those that are redelivered for certain come first.
+    /// The request that a redelivery of the message joins; `None` if no request of the message has lost its delivery.
     pub(crate) fn awaiting_redelivery(&self, message: SourceMessage) -> Option<RequestId> {
-        let is_uncertain = |id: &RequestId| {
-            self.get(*id)
-                .is_some_and(PendingRequest::is_answer_unconfirmed)
-        };
-        self.lost_deliveries.of(message).min_by_key(is_uncertain)
+        self.lost_deliveries.first_of(message)
     }
 
     /// Adds the request of a new message and returns its id.
@@ -120,15 +115,6 @@
         self.by_ticket.get(&ticket).copied()
     }
 
-    /// The request of a ticket.
-    pub(crate) fn of_ticket_mut(
-        &mut self,
-        ticket: Ticket,
-    ) -> Option<(RequestId, &mut PendingRequest)> {
-        let id = self.of_ticket(ticket)?;
-        Some((id, self.requests.get_mut(&id)?))
-    }
-
     /// The tickets of a source, in their order.
     pub(crate) fn tickets_of(&self, source: SourceId) -> Vec<Ticket> {
         self.by_ticket
--- a/crates/pipithub-engine/src/pending/lost_deliveries.rs
+++ b/crates/pipithub-engine/src/pending/lost_deliveries.rs
@@ -33,8 +33,8 @@
         }
     }
 
-    /// The requests that a redelivery of the message may join, in the order in which their deliveries were lost.
-    pub(super) fn of(&self, message: SourceMessage) -> impl Iterator<Item = RequestId> {
-        self.requests.get(&message).into_iter().flatten().copied()
+    /// The request that a redelivery of the message joins: the one whose delivery was lost first.
+    pub(super) fn first_of(&self, message: SourceMessage) -> Option<RequestId> {
+        self.requests.get(&message)?.front().copied()
     }
 }
--- a/crates/pipithub-engine/src/pending/request.rs
+++ b/crates/pipithub-engine/src/pending/request.rs
@@ -29,8 +29,6 @@
     attempts: u32,
     last_attempt: Option<EndedAttempt>,
     reply: Option<Arc<Reply>>,
-    /// Whether the answer may be safe at its source, although the source has lost its connection.
-    answer_unconfirmed: bool,
     body_bytes: usize,
 }
 
@@ -50,7 +48,6 @@
             attempts: 0,
             last_attempt: None,
             reply: None,
-            answer_unconfirmed: false,
         }
     }
 
@@ -89,15 +86,6 @@
         self.reply.is_some()
     }
 
-    /// Whether the answer may be safe at its source, so that the message may not be redelivered.
-    pub(crate) fn is_answer_unconfirmed(&self) -> bool {
-        self.answer_unconfirmed
-    }
-
-    pub(crate) fn mark_answer_unconfirmed(&mut self) {
-        self.answer_unconfirmed = true;
-    }
-
     /// The id of the attempt that would be made next.
     pub(crate) fn next_attempt_id(&self, request: RequestId) -> AttemptId {
         AttemptId {
@@ -138,11 +126,8 @@
         successor.is_none() || caller != successor
     }
 
-    /// Sets the ticket and returns the former one. An answer is given to the new ticket again.
+    /// Sets the ticket and returns the former one.
     pub(super) fn replace_ticket(&mut self, ticket: Option<Ticket>) -> Option<Ticket> {
-        if ticket.is_some() {
-            self.answer_unconfirmed = false;
-        }
         std::mem::replace(&mut self.ticket, ticket)
     }
 
