Random test of clients that number their messages alike, judged by client and workers

Change: equal_ids draws calls that share three message ids, the same bytes published again, retries after a refusal, kills, cut connections, and cuts before the confirmation of a commit. It judges by the client's and the workers' records: each publication has one answer, a served answer belongs to its own call and that call ran, and an unsafe call runs at most as often as it is not refused. Workers of the test bed repeat the call's body. A fault of the test bed goes with it: what an engine put out when it was told of a cancelled attempt was dropped, so that such calls were never answered, with unique ids too.

--- a/crates/pipithub-consumer/tests/with_broker/client.rs
+++ b/crates/pipithub-consumer/tests/with_broker/client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use pipithub_amqp::{
     Content, Endpoint, Event, FieldTable, FieldValue, Login, Method, Properties, Tuning,
 };
@@ -22,6 +23,8 @@
     pub(crate) connection: ServerConnection,
     /// The verdicts of the answers, by correlation id.
     pub(crate) answers: BTreeMap<String, Vec<String>>,
+    /// The bodies of the answers of served calls, by correlation id.
+    pub(crate) served_bodies: BTreeMap<String, Vec<Bytes>>,
     /// The messages that were fetched one by one.
     pub(crate) fetched: Vec<Content>,
 }
@@ -32,6 +35,7 @@
             endpoint: Endpoint::client(Login::default(), Tuning::default(), 0),
             connection: ServerConnection::new(CLIENT_CONNECTION, CLIENT_USER, 0),
             answers: BTreeMap::new(),
+            served_bodies: BTreeMap::new(),
             fetched: Vec::new(),
         }
     }
@@ -60,7 +64,7 @@
         });
     }
 
-    pub(crate) fn publish(&mut self, properties: Properties) {
+    pub(crate) fn publish(&mut self, properties: Properties, body: &[u8]) {
         let publish = Method::BasicPublish {
             exchange: short(""),
             routing_key: short("calls"),
@@ -68,7 +72,7 @@
             immediate: false,
         };
         self.endpoint
-            .send_content(CHANNEL, publish, properties, CALL_BODY)
+            .send_content(CHANNEL, publish, properties, body)
             .expect("the channel is open");
     }
 
@@ -108,6 +112,10 @@
         let id = properties.correlation_id.as_deref().unwrap_or("none");
         let headers = properties.headers.expect("an answer has headers");
         let verdict = headers.get("pipithub-verdict").and_then(FieldValue::as_str);
+        if verdict == Some("served") {
+            let bodies = self.served_bodies.entry(id.to_string()).or_default();
+            bodies.push(content.body);
+        }
         self.answers
             .entry(id.to_string())
             .or_default()
--- a/crates/pipithub-consumer/tests/with_broker/front_end.rs
+++ b/crates/pipithub-consumer/tests/with_broker/front_end.rs
@@ -78,6 +78,8 @@
     pub(crate) id: AttemptId,
     /// The message id of its call.
     message_id: String,
+    /// The body of its call.
+    pub(crate) body: Bytes,
 }
 
 impl RunningAttempt {
@@ -85,6 +87,7 @@
         RunningAttempt {
             id,
             message_id: call.message_id.as_deref().unwrap_or("?").to_string(),
+            body: call.body.clone(),
         }
     }
 }
@@ -97,9 +100,11 @@
     pub(crate) attempts: Vec<RunningAttempt>,
     /// The message ids of the calls that have arrived at a worker since the test bed took them last.
     pub(crate) arrived_at_workers: Vec<String>,
+    /// The bodies of these calls.
+    pub(crate) arrived_bodies: Vec<Bytes>,
     pub(crate) notices: Vec<Notice>,
-    /// The body that workers answer with.
-    pub(crate) served_body: Bytes,
+    /// The body that workers answer with; `None` if they repeat that of the call.
+    pub(crate) served_body: Option<Bytes>,
 }
 
 impl FrontEnd {
@@ -112,8 +117,9 @@
             connection: None,
             attempts: Vec::new(),
             arrived_at_workers: Vec::new(),
+            arrived_bodies: Vec::new(),
             notices: Vec::new(),
-            served_body: Bytes::from_static(b"done"),
+            served_body: None,
         }
     }
 
@@ -197,13 +203,18 @@
             Output::Forward { id, call, .. } => {
                 let attempt = RunningAttempt::new(id, &call);
                 self.arrived_at_workers.push(attempt.message_id.clone());
+                self.arrived_bodies.push(attempt.body.clone());
                 self.attempts.push(attempt);
             }
             Output::Answer { ticket, reply } => self.consumer.answer(now, ticket, reply),
             Output::Cancel(id) => {
                 self.attempts.retain(|attempt| attempt.id != id);
                 let cancelled = Input::AttemptFinished(attempt_result(id, Outcome::Cancelled));
-                self.engine.handle(now, cancelled, &mut Vec::new());
+                let mut outputs = Vec::new();
+                self.engine.handle(now, cancelled, &mut outputs);
+                for output in outputs {
+                    self.handle_output(now, output);
+                }
             }
             _ => {}
         }
@@ -216,7 +227,7 @@
             message_ids.push(attempt.message_id);
             let mut result = attempt_result(attempt.id, outcome);
             if let Some(served) = &mut result.served {
-                served.body = self.served_body.clone();
+                served.body = self.served_body.clone().unwrap_or(attempt.body);
             }
             let finished = Input::AttemptFinished(result);
             let mut outputs = Vec::new();
--- a/crates/pipithub-consumer/tests/with_broker/main.rs
+++ b/crates/pipithub-consumer/tests/with_broker/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod connection;
 mod dead_letters;
+mod equal_ids;
 mod front_end;
 mod redelivery;
 mod test_bed;
--- a/crates/pipithub-consumer/tests/with_broker/test_bed.rs
+++ b/crates/pipithub-consumer/tests/with_broker/test_bed.rs
@@ -80,6 +80,8 @@
     pub(crate) client: Client,
     /// The message ids of all calls that have arrived at a worker, as the workers have recorded them.
     pub(crate) arrived_at_workers: BTreeSet<String>,
+    /// The number of calls that have arrived at a worker, by their bodies.
+    pub(crate) arrivals_by_body: BTreeMap<Bytes, usize>,
     next_connection: ConnectionId,
 }
 
@@ -161,6 +163,7 @@
                 .collect(),
             client: Client::new(),
             arrived_at_workers: BTreeSet::new(),
+            arrivals_by_body: BTreeMap::new(),
             next_connection: CLIENT_CONNECTION + 1,
         };
         bed.run_until_idle();
@@ -212,6 +215,9 @@
         let progressed = front_end.step(self.now, wall_ms, broker);
         self.arrived_at_workers
             .extend(front_end.arrived_at_workers.drain(..));
+        for body in front_end.arrived_bodies.drain(..) {
+            *self.arrivals_by_body.entry(body).or_default() += 1;
+        }
         progressed
     }
 
@@ -267,7 +273,7 @@
             ..Properties::default()
         };
         change(&mut properties);
-        self.client.publish(properties);
+        self.client.publish(properties, CALL_BODY);
     }
 
     pub(crate) fn delete_calls_queue(&mut self) {
@@ -295,7 +301,7 @@
     /// The same, with bodies of that size from the workers.
     pub(crate) fn finish_attempts_with_body(&mut self, bytes: usize) -> Vec<String> {
         for front_end in &mut self.front_ends {
-            front_end.served_body = vec![b'a'; bytes].into();
+            front_end.served_body = Some(vec![b'a'; bytes].into());
         }
         self.finish_attempts(Outcome::Served)
     }
