Scenario in which users number their messages alike, judged for foreign and hollow answers

The records are joined by the correlation id, and workers record a call under the name that its body states.

--- a/crates/pipithub-conformance/src/rules/final_answer.rs
+++ b/crates/pipithub-conformance/src/rules/final_answer.rs
@@ -1,4 +1,4 @@
-//! Checks that each request has exactly one final answer, in time.
+//! Checks that each request has exactly one final answer, in time, and that a served one ran.
 
 use super::{Answer, Breach, MS, RequestTrace, Rule, RuleConfig};
 
@@ -33,6 +33,7 @@
         [answer] => {
             check_lateness(id, answer, trace, config, &mut add);
             check_later_attempts(id, answer, trace, config, &mut add);
+            check_served(id, answer, trace, &mut add);
         }
         [_, second, ..] => {
             let answers: Vec<String> = trace
@@ -78,6 +79,21 @@
     }
 }
 
+/// Reports a request that was answered as served although no worker ran it, for example because a worker took it for the
+/// repeat of another one. A request with several attempts may be a repeat of itself.
+fn check_served(
+    id: &str,
+    answer: &Answer,
+    trace: &RequestTrace,
+    add: &mut impl FnMut(u64, String),
+) {
+    let may_be_own_repeat = trace.attempts.len() > 1;
+    if answer.verdict == "served" && trace.effects.is_empty() && !may_be_own_repeat {
+        let what = format!("call {id} was answered as served and never ran");
+        add(answer.at, what);
+    }
+}
+
 /// Reports the first attempt that was made after the request had been answered.
 fn check_later_attempts(
     id: &str,
--- a/crates/pipithub-conformance/src/rules/tenants.rs
+++ b/crates/pipithub-conformance/src/rules/tenants.rs
@@ -66,11 +66,13 @@
     for record in records {
         if let Seen::Published {
             queues,
-            message_id: Some(id),
+            message_id,
+            correlation_id,
             headers,
             ..
         } = &record.seen
             && queues.contains(&config.queue)
+            && let Some(id) = correlation_id.as_ref().or(message_id.as_ref())
             && let Some(user) = headers.get("pipithub-user")
         {
             users.insert(id, user);
--- a/crates/pipithub-conformance/src/rules/trace.rs
+++ b/crates/pipithub-conformance/src/rules/trace.rs
@@ -77,7 +77,8 @@
     pub effects: Vec<u64>,
 }
 
-/// Groups records by the id of the request that they belong to.
+/// Groups records by the id of the request that they belong to: the correlation id, which is unique here, as clients may
+/// choose equal message ids.
 pub fn request_traces(records: &[Record], config: &RuleConfig) -> BTreeMap<String, RequestTrace> {
     // Traces are created first, because the records of different services are in no common order.
     let mut traces: BTreeMap<String, RequestTrace> = records
@@ -103,7 +104,8 @@
 fn published_request(record: &Record, config: &RuleConfig) -> Option<(String, RequestTrace)> {
     let Seen::Published {
         queues,
-        message_id: Some(id),
+        message_id,
+        correlation_id,
         headers,
         expiration_ms,
         ..
@@ -114,6 +116,7 @@
     if !queues.contains(&config.queue) {
         return None;
     }
+    let id = correlation_id.as_ref().or(message_id.as_ref())?;
     let class = headers.get("pipithub-class").cloned().unwrap_or_default();
     let requested_ms = headers
         .get("pipithub-budget-ms")
@@ -135,8 +138,11 @@
     match seen {
         Seen::Published { correlation_id, .. } => correlation_id.as_deref(),
         Seen::Delivered {
-            queue, message_id, ..
-        } if *queue == config.queue => message_id.as_deref(),
+            queue,
+            message_id,
+            correlation_id,
+            ..
+        } if *queue == config.queue => correlation_id.as_deref().or(message_id.as_deref()),
         Seen::Call { request, .. } | Seen::Replied { request, .. } | Seen::Ran { request, .. } => {
             Some(request)
         }
--- a/crates/pipithub-conformance/tests/rules.rs
+++ b/crates/pipithub-conformance/tests/rules.rs
@@ -213,6 +213,7 @@
             published(10, "b", "safe"),
             delivered(11, "b", false),
             delivered(1_500, "b", again),
+            ran(1_510, "b", "w1"),
             answered(ms, "b", "served"),
         ]
     };
@@ -236,6 +237,57 @@
     );
 }
 
+/// A worker that takes a call for the repeat of another one answers it and does not run it.
+#[test]
+fn call_that_is_served_and_never_ran_is_found() {
+    let repeat = Seen::Ran {
+        request: "b".into(),
+        key: Some("1".into()),
+        dropped: true,
+    };
+    let served = |more: Vec<Record>| {
+        let mut records = vec![
+            published(10, "b", "keyed"),
+            delivered(11, "b", false),
+            call(12, "b", "w1", 0),
+            record(13, "w1", repeat.clone()),
+            answered(20, "b", "served"),
+        ];
+        records.extend(more);
+        compliant_with(records)
+    };
+    assert_eq!(broken_rules(served(vec![])), [Rule::OneFinalAnswer]);
+    let own_repeat = vec![call(5, "b", "w2", 0)];
+    assert_eq!(broken_rules(served(own_repeat)), []);
+}
+
+/// Clients may choose equal message ids. Their calls are told apart by the correlation ids.
+#[test]
+fn calls_with_equal_message_ids_are_judged_each() {
+    let with_message_id = |mut record: Record| {
+        match &mut record.seen {
+            Seen::Published { message_id, .. } | Seen::Delivered { message_id, .. } => {
+                *message_id = Some("1".into());
+            }
+            _ => {}
+        }
+        record
+    };
+    let served = |id: &str| {
+        vec![
+            with_message_id(published(10, id, "unsafe")),
+            with_message_id(delivered(11, id, false)),
+            call(12, id, "w1", 0),
+            ran(13, id, "w1"),
+            answered(20, id, "served"),
+        ]
+    };
+    let both = [served("b"), served("c")].concat();
+    assert_eq!(broken_rules(both.clone()), []);
+    let unanswered: Vec<Record> = both[..both.len() - 1].to_vec();
+    assert_eq!(broken_rules(unanswered), [Rule::OneFinalAnswer]);
+}
+
 #[test]
 fn duplicate_effects_are_found() {
     let two = |class: &str, second: u64| {
@@ -243,6 +295,7 @@
             published(0, "b", class),
             delivered(1, "b", false),
             call(2, "b", "w1", 0),
+            ran(3, "b", "w1"),
             call(second, "b", "w2", 1),
             answered(1_500, "b", "served"),
         ]
@@ -286,6 +339,7 @@
             came,
             notified(700, "w1", state),
             call(ms, "b", "w1", 0),
+            ran(ms + 1, "b", "w1"),
             over,
         ])
     };
--- a/crates/pipithub-emulator/src/worker/inference.rs
+++ b/crates/pipithub-emulator/src/worker/inference.rs
@@ -143,7 +143,10 @@
         let Some(model) = unescape(escaped_model) else {
             return Ok(self.empty_response(StatusCode::BAD_REQUEST));
         };
-        let request = self.text(header::REQUEST_ID).unwrap_or_default();
+        let document: Option<Value> = serde_json::from_slice(&body).ok();
+        let request = stated_name(document.as_ref())
+            .or_else(|| self.text(header::REQUEST_ID))
+            .unwrap_or_default();
         let key = self.text(header::IDEMPOTENCY_KEY);
         let attempt = self.number(header::ATTEMPT) as u32;
         self.shared.record(Seen::Call {
@@ -153,7 +156,6 @@
             function: model.clone(),
             key: key.clone(),
         });
-        let document: Option<Value> = serde_json::from_slice(&body).ok();
         let claimed = self.claim(key.as_deref()).await;
         let inference = InferenceRequest {
             id: 0,
@@ -280,6 +282,13 @@
     }
 }
 
+/// The name that a request states among its parameters, under which it is recorded. Clients may choose equal message ids,
+/// so that the id of the request does not tell which one it is.
+fn stated_name(document: Option<&Value>) -> Option<String> {
+    let name = document?["parameters"]["call"].as_str()?;
+    Some(name.to_string())
+}
+
 /// The work that a request states among its parameters, in nanoseconds.
 fn stated_work(document: Option<&Value>) -> Option<Time> {
     let ms = document?["parameters"]["work_ms"].as_f64()?;
--- a/crates/pipithub-scenario/src/client.rs
+++ b/crates/pipithub-scenario/src/client.rs
@@ -16,8 +16,10 @@
 /// A request to publish.
 #[derive(Clone, Debug, Default)]
 pub struct Publish {
-    /// The message id, by which the answer is found.
+    /// The correlation id, by which the answer is found.
     pub id: String,
+    /// The message id; `None` if it is the correlation id.
+    pub message_id: Option<String>,
     /// The queue to publish to.
     pub queue: String,
     /// The class of the request.
--- a/crates/pipithub-scenario/src/client/connection.rs
+++ b/crates/pipithub-scenario/src/client/connection.rs
@@ -211,9 +211,10 @@
 
 /// The message of a request, with a signature if the request is signed.
 fn message(request: Publish, reply_queue: &str) -> Content {
+    let message_id = request.message_id.as_ref().unwrap_or(&request.id);
     let properties = Properties {
         content_type: Some(short("application/json")),
-        message_id: Some(short(&request.id)),
+        message_id: Some(short(message_id)),
         correlation_id: Some(short(&request.id)),
         reply_to: Some(short(reply_queue)),
         delivery_mode: Some(PERSISTENT),
--- a/crates/pipithub-scenario/src/load.rs
+++ b/crates/pipithub-scenario/src/load.rs
@@ -89,6 +89,8 @@
     migrations: Peekable<std::vec::IntoIter<Migration>>,
     /// The present tenant of each user.
     tenant_of: Vec<usize>,
+    /// The number of requests that each user has made.
+    requests_of: Vec<usize>,
     /// The popularity of each function: a few functions get a large part of all requests.
     function_weights: Vec<f64>,
     /// The time of the last request, in nanoseconds from the start.
@@ -97,6 +99,27 @@
     count: usize,
 }
 
+/// The user of a request.
+struct DrawnUser {
+    user: usize,
+    /// The tenant whose function is requested, as an index into [`TENANTS`].
+    tenant: usize,
+    signed: Signed,
+}
+
+/// The body of a request with this id; without an id, its message id identifies it. Workers record the request under its
+/// id, and return the inputs, by which the client sees whose answer it gets.
+fn call_body(id: Option<&str>, work_ms: f64) -> Vec<u8> {
+    let parameters = format!("\"work_ms\":{work_ms:.2}");
+    let body = match id {
+        None => format!("{{\"inputs\":[],\"parameters\":{{{parameters}}}}}"),
+        Some(id) => {
+            format!("{{\"inputs\":[\"{id}\"],\"parameters\":{{\"call\":\"{id}\",{parameters}}}}}")
+        }
+    };
+    body.into_bytes()
+}
+
 /// The changes of the load that are active at a time.
 struct LoadChanges {
     one_time_share: f64,
@@ -115,6 +138,7 @@
             user_random: SplitMix64::new(seed ^ USER_STREAM),
             migrations: migrations(scenario, seed).into_iter().peekable(),
             tenant_of: (0..users).map(initial_tenant).collect(),
+            requests_of: vec![0; users],
             function_weights: (1..=scenario.functions).map(|n| 1.0 / n as f64).collect(),
             at: 0.0,
             count: 0,
@@ -170,8 +194,8 @@
         pick_by_weight(self.function_weights.iter().copied(), drawn).unwrap_or(0)
     }
 
-    /// Draws the user of a request; returns the tenant whose function is requested, and the signature.
-    fn draw_user(&mut self, tenants: &TenantSpec, surge: f64) -> (usize, Signed) {
+    /// Draws the user of a request; returns the user, the tenant whose function is requested, and the signature.
+    fn draw_user(&mut self, tenants: &TenantSpec, surge: f64) -> DrawnUser {
         // Without a surge, half of the requests are from users of the second tenant.
         let wanted = usize::from(self.user_random.unit() < surge / (1.0 + surge));
         let user = (0..USER_DRAWS)
@@ -189,7 +213,19 @@
             key_id: SIGNING_KEY_ID.into(),
             key: SIGNING_KEY.into(),
         };
-        (tenant, signed)
+        DrawnUser {
+            user,
+            tenant,
+            signed,
+        }
+    }
+
+    /// The message id of the next request of a user; `None` if it is that of the request.
+    fn next_message_id(&mut self, user: usize, tenants: &TenantSpec) -> Option<String> {
+        self.requests_of[user] += 1;
+        tenants
+            .has_equal_ids
+            .then(|| self.requests_of[user].to_string())
     }
 
     fn draw_request(&mut self, now: u64, surge: f64) -> Publish {
@@ -209,25 +245,28 @@
         } else {
             format!("model-{popular}")
         };
-        let mut signed = None;
+        let (mut signed, mut message_id) = (None, None);
         if let Some(tenants) = &self.scenario.tenants {
-            let (tenant, signature) = self.draw_user(tenants, surge);
-            function = format!("{}-{function}", TENANTS[tenant]);
-            signed = Some(signature);
+            let drawn = self.draw_user(tenants, surge);
+            function = format!("{}-{function}", TENANTS[drawn.tenant]);
+            message_id = self.next_message_id(drawn.user, tenants);
+            signed = Some(drawn.signed);
         }
         let budget_ms = short_timeout.then(|| 5 + self.random.below(60) as u64);
         // The run time is half to one and a half times the mean of the class.
         let work_ms = milliseconds(class.work) * (0.5 + self.random.unit());
+        let id = format!("{}-{number}", self.seed);
+        let stated_id = message_id.is_some().then_some(id.as_str());
         Publish {
-            id: format!("{}-{number}", self.seed),
+            body: call_body(stated_id, work_ms),
+            message_id,
             queue: self.queue.to_string(),
             class: class.name.clone(),
             function,
             budget_ms,
             memory_mb: 0,
             lanes: REPLICA_CONCURRENCY,
-            body: format!("{{\"inputs\":[],\"parameters\":{{\"work_ms\":{work_ms:.2}}}}}")
-                .into_bytes(),
+            id,
             signed,
             user_id: None,
         }
--- a/crates/pipithub-scenario/src/run.rs
+++ b/crates/pipithub-scenario/src/run.rs
@@ -69,8 +69,10 @@
     cluster.shut_down().await;
     let records = records(folder)?;
     let config = rule_config(scenario);
+    let mut breaches = check(&records, &config);
+    breaches.extend(driven.breaches);
     Ok(Outcome {
-        breaches: check(&records, &config),
+        breaches,
         report: report(&records, &config, REPORT_WINDOW),
         faults,
         calls: request_traces(&records, &config).len(),
--- a/crates/pipithub-scenario/src/run/driver.rs
+++ b/crates/pipithub-scenario/src/run/driver.rs
@@ -5,6 +5,7 @@
 
 use pipithub_amqp::Login;
 use pipithub_clock::{Clock, wall_ns};
+use pipithub_conformance::rules::{Breach, Rule};
 
 use super::QUEUE;
 use super::action::{Action, schedule};
@@ -27,6 +28,8 @@
     pub(super) began: u64,
     /// The number of answers received.
     pub(super) answered: usize,
+    /// The answers that belong to other requests.
+    pub(super) breaches: Vec<Breach>,
 }
 
 /// Publishes the load and carries out the actions, until all requests are answered and all actions done, or until no more
@@ -51,12 +54,30 @@
         published: 0,
         answered: 0,
         verdicts: BTreeMap::new(),
+        has_equal_ids: scenario.tenants.as_ref().is_some_and(|t| t.has_equal_ids),
+        breaches: Vec::new(),
         next_progress: PROGRESS_PERIOD,
         progress,
     };
     driver.run(latest_end(scenario)).await?;
-    let answered = driver.answered;
-    Ok(DriveResult { began, answered })
+    Ok(DriveResult {
+        began,
+        answered: driver.answered,
+        breaches: driver.breaches,
+    })
+}
+
+/// The breach of a client that gets the result of another request. A worker returns the inputs of a request, which hold
+/// its id.
+fn foreign_answer(answer: &Answer) -> Option<Breach> {
+    let own_inputs = format!("[\"{}\"]", answer.id);
+    let body = String::from_utf8_lossy(&answer.body);
+    let is_foreign = answer.verdict == "served" && !body.contains(&own_inputs);
+    is_foreign.then(|| Breach {
+        rule: Rule::OneFinalAnswer,
+        at: wall_ns(),
+        what: format!("call {} got the answer {body}", answer.id),
+    })
 }
 
 /// The time from which no more answers are expected, in nanoseconds from the start of the load.
@@ -77,6 +98,10 @@
     answered: usize,
     /// The number of answers by verdict.
     verdicts: BTreeMap<String, usize>,
+    /// Whether the inputs of each request hold its id.
+    has_equal_ids: bool,
+    /// The answers that belong to other requests.
+    breaches: Vec<Breach>,
     next_progress: u64,
     progress: P,
 }
@@ -127,6 +152,9 @@
     }
 
     fn count(&mut self, answer: Answer) {
+        if self.has_equal_ids {
+            self.breaches.extend(foreign_answer(&answer));
+        }
         *self.verdicts.entry(answer.verdict).or_default() += 1;
         self.answered += 1;
     }
--- a/crates/pipithub-scenario/src/scenario.rs
+++ b/crates/pipithub-scenario/src/scenario.rs
@@ -132,6 +132,8 @@
     pub cross_tenant_share: f64,
     /// Further lines of the directory's settings, in KDL.
     pub settings: String,
+    /// Whether each user numbers messages from 1, so that users have equal message ids.
+    pub has_equal_ids: bool,
     /// The maximum age of a signature at the first delivery of its message, in nanoseconds.
     pub max_signature_age: u64,
     /// How long after a migration a request may still reach a function of the old tenant, in nanoseconds.
--- a/crates/pipithub-scenario/src/scenario/parse.rs
+++ b/crates/pipithub-scenario/src/scenario/parse.rs
@@ -124,12 +124,13 @@
 }
 
 fn parse_tenants(node: &Node<'_>) -> ParseResult<TenantSpec> {
-    node.allow(&["users", "servers", "spies", "bound", "max-age"])?;
+    node.allow(&["users", "servers", "spies", "bound", "max-age", "equal-ids"])?;
     Ok(TenantSpec {
         users: node.count("users", Some(60))?.clamp(2, 1_000_000),
         servers: node.count("servers", Some(2))?.clamp(1, 8),
         cross_tenant_share: node.number("spies", Some(0.05))?.min(1.0),
         settings: node.children_text(),
+        has_equal_ids: node.flag("equal-ids"),
         max_signature_age: node.duration("max-age", Some(300 * SECOND))?,
         migration_grace: node.duration("bound", None)?,
     })
--- a/crates/pipithub/src/publish.rs
+++ b/crates/pipithub/src/publish.rs
@@ -170,6 +170,7 @@
         let arguments = &self.arguments;
         Call {
             id,
+            message_id: None,
             queue: arguments.queue.clone(),
             class: arguments.class.clone(),
             function: arguments.function.clone(),
--- a/crates/pipithub/tests/cli.rs
+++ b/crates/pipithub/tests/cli.rs
@@ -273,6 +273,13 @@
     check_all_rules("redelivered-calls.kdl");
 }
 
+/// Guards against answers that go to other users' calls, calls without an answer, and calls that are served and never ran, where
+/// users number their messages alike and front ends are killed.
+#[test]
+fn scenario_with_equal_message_ids_keeps_all_rules() {
+    check_all_rules("equal-ids.kdl");
+}
+
 /// Checks all rules without tenants on the traffic between real processes.
 #[test]
 fn small_fault_scenario_keeps_all_rules() {
