The engine's random test publishes copies of messages, whose effects are counted together

Need: the engine's random test drew unique identities, so that neither a wrong join nor an unconfirmed answer showed.

Change: three in ten messages are copies of an earlier one, with its identity and key. Each message still has one answer in time.

--- a/crates/pipithub-engine/tests/random_faults/broker.rs
+++ b/crates/pipithub-engine/tests/random_faults/broker.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Message {
     pub(crate) class: usize,
+    /// The number of the first message with the same bytes. Such messages are copies, which nothing tells apart.
+    pub(crate) original: usize,
     pub(crate) published: Time,
     pub(crate) redelivered: bool,
     pub(crate) answers: Vec<Answer>,
@@ -24,6 +26,16 @@
     pub(crate) effects: Vec<Time>,
 }
 
+/// What a client publishes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Content {
+    New {
+        class: usize,
+    },
+    /// The same bytes as the message with this number.
+    CopyOf(usize),
+}
+
 /// A delivery that is not acknowledged yet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Delivery {
@@ -48,10 +60,20 @@
         &self.messages[number]
     }
 
-    pub(crate) fn publish(&mut self, class: usize, now: Time) {
-        self.queue.push_back(self.messages.len());
+    /// Publishes a message of a class, or a copy of the message with a number.
+    pub(crate) fn publish(&mut self, content: Content, now: Time) {
+        let number = self.messages.len();
+        let (class, original) = match content {
+            Content::New { class } => (class, number),
+            Content::CopyOf(earlier) => {
+                let earlier = &self.messages[earlier];
+                (earlier.class, earlier.original)
+            }
+        };
+        self.queue.push_back(number);
         self.messages.push(Message {
             class,
+            original,
             published: now,
             redelivered: false,
             answers: Vec::new(),
@@ -76,11 +98,19 @@
         Some((ticket, message))
     }
 
+    /// Whether a front end holds a delivery of the message or of a copy.
     pub(crate) fn has_delivered(&self, front_end: usize, message: usize) -> bool {
-        let expected = Delivery { front_end, message };
-        self.unacknowledged
-            .values()
-            .any(|delivery| *delivery == expected)
+        let original = self.messages[message].original;
+        self.unacknowledged.values().any(|delivery| {
+            delivery.front_end == front_end && self.messages[delivery.message].original == original
+        })
+    }
+
+    /// When a worker has run the message or a copy first.
+    pub(crate) fn first_effect(&self, message: usize) -> Option<Time> {
+        let original = self.messages[message].original;
+        let copies = self.messages.iter().filter(|m| m.original == original);
+        copies.flat_map(|copy| &copy.effects).min().copied()
     }
 
     /// Records the answer to a delivery and acknowledges the delivery in one step, as a transaction does.
--- a/crates/pipithub-engine/tests/random_faults/events.rs
+++ b/crates/pipithub-engine/tests/random_faults/events.rs
@@ -5,6 +5,8 @@
 use pipithub_engine::policy::Outcome;
 use pipithub_engine::{AttemptId, Ticket, Time, Verdict};
 
+use crate::broker::Content;
+
 /// An attempt of one incarnation of a front end. The results of attempts of earlier incarnations are ignored.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct SimulatedAttempt {
@@ -15,9 +17,7 @@
 
 #[derive(Debug)]
 pub(crate) enum Event {
-    MessagePublished {
-        class: usize,
-    },
+    MessagePublished(Content),
     /// A call reaches its worker; its attempt ends with this outcome unless it is cancelled.
     CallArrived {
         attempt: SimulatedAttempt,
--- a/crates/pipithub-engine/tests/random_faults/simulation.rs
+++ b/crates/pipithub-engine/tests/random_faults/simulation.rs
@@ -9,7 +9,7 @@
     Ticket, Time, Trigger,
 };
 
-use crate::broker::{Broker, Message, SOURCE};
+use crate::broker::{Broker, Content, Message, SOURCE};
 use crate::events::{Event, Schedule, SimulatedAttempt};
 
 const MS: Time = 1_000_000;
@@ -25,6 +25,8 @@
 pub(crate) const IDEMPOTENT: usize = 0;
 pub(crate) const WITH_KEY: usize = 1;
 const CLASSES: u64 = 3;
+/// The part of the messages that are copies of earlier ones, in percent.
+const COPY_PERCENT: u64 = 30;
 
 fn settings() -> EngineSettings {
     let class = |idempotency| Class {
@@ -149,8 +151,13 @@
     fn schedule_messages(&mut self) {
         for number in 0..MESSAGES {
             let class = self.random.below(CLASSES) as usize;
+            let content = if number > 0 && self.random.below(100) < COPY_PERCENT {
+                Content::CopyOf(self.random.below(number as u64) as usize)
+            } else {
+                Content::New { class }
+            };
             let at = number as Time * 20 * MS;
-            self.schedule.add(at, Event::MessagePublished { class });
+            self.schedule.add(at, Event::MessagePublished(content));
         }
     }
 
@@ -251,7 +258,7 @@
 
     fn handle_event(&mut self, event: Event) {
         match event {
-            Event::MessagePublished { class } => self.broker.publish(class, self.now),
+            Event::MessagePublished(content) => self.broker.publish(content, self.now),
             Event::CallArrived {
                 attempt,
                 message,
@@ -296,10 +303,10 @@
         let runs = !outcome.never_ran()
             && (outcome != Outcome::ConnectionLost || self.random.below(2) == 0);
         if runs {
-            let Message { class, effects, .. } = self.broker.message(message);
-            let first_effect = effects.first();
+            let class = self.broker.message(message).class;
+            let first_effect = self.broker.first_effect(message);
             let is_repeat = first_effect.is_some_and(|at| self.now < at + DEDUPLICATION_WINDOW);
-            if *class != WITH_KEY || !is_repeat {
+            if class != WITH_KEY || !is_repeat {
                 self.broker.record_effect(message, self.now);
             }
         }
@@ -356,18 +363,18 @@
         let message = self.broker.message(number);
         let age = self.now - message.published;
         let call = Call {
-            function: format!("f{}", number % 3).into(),
+            function: format!("f{}", message.original % 3).into(),
             class: message.class,
             timeout: Some(CLIENT_TIMEOUT.saturating_sub(age)),
             age: Some(age),
             replica_concurrency: 4,
-            idempotency_key: Some(number.to_string().into()),
-            body: Bytes::from_static(b"x"),
+            idempotency_key: Some(message.original.to_string().into()),
+            body: Bytes::from(number.to_string()),
             ..Call::default()
         };
         Trigger {
             ticket,
-            identity: Some(MessageIdentity(number as u128)),
+            identity: Some(MessageIdentity(message.original as u128)),
             redelivered: message.redelivered,
             deliveries: 0,
             call,
@@ -375,10 +382,10 @@
     }
 }
 
-/// The number of the message that a call belongs to, which is its idempotency key.
+/// The number of the message that a call belongs to, which is its body.
 fn message_of(call: &Call) -> usize {
-    call.idempotency_key
-        .as_deref()
-        .and_then(|key| key.parse().ok())
-        .expect("the idempotency key of each call is the number of its message")
+    std::str::from_utf8(&call.body)
+        .ok()
+        .and_then(|number| number.parse().ok())
+        .expect("the body of each call is the number of its message")
 }
