Keys name their user also where a queue has an identity and there are no tenants

Change: keys get their owner on the way to the engine, with tenants or without; the time of the change is a setting of the gateway. What becomes of a call (plain, scoped, rejected, failed) is decided in pipithub-admission, and the gateway carries it out in a module of its own in place of code in tenancy.rs.

--- a/crates/pipithub-admission/src/idempotency_key.rs
+++ b/crates/pipithub-admission/src/idempotency_key.rs
@@ -37,18 +37,33 @@
     name.replace('%', "%25").replace('/', "%2F")
 }
 
-/// How the key of a call is sent to workers.
+/// What becomes of a call with a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeyForm {
-    /// As the client states it, as in earlier versions.
-    Plain,
-    /// Not at all: an earlier attempt may have had the plain key, and workers may still deduplicate it by that.
-    Changing {
-        /// The time until scoped keys are sent, in nanoseconds.
-        remaining: Time,
+pub enum KeyDecision {
+    /// It is sent with its plain key, as in earlier versions.
+    SendPlain,
+    /// It is sent with its scoped key.
+    SendScoped,
+    /// It is rejected, as an earlier one with its plain key may be the same call. The client may retry after this time,
+    /// in nanoseconds.
+    Reject {
+        /// The time until scoped keys are sent.
+        retry_after: Time,
     },
-    /// With its owner.
-    Scoped,
+    /// It fails, as it may have run with its plain key and workers may not know the scoped one.
+    Fail,
+}
+
+/// A call with a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyedCall {
+    /// Whether the call must not run twice without its key.
+    pub needs_key: bool,
+    /// Whether the call may have been forwarded before.
+    pub redelivered: bool,
+    /// For how long after the arrival of a call of its class workers may deduplicate it: the client timeout and the
+    /// deduplication window, in nanoseconds.
+    pub lifetime: Time,
 }
 
 /// The change from plain keys to scoped ones, at a time that all front ends are given. All of them must run a version
@@ -70,21 +85,22 @@
         KeyChange { at }
     }
 
-    /// The form of the key of a call that arrives now. `lifetime` is for how long after its arrival workers may
-    /// deduplicate a call of its class: the client timeout and the deduplication window, in nanoseconds.
-    pub fn form(&self, now: Time, lifetime: Time) -> KeyForm {
+    /// Decides on a call that arrives now.
+    pub fn decide(&self, now: Time, call: KeyedCall) -> KeyDecision {
         let Some(at) = self.at else {
-            return KeyForm::Scoped;
+            return KeyDecision::SendScoped;
         };
         let now = i128::from(now);
-        let end = at + i128::from(lifetime) + 2 * i128::from(MAX_CLOCK_SKEW);
+        let end = at + i128::from(call.lifetime) + 2 * i128::from(MAX_CLOCK_SKEW);
         if now < at {
-            KeyForm::Plain
-        } else if now < end {
-            let remaining = Time::try_from(end - now).unwrap_or(Time::MAX);
-            KeyForm::Changing { remaining }
+            KeyDecision::SendPlain
+        } else if now >= end || !call.needs_key {
+            KeyDecision::SendScoped
+        } else if call.redelivered {
+            KeyDecision::Fail
         } else {
-            KeyForm::Scoped
+            let retry_after = Time::try_from(end - now).unwrap_or(Time::MAX);
+            KeyDecision::Reject { retry_after }
         }
     }
 }
--- a/crates/pipithub-admission/src/lib.rs
+++ b/crates/pipithub-admission/src/lib.rs
@@ -10,7 +10,7 @@
 mod quotas;
 
 pub use admission::{Admission, AdmissionSettings};
-pub use idempotency_key::{KeyChange, KeyForm, KeyOwner};
+pub use idempotency_key::{KeyChange, KeyDecision, KeyOwner, KeyedCall};
 pub use outputs::{Admitted, Arrival, Completion, Output, RejectReason, ServiceResult};
 pub use quotas::{LimitRange, QuotaSettings, RateLimit, TenantQuota};
 
--- a/crates/pipithub-gateway/src/front_end.rs
+++ b/crates/pipithub-gateway/src/front_end.rs
@@ -21,6 +21,7 @@
 use crate::Snapshot;
 use crate::directory::DirectoryEvent;
 use crate::tenancy::Tenancy;
+use crate::worker_keys::WorkerKeys;
 use crate::workers::WorkerClient;
 
 /// The capacity of the engine's input queue; senders wait while it is full.
@@ -48,6 +49,7 @@
     /// Outputs of the engine that are not executed yet.
     outputs: Vec<Output>,
     tenancy: Option<Tenancy>,
+    worker_keys: WorkerKeys,
     /// Inputs that admission has produced for the engine and that are not handled yet.
     engine_inputs: Vec<Input>,
 }
@@ -95,6 +97,7 @@
             snapshot: watch::channel(Snapshot::default()).0,
             outputs: Vec::new(),
             tenancy: None,
+            worker_keys: WorkerKeys::new(config, clock.read()),
             engine_inputs: Vec::new(),
         }
     }
@@ -242,7 +245,7 @@
         }
         let now = self.clock.now();
         let Some(tenancy) = &mut self.tenancy else {
-            return self.engine.handle(now, input, &mut self.outputs);
+            return self.pass_to_engine(now, input);
         };
         match input {
             // A redelivery that joins its request bypasses admission, which must not reject what is running already. Its
@@ -252,16 +255,20 @@
             }
             Input::SourceLost(source) => {
                 tenancy.source_lost(now, source, &mut self.engine_inputs);
-                self.engine
-                    .handle(now, Input::SourceLost(source), &mut self.outputs);
+                self.pass_to_engine(now, Input::SourceLost(source));
             }
             other => {
                 tenancy.tick(now, self.engine.pending_requests(), &mut self.engine_inputs);
-                self.engine.handle(now, other, &mut self.outputs);
+                self.pass_to_engine(now, other);
             }
         }
     }
 
+    fn pass_to_engine(&mut self, now: Time, input: Input) {
+        let input = self.worker_keys.apply(now, input);
+        self.engine.handle(now, input, &mut self.outputs);
+    }
+
     /// Publishes the remaining capacity to the sources and a snapshot to observers.
     fn publish_state(&mut self) {
         let pending_admissions = self.pending_admissions();
--- a/crates/pipithub-gateway/src/front_end/outputs.rs
+++ b/crates/pipithub-gateway/src/front_end/outputs.rs
@@ -17,8 +17,7 @@
     pub(super) fn execute_outputs(&mut self) {
         while !self.outputs.is_empty() || !self.engine_inputs.is_empty() {
             for input in std::mem::take(&mut self.engine_inputs) {
-                self.engine
-                    .handle(self.clock.now(), input, &mut self.outputs);
+                self.pass_to_engine(self.clock.now(), input);
             }
             let mut outputs = std::mem::take(&mut self.outputs);
             for output in outputs.drain(..) {
--- a/crates/pipithub-gateway/src/lib.rs
+++ b/crates/pipithub-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod seed;
 mod startup;
 mod tenancy;
+mod worker_keys;
 mod workers;
 
 pub use pipithub_baselines::Policy;
--- a/crates/pipithub-gateway/src/startup.rs
+++ b/crates/pipithub-gateway/src/startup.rs
@@ -74,7 +74,7 @@
             self.tasks,
         );
         let classes = &self.config.engine.policy.classes;
-        let tenancy = Tenancy::new(tenants, directories, classes, self.name, self.clock.read());
+        let tenancy = Tenancy::new(tenants, directories, classes, self.name);
         self.front_end.set_tenancy(tenancy);
     }
 
--- a/crates/pipithub-gateway/src/tenancy.rs
+++ b/crates/pipithub-gateway/src/tenancy.rs
@@ -5,12 +5,10 @@
 
 use arc_swap::ArcSwap;
 use pipithub_admission::{
-    Admission, Admitted, Arrival, Completion, KeyChange, KeyForm, KeyOwner, Output, RejectReason,
-    ServiceResult,
+    Admission, Admitted, Arrival, Completion, Output, RejectReason, ServiceResult,
 };
-use pipithub_clock::Reading;
 use pipithub_directory::{Input as DirectoryInput, Resolution, Roster, TenantId, User};
-use pipithub_engine::policy::{Class, Idempotency};
+use pipithub_engine::policy::Class;
 use pipithub_engine::{
     Cause, Input, Reply, SourceId, Tenant, TenantUser, Ticket, Time, Trigger, Verdict,
 };
@@ -47,7 +45,6 @@
     lookups: mpsc::Sender<DirectoryInput>,
     events: mpsc::Receiver<DirectoryEvent>,
     admitted_calls: BTreeMap<Ticket, AdmittedCall>,
-    key_change: KeyChange,
     outputs: Vec<Output<Box<Trigger>>>,
 }
 
@@ -64,19 +61,6 @@
     }
 }
 
-/// Whose idempotency key a call has; `None` if it has neither a user nor a tenant.
-fn key_owner<'a>(
-    user: Option<&'a str>,
-    tenant: Option<Tenant>,
-    config: &'a TenantsConfig,
-) -> Option<KeyOwner<'a>> {
-    if let Some(user) = user {
-        return Some(KeyOwner::User(user));
-    }
-    let tenant = config.tenants.get(usize::from(tenant?.0))?;
-    Some(KeyOwner::Tenant(&tenant.name))
-}
-
 /// How admission counts the answer of a call.
 fn service_result(reply: &Reply) -> ServiceResult {
     if reply.verdict == Verdict::Served {
@@ -95,7 +79,6 @@
         handle: DirectoryHandle,
         classes: &[Class],
         front_end: &str,
-        started_at: Reading,
     ) -> Self {
         let DirectoryHandle {
             roster,
@@ -104,7 +87,6 @@
         } = handle;
         Tenancy {
             admission: Admission::new(config.admission.clone()),
-            key_change: KeyChange::new(config.scoped_keys_since_ms, started_at),
             config,
             front_end: front_end.to_string(),
             classes: classes.to_vec(),
@@ -315,43 +297,6 @@
             admitted_at: now,
         };
         self.admitted_calls.insert(trigger.ticket, admitted_call);
-        self.with_key_for_workers(now, trigger)
-    }
-
-    /// Gives a call the idempotency key that workers see. While keys change their form, a call that must not run without
-    /// its key is rejected, or fails if it may have run with the key in its former form.
-    fn with_key_for_workers(&self, now: Time, mut trigger: Trigger) -> Input {
-        let call = &mut trigger.call;
-        let Some(key) = &call.idempotency_key else {
-            return Input::Trigger(trigger);
-        };
-        let class = self.classes.get(call.class);
-        let lifetime = class.map_or(0, |class| {
-            class
-                .client_timeout
-                .saturating_add(class.deduplication_window)
-        });
-        match self.key_change.form(now, lifetime) {
-            KeyForm::Plain => {}
-            KeyForm::Scoped => {
-                if let Some(owner) = key_owner(call.user.as_deref(), call.tenant, &self.config) {
-                    call.idempotency_key = Some(owner.scoped_key(key).into());
-                }
-            }
-            KeyForm::Changing { remaining } => {
-                let needs_key = class.is_some_and(|c| c.idempotency == Idempotency::WithKey);
-                if needs_key && trigger.redelivered {
-                    // Without its age, nothing says that workers still deduplicate it.
-                    call.age = None;
-                } else if needs_key {
-                    return Input::Reject {
-                        trigger,
-                        cause: Cause::KeysChanging,
-                        retry_after: Some(remaining),
-                    };
-                }
-            }
-        }
         Input::Trigger(trigger)
     }
 
--- a/crates/pipithub-gateway/tests/tenants/keys.rs
+++ b/crates/pipithub-gateway/tests/tenants/keys.rs
@@ -1,11 +1,13 @@
 //! Tests of the idempotency keys that workers see.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use pipithub_clock::wall_ms;
 use pipithub_emulator::directory::DirectoryServer;
 use pipithub_gateway::Gateway;
 use pipithub_scenario::client::Publish;
+use pipithub_settings::Config;
 
 use crate::rig::{LONG_IDENTITY_WAIT, TestBed, answer, answer_to, call, directory, tree, verdict};
 
@@ -36,15 +38,19 @@
         }
     }
 
-    /// Starts a gateway that scopes keys since that time. It is killed when it is dropped.
-    fn start_gateway(&self, scoped_keys_since_ms: Option<u64>) -> Gateway {
+    /// The settings of a gateway that scopes keys since that time.
+    fn config(&self, scoped_keys_since_ms: Option<u64>) -> Config {
         let settings = format!("{KEYED_CLASS}\n{LONG_IDENTITY_WAIT}");
         let mut config = self
             .test_bed
             .config(&[&self.server], "tls \"none\"", &settings);
-        let tenants = config.tenants.as_mut().expect("tenants");
-        tenants.scoped_keys_since_ms = scoped_keys_since_ms;
-        Gateway::start(&config)
+        config.scoped_keys_since_ms = scoped_keys_since_ms;
+        config
+    }
+
+    /// Starts a gateway that scopes keys since that time. It is killed when it is dropped.
+    fn start_gateway(&self, scoped_keys_since_ms: Option<u64>) -> Gateway {
+        Gateway::start(&self.config(scoped_keys_since_ms))
     }
 
     /// The keys of the calls that reached the worker.
@@ -64,7 +70,12 @@
 /// Plays keyed calls of users of two tenants with one message id. Keys are scoped since that time.
 async fn play_equal_ids(name: &str, scoped_keys_since_ms: Option<u64>) -> KeyedCalls {
     let test = KeyTest::new(name).await;
-    let _gateway = test.start_gateway(scoped_keys_since_ms);
+    let config = test.config(scoped_keys_since_ms);
+    play_with(&test, &config).await
+}
+
+async fn play_with(test: &KeyTest, config: &Config) -> KeyedCalls {
+    let _gateway = Gateway::start(config);
     let mut client = test.test_bed.client();
     let mut answers = Vec::new();
     for (user, function) in [("mai", "north-map"), ("lan", "south-map")] {
@@ -86,6 +97,19 @@
     assert_eq!(calls.keys, expected);
 }
 
+/// Guards against the same where the queue proves the users, and there are no tenants.
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_see_different_keys_of_users_without_tenants() {
+    let test = KeyTest::new("untenanted").await;
+    let mut config = test.config(None);
+    config.tenants = None;
+    config.engine.owners = Arc::default();
+    let calls = play_with(&test, &config).await;
+    assert_eq!(calls.answers, vec![verdict("served", "answered"); 2]);
+    let expected = ["user:mai/1", "user:lan/1"].map(|key| Some(key.to_string()));
+    assert_eq!(calls.keys, expected);
+}
+
 /// Guards against a call that runs twice because an upgrade changes its key in the middle of its window.
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_are_plain_before_the_change_and_no_keyed_call_runs_during_it() {
--- a/crates/pipithub-settings/src/config.rs
+++ b/crates/pipithub-settings/src/config.rs
@@ -129,6 +129,8 @@
     pub engine: EngineSettings,
     /// The tenants and their directories; `None` if there are no tenants, and every request may run every function.
     pub tenants: Option<TenantsConfig>,
+    /// Since when idempotency keys are sent to workers with their user, in Unix milliseconds; `None` if they always were.
+    pub scoped_keys_since_ms: Option<u64>,
     /// The brokers whose queues are consumed.
     pub amqp: Vec<AmqpConfig>,
     /// The cron timers.
--- a/crates/pipithub-settings/src/document.rs
+++ b/crates/pipithub-settings/src/document.rs
@@ -65,6 +65,7 @@
         instances: front_end.instances,
         classes: classes.names,
         engine,
+        scoped_keys_since_ms: tenants.scoped_keys_since_ms,
         tenants: tenants.config,
         amqp,
         cron,
--- a/crates/pipithub-settings/src/tenants.rs
+++ b/crates/pipithub-settings/src/tenants.rs
@@ -23,6 +23,7 @@
 /// The tenants, and what other nodes need to refer to them.
 pub(crate) struct Tenants {
     pub(crate) config: Option<TenantsConfig>,
+    pub(crate) scoped_keys_since_ms: Option<u64>,
     signing_keys: Option<Arc<Keys>>,
 }
 
@@ -111,11 +112,11 @@
         directories,
         admission: admission.settings,
         max_users: admission.max_users,
-        scoped_keys_since_ms: admission.scoped_keys_since_ms,
         snapshot: admission.snapshot,
     });
     let tenants = Tenants {
         config,
+        scoped_keys_since_ms: admission.scoped_keys_since_ms,
         signing_keys,
     };
     (tenants, owners)
--- a/crates/pipithub-settings/src/tenants/config.rs
+++ b/crates/pipithub-settings/src/tenants/config.rs
@@ -120,8 +120,6 @@
     pub admission: AdmissionSettings,
     /// The maximum number of users whose records are cached.
     pub max_users: usize,
-    /// Since when idempotency keys are sent to workers with their user, in Unix milliseconds; `None` if they always were.
-    pub scoped_keys_since_ms: Option<u64>,
     /// The snapshot of cached records; `None` if no snapshot is written or read.
     pub snapshot: Option<SnapshotConfig>,
 }
--- a/crates/pipithub-settings/tests/settings.rs
+++ b/crates/pipithub-settings/tests/settings.rs
@@ -242,7 +242,7 @@
             .replace("queue \"calls\" {", "queue \"calls\" { tenant \"north\";")
             .replace("cron \"dawn\" {", "cron \"dawn\" { tenant \"north\";");
         Config::parse("valid.kdl", &text)
-            .map(|config| config.tenants.expect("a tenant").scoped_keys_since_ms)
+            .map(|config| config.scoped_keys_since_ms)
             .map_err(|faults| format!("{:?}", faults.lines()))
     };
     assert_eq!(read("2026-12-08T02:00:00Z"), Ok(Some(1_796_695_200_000)));
